Add the workspace, the inner protocol and the design page

Splits the project into six packages so that parts can be built side by side: decision logic, manifest and settings, generated messages, daemon, client and testbed. The daemon's controllers are stubs with their final interfaces.

Ruled out: a watch of the platform by every process (over 1,100 calls/s at the target size) and a full mesh of routers and agents (2.45 million connections).

--- /dev/null
+++ b/crates/client/src/main.rs
@@ -0,0 +1,2 @@
+//! Placeholder.
+fn main() {}
--- /dev/null
+++ b/crates/daemon/src/cmd/mod.rs
@@ -0,0 +1,37 @@
+//! Subcommands, one file each.
+
+mod agent;
+mod router;
+
+use std::process::ExitCode;
+
+use argh::FromArgs;
+
+/// Model-aware request router.
+#[derive(FromArgs)]
+pub struct Cmd {
+    #[argh(subcommand)]
+    sub: Sub,
+}
+
+#[derive(FromArgs)]
+#[argh(subcommand)]
+enum Sub {
+    Router(router::RouterCmd),
+    Agent(agent::AgentCmd),
+}
+
+/// Runs the chosen subcommand; errors go to standard error.
+pub fn run(cmd: Cmd) -> ExitCode {
+    let result = match cmd.sub {
+        Sub::Router(cmd) => router::run(&cmd),
+        Sub::Agent(cmd) => agent::run(&cmd),
+    };
+    match result {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(err) => {
+            eprintln!("eelgrasswelld: {err:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/lib.rs
@@ -0,0 +1,16 @@
+//! The eelgrasswell daemon: the router on entry hosts and the agent beside each backend server.
+
+pub mod agent;
+pub mod clock;
+pub mod cmd;
+pub mod config;
+pub mod controller;
+pub mod credential;
+pub mod filter;
+pub mod invariant;
+pub mod log;
+pub mod operator;
+pub mod platform;
+pub mod router;
+pub mod shutdown;
+pub mod telemetry;
--- /dev/null
+++ b/crates/daemon/src/platform.rs
@@ -0,0 +1,203 @@
+//! Client of the platform's object API.
+
+use std::{net::SocketAddr, time::Duration};
+
+use bytes::Bytes;
+use compact_str::CompactString;
+use eelgrasswell_core::{
+    id::{DomainId, HostId, ServiceName},
+    unit::Millis,
+};
+use eyre::{Result, WrapErr, bail};
+use http_body_util::{BodyExt, Full};
+use hyper::{Method, Request, StatusCode};
+use hyper_util::{
+    client::legacy::{Client, connect::HttpConnector},
+    rt::TokioExecutor,
+};
+use serde::{Deserialize, Serialize};
+use tokio::time::timeout;
+
+use crate::telemetry;
+
+/// Time after which a call counts as lost. The platform answers in milliseconds when it is well.
+const CALL_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Handle on the platform.
+#[derive(Clone, Debug)]
+pub struct Platform {
+    address: SocketAddr,
+    client: Client<HttpConnector, Full<Bytes>>,
+}
+
+/// An object with its version; versions start at 1 and rise with every write.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Object {
+    /// Version of the object.
+    pub version: u64,
+    /// Value, at most one megabyte.
+    pub value: Bytes,
+}
+
+/// Result of a conditional write.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Put {
+    /// The write took effect; the object has this version.
+    Done(u64),
+    /// The object had another version; nothing was written.
+    Conflict,
+}
+
+/// An entry of the platform's host list.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HostEntry {
+    /// Id of the host.
+    pub id: HostId,
+    /// What runs there.
+    pub role: HostRole,
+    /// Failure domain.
+    pub domain: DomainId,
+    /// Address of the inner endpoint of the process.
+    pub address: SocketAddr,
+    /// Service of the backend server; empty for routers.
+    #[serde(default)]
+    pub service: ServiceName,
+    /// Whether the platform is about to take the host away.
+    #[serde(default)]
+    pub leaving: bool,
+}
+
+/// What runs on a host.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum HostRole {
+    /// Entry host.
+    Router,
+    /// Host of a backend server.
+    Agent,
+}
+
+#[derive(Deserialize)]
+struct Hosts {
+    hosts: Vec<HostEntry>,
+}
+
+#[derive(Deserialize)]
+struct Keys {
+    keys: Vec<CompactString>,
+}
+
+#[derive(Deserialize)]
+struct Written {
+    version: u64,
+}
+
+struct Reply {
+    status: StatusCode,
+    version: u64,
+    body: Bytes,
+}
+
+impl Platform {
+    /// Opens a client; connects on the first call.
+    pub fn open(address: SocketAddr) -> Self {
+        Self { address, client: Client::builder(TokioExecutor::new()).build_http() }
+    }
+
+    /// Reads an object; none when it does not exist.
+    pub async fn get(&self, key: &str) -> Result<Option<Object>> {
+        let reply = self.call("get", Method::GET, &format!("/objects/{key}"), None, Bytes::new(), CALL_TIMEOUT).await?;
+        match reply.status {
+            StatusCode::OK => Ok(Some(Object { version: reply.version, value: reply.body })),
+            StatusCode::NOT_FOUND => Ok(None),
+            status => bail!("could not read object {key} at {}: status {status}", self.address),
+        }
+    }
+
+    /// Writes an object if its version is `expected`; 0 means that it must not exist. After an
+    /// error the write may have taken effect: read it back and compare.
+    pub async fn put(&self, key: &str, expected: u64, value: Bytes) -> Result<Put> {
+        let path = format!("/objects/{key}");
+        let reply = self.call("put", Method::PUT, &path, Some(expected), value, CALL_TIMEOUT).await?;
+        match reply.status {
+            StatusCode::OK => {
+                let written: Written = serde_json::from_slice(&reply.body)
+                    .wrap_err_with(|| format!("could not parse the answer to a write of {key}"))?;
+                Ok(Put::Done(written.version))
+            }
+            StatusCode::CONFLICT => Ok(Put::Conflict),
+            status => bail!("could not write object {key} at {}: status {status}", self.address),
+        }
+    }
+
+    /// Deletes an object if its version is `expected`.
+    pub async fn delete(&self, key: &str, expected: u64) -> Result<()> {
+        let path = format!("/objects/{key}");
+        let reply = self.call("delete", Method::DELETE, &path, Some(expected), Bytes::new(), CALL_TIMEOUT).await?;
+        match reply.status {
+            StatusCode::OK | StatusCode::NOT_FOUND => Ok(()),
+            status => bail!("could not delete object {key} at {}: status {status}", self.address),
+        }
+    }
+
+    /// Lists the keys that start with `prefix`, in order.
+    pub async fn list(&self, prefix: &str) -> Result<Vec<CompactString>> {
+        let path = format!("/objects?prefix={prefix}");
+        let reply = self.call("list", Method::GET, &path, None, Bytes::new(), CALL_TIMEOUT).await?;
+        let keys: Keys = serde_json::from_slice(&reply.body)
+            .wrap_err_with(|| format!("could not list objects {prefix} at {}", self.address))?;
+        Ok(keys.keys)
+    }
+
+    /// Waits up to `wait` for a version of the object above `after`; none when there was none.
+    pub async fn watch(&self, key: &str, after: u64, wait: Millis) -> Result<Option<Object>> {
+        let path = format!("/watch/{key}?after={after}&timeout_ms={}", wait.0);
+        let limit = Duration::from(wait) + CALL_TIMEOUT;
+        let reply = self.call("watch", Method::GET, &path, None, Bytes::new(), limit).await?;
+        match reply.status {
+            StatusCode::OK => Ok(Some(Object { version: reply.version, value: reply.body })),
+            StatusCode::NO_CONTENT => Ok(None),
+            status => bail!("could not watch object {key} at {}: status {status}", self.address),
+        }
+    }
+
+    /// Reads the host list, which lags.
+    pub async fn hosts(&self) -> Result<Vec<HostEntry>> {
+        let reply = self.call("hosts", Method::GET, "/hosts", None, Bytes::new(), CALL_TIMEOUT).await?;
+        let hosts: Hosts = serde_json::from_slice(&reply.body)
+            .wrap_err_with(|| format!("could not parse the host list of {}", self.address))?;
+        Ok(hosts.hosts)
+    }
+
+    async fn call(
+        &self,
+        kind: &'static str,
+        method: Method,
+        path: &str,
+        if_version: Option<u64>,
+        body: Bytes,
+        limit: Duration,
+    ) -> Result<Reply> {
+        let mut req = Request::builder().method(method).uri(format!("http://{}{path}", self.address));
+        if let Some(version) = if_version {
+            req = req.header("if-version", version);
+        }
+        let req = req.body(Full::new(body)).wrap_err("could not build a platform call")?;
+        let reply = timeout(limit, self.exchange(req)).await;
+        let reply = reply.unwrap_or_else(|_| bail!("timed out after {} ms", limit.as_millis()));
+        let result = if reply.is_ok() { "ok" } else { "error" };
+        metrics::counter!(telemetry::PLATFORM_CALLS, "kind" => kind, "result" => result).increment(1);
+        reply.wrap_err_with(|| format!("could not {kind} {path} at platform {}", self.address))
+    }
+
+    async fn exchange(&self, req: Request<Full<Bytes>>) -> Result<Reply> {
+        let response = self.client.request(req).await?;
+        let status = response.status();
+        let version = response.headers().get("x-version").and_then(|v| v.to_str().ok()?.parse().ok()).unwrap_or(0);
+        let body = response.into_body().collect().await?.to_bytes();
+        if status.is_server_error() {
+            bail!("status {status}");
+        }
+        Ok(Reply { status, version, body })
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/telemetry.rs
@@ -0,0 +1,20 @@
+//! Metrics: names, and the recorder that renders them as Prometheus text.
+
+use eyre::{Result, WrapErr};
+use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
+
+/// Requests refused, by `reason` and `outcome`.
+pub const REFUSALS: &str = "eelgrasswell_refusals_total";
+/// Attempts repeated at another agent, by `reason`.
+pub const RETRIES: &str = "eelgrasswell_retries_total";
+/// Broken invariants, by `promise`.
+pub const BROKEN_INVARIANTS: &str = "eelgrasswell_broken_invariants_total";
+/// Requests answered, by `kind`.
+pub const ANSWERS: &str = "eelgrasswell_answers_total";
+/// Calls to the platform, by `kind` and `result`.
+pub const PLATFORM_CALLS: &str = "eelgrasswell_platform_calls_total";
+
+/// Installs the recorder for the process.
+pub fn install() -> Result<PrometheusHandle> {
+    PrometheusBuilder::new().install_recorder().wrap_err("could not install the metrics recorder")
+}
--- /dev/null
+++ b/crates/manifest/src/config.rs
@@ -0,0 +1,171 @@
+//! The configuration in force: the operators' manifest plus the system's own rollout state,
+//! under one revision that only rises.
+
+use std::{collections::BTreeMap, fmt, str::FromStr};
+
+use compact_str::CompactString;
+use eelgrasswell_core::{
+    id::{ModelName, Revision, VersionName},
+    unit::Millis,
+};
+use serde::{Deserialize, Serialize};
+
+use crate::manifest::{Manifest, VersionState};
+
+/// A whole configuration.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Config {
+    /// Rises with every change.
+    pub revision: Revision,
+    /// Rises with every change by operators.
+    pub manifest_revision: Revision,
+    /// What operators declared.
+    pub manifest: Manifest,
+    /// State of the rollouts, written by the rollout controller.
+    #[serde(default)]
+    pub rollouts: BTreeMap<RolloutKey, RolloutStatus>,
+}
+
+/// Names a rollout: model and new version, as text `<model>/<version>`.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(try_from = "CompactString", into = "CompactString")]
+pub struct RolloutKey {
+    /// The model.
+    pub model: ModelName,
+    /// The new version.
+    pub version: VersionName,
+}
+
+/// State of a rollout.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct RolloutStatus {
+    /// Version that serves the rest of the requests and that a stop falls back to.
+    pub baseline: VersionName,
+    /// Index of the current step in the plan.
+    pub step: u32,
+    /// Weight of the new version in thousandths.
+    pub permille: u32,
+    /// Phase of the rollout.
+    pub phase: RolloutPhase,
+    /// Why it stopped or is held; empty otherwise.
+    #[serde(default)]
+    pub reason: CompactString,
+}
+
+/// Phase of a rollout.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum RolloutPhase {
+    /// Steps go on by themselves.
+    Running,
+    /// Weight stays until an operator steps or stops.
+    Held,
+    /// The new version is withdrawn.
+    Stopped,
+    /// The new version serves everything; its evidence is still watched.
+    Finished,
+}
+
+/// A version with its weight for unpinned requests.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Weighted {
+    /// The version.
+    pub version: VersionName,
+    /// Weight in thousandths.
+    pub permille: u32,
+    /// Whether its rollout has not finished.
+    pub in_rollout: bool,
+}
+
+/// Age of the last confirmation by the platform above which a node counts as stale.
+pub const STALE_AFTER: Millis = Millis(10_000);
+
+impl Config {
+    /// State of a version, with stopped rollouts taken into account; none when unknown.
+    pub fn version_state(&self, model: &ModelName, version: &VersionName) -> Option<VersionState> {
+        let declared = self.manifest.models.get(model)?.versions.get(version)?.state;
+        let key = RolloutKey { model: model.clone(), version: version.clone() };
+        let stopped = self.rollouts.get(&key).is_some_and(|status| status.phase == RolloutPhase::Stopped);
+        Some(if stopped { VersionState::Withdrawn } else { declared })
+    }
+
+    /// Weights of the versions of `model` for unpinned requests; they sum to 1000 unless empty.
+    /// Versions that are not open are left out and their weight goes to the other one.
+    pub fn weights(&self, model: &ModelName) -> Vec<Weighted> {
+        let Some(declared) = self.manifest.models.get(model) else { return Vec::new() };
+        let mut weights = vec![Weighted { version: declared.current.clone(), permille: 1000, in_rollout: false }];
+        if let Some((version, status)) = self.live_rollout(model) {
+            weights = vec![
+                Weighted {
+                    version: version.clone(),
+                    permille: status.permille,
+                    in_rollout: status.phase != RolloutPhase::Finished,
+                },
+                Weighted {
+                    version: status.baseline.clone(),
+                    permille: 1000u32.saturating_sub(status.permille),
+                    in_rollout: false,
+                },
+            ];
+        }
+        weights.retain(|w| self.version_state(model, &w.version) == Some(VersionState::Open));
+        if let [only] = weights.as_mut_slice() {
+            only.permille = 1000;
+        }
+        weights
+    }
+
+    /// The planned rollout of `model` with its status, unless it was stopped or has not begun.
+    pub fn live_rollout(&self, model: &ModelName) -> Option<(&VersionName, &RolloutStatus)> {
+        let plan = self.manifest.models.get(model)?.rollout.as_ref()?;
+        let key = RolloutKey { model: model.clone(), version: plan.version.clone() };
+        let status = self.rollouts.get(&key)?;
+        (status.phase != RolloutPhase::Stopped).then_some((&plan.version, status))
+    }
+}
+
+impl fmt::Display for RolloutKey {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}/{}", self.model, self.version)
+    }
+}
+
+/// The text is not `<model>/<version>`.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct BadRolloutKey;
+
+impl fmt::Display for BadRolloutKey {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("expected <model>/<version>")
+    }
+}
+
+impl std::error::Error for BadRolloutKey {}
+
+impl FromStr for RolloutKey {
+    type Err = BadRolloutKey;
+
+    fn from_str(s: &str) -> Result<Self, BadRolloutKey> {
+        let (model, version) = s.split_once('/').ok_or(BadRolloutKey)?;
+        Ok(Self { model: model.into(), version: version.into() })
+    }
+}
+
+impl TryFrom<CompactString> for RolloutKey {
+    type Error = BadRolloutKey;
+
+    fn try_from(s: CompactString) -> Result<Self, BadRolloutKey> {
+        s.parse()
+    }
+}
+
+impl From<RolloutKey> for CompactString {
+    fn from(key: RolloutKey) -> Self {
+        use std::fmt::Write;
+        let mut text = Self::default();
+        let _ = write!(text, "{key}");
+        text
+    }
+}
--- /dev/null
+++ b/crates/manifest/src/lib.rs
@@ -0,0 +1,5 @@
+//! The manifest that operators submit, the configuration in force, and the settings of a process.
+
+pub mod config;
+pub mod manifest;
+pub mod settings;
--- /dev/null
+++ b/crates/testbed/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
