--- a/crates/daemon/src/controller/evidence.rs
+++ b/crates/daemon/src/controller/evidence.rs
@@ -4,6 +4,7 @@
     id::{HostId, Incarnation, ModelName, VersionName},
     unit::Millis,
 };
+use eelgrasswell_proto::v1::{ReportReply, ReportRequest};
 
 use super::shards::Shards;
 use crate::config::ConfigHandle;
@@ -36,6 +37,11 @@
     /// Counts an answer.
     pub fn record(&self, _model: &ModelName, _version: &VersionName, _sample: AnswerSample) {}
 
+    /// Takes in another router's report; names the owner when this router does not own the shard.
+    pub fn receive(&self, _report: &ReportRequest) -> ReportReply {
+        ReportReply::default()
+    }
+
     /// Counts a rating of an answer.
     pub fn record_rating(&self, _model: &ModelName, _version: &VersionName, _good: bool) {}
 }
--- a/crates/daemon/src/controller/peers.rs
+++ b/crates/daemon/src/controller/peers.rs
@@ -1,6 +1,6 @@
 //! Anti-entropy between routers: configuration, shard owners and live routers.
 
-use eelgrasswell_proto::v1::{SyncReply, SyncRequest, peer_server::Peer};
+use eelgrasswell_proto::v1::{ReportReply, ReportRequest, SyncReply, SyncRequest, peer_server::Peer};
 use tonic::{Request, Response, Status};
 
 use crate::router::Router;
@@ -10,13 +10,13 @@
 
 /// Serves `Peer.Sync`.
 pub struct PeerService {
-    _router: Router,
+    router: Router,
 }
 
 impl PeerService {
     /// Serves from the state of `router`.
     pub fn new(router: Router) -> Self {
-        Self { _router: router }
+        Self { router }
     }
 }
 
@@ -25,4 +25,8 @@
     async fn sync(&self, _req: Request<SyncRequest>) -> Result<Response<SyncReply>, Status> {
         Ok(Response::new(SyncReply::default()))
     }
+
+    async fn report(&self, req: Request<ReportRequest>) -> Result<Response<ReportReply>, Status> {
+        Ok(Response::new(self.router.evidence.receive(req.get_ref())))
+    }
 }
--- a/crates/daemon/src/controller/shards.rs
+++ b/crates/daemon/src/controller/shards.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use eelgrasswell_core::{
-    id::{CustomerId, Fence, HostId, Incarnation, RequestId},
+    id::{CustomerId, Fence, HostId, Incarnation, RequestId, ShardId},
     unit::{Cost, Millis},
 };
 use eelgrasswell_manifest::settings::RouterSettings;
@@ -141,6 +141,29 @@
         None
     }
 
+    /// The shard of a model's rollout evidence, a customer's budget, or any other single key.
+    pub fn shard_of(&self, _key: &str) -> ShardId {
+        ShardId(0)
+    }
+
+    /// Whether this router owns the shard now, as far as it knows.
+    pub fn owns(&self, _shard: ShardId) -> bool {
+        false
+    }
+
+    /// The owner of a shard, as far as this router has heard.
+    pub fn owner(&self, _shard: ShardId) -> Option<v1::ShardOwner> {
+        None
+    }
+
+    /// All owners that this router has heard of, for `Peer.Sync`.
+    pub fn owners(&self) -> Vec<v1::ShardOwner> {
+        Vec::new()
+    }
+
+    /// Takes in owners that a peer has heard of; the highest fence wins.
+    pub fn learn_owners(&self, _owners: &[v1::ShardOwner]) {}
+
     /// Hands all shards over for a graceful shutdown, within `limit`.
     pub async fn release(&self, _limit: Millis) {}
 }
@@ -171,10 +194,6 @@
         Err(Status::unavailable("no shard is owned"))
     }
 
-    async fn report(&self, _req: Request<v1::ReportRequest>) -> Result<Response<v1::ReportReply>, Status> {
-        Err(Status::unavailable("no shard is owned"))
-    }
-
     async fn read_bills(&self, _req: Request<v1::ReadBillsRequest>) -> Result<Response<v1::ReadBillsReply>, Status> {
         Err(Status::unavailable("no shard is owned"))
     }
