--- a/crates/testbed/src/lib.rs
+++ b/crates/testbed/src/lib.rs
@@ -1,1 +1,7 @@
-//! Placeholder.
+//! Stand-ins, a harness that runs the system as separate processes, and helpers for experiments.
+
+pub mod fault_link;
+pub mod fleet;
+pub mod http;
+pub mod plan;
+pub mod process;
--- /dev/null
+++ b/crates/testbed/src/process.rs
@@ -0,0 +1,104 @@
+//! Child processes that end with the test that started them.
+
+use std::{
+    env, fs,
+    path::{Path, PathBuf},
+    process::{Child, Command, ExitStatus, Stdio},
+    time::Duration,
+};
+
+use eyre::{Result, WrapErr, ensure};
+use tokio::time::sleep;
+
+/// A running child process; it is killed when dropped.
+#[derive(Debug)]
+pub struct Process {
+    name: String,
+    child: Child,
+}
+
+/// Signals that tests send to their own children.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Signal {
+    /// Ends the process without notice.
+    Kill,
+    /// Asks for a graceful shutdown.
+    Term,
+    /// Freezes the process.
+    Stop,
+    /// Resumes a frozen process.
+    Continue,
+}
+
+impl Process {
+    /// Starts `program` from the build directory; its standard error goes to `log`.
+    pub fn spawn(name: &str, program: &str, args: &[&str], log: &Path) -> Result<Self> {
+        let path = build_dir()?.join(program);
+        let log = fs::OpenOptions::new().create(true).append(true).open(log);
+        let log = log.wrap_err_with(|| format!("could not open the log of {name}"))?;
+        let child = Command::new(&path)
+            .args(args)
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .stderr(log)
+            .spawn()
+            .wrap_err_with(|| {
+                format!("could not start {}; build it with `cargo build --workspace --bins --examples`", path.display())
+            })?;
+        Ok(Self { name: name.to_owned(), child })
+    }
+
+    /// Sends a signal.
+    pub fn signal(&self, signal: Signal) -> Result<()> {
+        let flag = match signal {
+            Signal::Kill => "-KILL",
+            Signal::Term => "-TERM",
+            Signal::Stop => "-STOP",
+            Signal::Continue => "-CONT",
+        };
+        let status = Command::new("kill").args([flag, &self.child.id().to_string()]).status();
+        let status = status.wrap_err_with(|| format!("could not signal {}", self.name))?;
+        ensure!(status.success(), "could not signal {}: {status}", self.name);
+        Ok(())
+    }
+
+    /// Waits until the process has ended.
+    pub async fn wait(&mut self) -> Result<ExitStatus> {
+        const POLL: Duration = Duration::from_millis(10);
+        loop {
+            if let Some(status) = self.child.try_wait()? {
+                return Ok(status);
+            }
+            sleep(POLL).await;
+        }
+    }
+
+    /// The exit status, when the process has ended.
+    pub fn ended(&mut self) -> Option<ExitStatus> {
+        self.child.try_wait().ok().flatten()
+    }
+
+    /// Process id.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// Directory with the binaries; examples lie in its `examples` directory.
+pub fn build_dir() -> Result<PathBuf> {
+    let exe = env::current_exe().wrap_err("could not find the running executable")?;
+    let dir = exe.ancestors().skip(1).find(|dir| dir.join("eelgrasswelld").exists());
+    dir.map(Path::to_path_buf).ok_or_else(|| {
+        eyre::eyre!(
+            "could not find eelgrasswelld near {}; build it with `cargo build --workspace --bins`",
+            exe.display()
+        )
+    })
+}
