Choose models by a confident mix and judge rollouts by a cumulative sum test

Cause: the first version took a lower confidence bound for each model and added exploration on top of the mix.

Now the bound is taken over the mix as a whole, exploration included, little known models are rated more often, and the prior weighs 2 ratings, not 10 (with 10 a good model with prior 0.5 was never explored).

Ruled out: a plain sequential probability ratio test, which is not sensitive to a version that turns bad after a long good time.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -1,8 +1,12 @@
 //! Decision logic of eelgrasswell. Nothing here opens a socket or reads a clock: callers pass
 //! the time and the state, so that tests and experiments can drive every decision directly.
 
+pub mod cascade;
+pub mod evidence;
 pub mod hash;
 pub mod id;
+pub mod quality;
 pub mod refusal;
+pub mod rollout;
 pub mod route;
 pub mod unit;
--- /dev/null
+++ b/crates/core/src/quality.rs
@@ -0,0 +1,60 @@
+//! Estimated quality of a model: the share of its answers that are rated good.
+
+/// Ratings after which an old rating counts half; lets the estimate follow a model that changes.
+const HALF_LIFE_RATINGS: f64 = 20_000.0;
+/// Weight of the declared prior, in ratings. With 10, a prior of 0.5 kept a good model from ever being explored.
+const PRIOR_RATINGS: f64 = 2.0;
+/// A model whose quality is known to this standard deviation is not explored.
+pub const KNOWN_DEVIATION: f64 = 0.006;
+
+/// Beta posterior over the share of good answers, with old ratings fading.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Estimate {
+    prior: f64,
+    good: f64,
+    low: f64,
+}
+
+impl Estimate {
+    /// Starts from a declared share of good answers, from 0 to 1.
+    pub fn with_prior(prior: f64) -> Self {
+        Self { prior: prior.clamp(0.01, 0.99), good: 0.0, low: 0.0 }
+    }
+
+    /// Takes in ratings.
+    pub fn add(&mut self, good: u64, low: u64) {
+        let added = good.saturating_add(low) as f64;
+        let fade = 0.5f64.powf(added / HALF_LIFE_RATINGS);
+        self.good = self.good * fade + good as f64;
+        self.low = self.low * fade + low as f64;
+    }
+
+    /// Ratings that stand behind the estimate.
+    pub fn ratings(&self) -> f64 {
+        self.good + self.low
+    }
+
+    /// Expected share of good answers.
+    pub fn mean(&self) -> f64 {
+        let (alpha, beta) = self.parameters();
+        alpha / (alpha + beta)
+    }
+
+    /// Variance of the share of good answers, given the ratings.
+    pub fn variance(&self) -> f64 {
+        let (alpha, beta) = self.parameters();
+        let n = alpha + beta;
+        alpha * beta / (n * n * (n + 1.0))
+    }
+
+    /// Share of the model's answers to have rated: `base` once its quality is known, more the less
+    /// it is known. Rated evenly, a model that is only explored learns 20 times slower than it could.
+    pub fn rating_share(&self, base: f64) -> f64 {
+        let excess = self.variance() / (KNOWN_DEVIATION * KNOWN_DEVIATION);
+        (base * excess).clamp(base, 1.0)
+    }
+
+    fn parameters(&self) -> (f64, f64) {
+        (self.good + self.prior * PRIOR_RATINGS, self.low + (1.0 - self.prior) * PRIOR_RATINGS)
+    }
+}
--- a/crates/testbed/src/lib.rs
+++ b/crates/testbed/src/lib.rs
@@ -1,5 +1,6 @@
 //! Stand-ins, a harness that runs the system as separate processes, and helpers for experiments.
 
+pub mod experiment;
 pub mod fault_link;
 pub mod fleet;
 pub mod http;
