--- /dev/null
+++ b/crates/manifest/src/delta.rs
@@ -0,0 +1,180 @@
+//! Differences between configurations, as lists of changed entries.
+
+use std::{collections::BTreeMap, fmt};
+
+use compact_str::CompactString;
+use eelgrasswell_core::id::Revision;
+use serde::{Deserialize, Serialize, de::DeserializeOwned};
+
+use crate::config::Config;
+
+/// Turns the configuration of revision `base` into that of `revision`.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Delta {
+    /// Revision that the changes apply to.
+    pub base: Revision,
+    /// Revision that results.
+    pub revision: Revision,
+    /// Manifest revision that results.
+    pub manifest_revision: Revision,
+    /// Changed entries.
+    pub changes: Vec<Change>,
+}
+
+/// A changed entry of a section of the configuration.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Change {
+    /// Name of the section, for example `customers`.
+    pub section: CompactString,
+    /// Key of the entry.
+    pub key: CompactString,
+    /// JSON of the new entry; none when it is removed.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub value: Option<String>,
+}
+
+/// Why a delta could not be applied. The configuration is unchanged.
+#[derive(Debug)]
+pub enum DeltaError {
+    /// The delta applies to another revision.
+    Base {
+        /// Revision in force.
+        have: Revision,
+        /// Revision that the delta applies to.
+        base: Revision,
+    },
+    /// The delta does not raise the revision, or lowers the manifest revision.
+    Order(Revision),
+    /// No such section.
+    Section(CompactString),
+    /// The key or the value of an entry could not be parsed.
+    Entry {
+        /// Section and key.
+        entry: String,
+        /// What is wrong with it.
+        source: serde_json::Error,
+    },
+}
+
+impl fmt::Display for DeltaError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Base { have, base } => write!(f, "could not apply a delta of revision {base} to revision {have}"),
+            Self::Order(revision) => write!(f, "could not apply a delta to {revision}: revisions must rise"),
+            Self::Section(section) => write!(f, "could not apply a delta: unknown section {section:?}"),
+            Self::Entry { entry, .. } => write!(f, "could not parse entry {entry} of a delta"),
+        }
+    }
+}
+
+impl std::error::Error for DeltaError {
+    fn source(&self) -> Option<&(dyn std::error::Error + 'static)> {
+        match self {
+            Self::Entry { source, .. } => Some(source),
+            _ => None,
+        }
+    }
+}
+
+/// Runs `$run!(name, map)` for each section; the one place that lists them. Destructuring without
+/// `..` makes a new section of the manifest a compile error here.
+macro_rules! for_each_section {
+    ($config:expr, $run:ident) => {{
+        let Config { revision: _, manifest_revision: _, manifest, rollouts } = $config;
+        let crate::manifest::Manifest { domains, services, models, classes, customers, draining } = manifest;
+        $run!("domains", domains);
+        $run!("services", services);
+        $run!("models", models);
+        $run!("classes", classes);
+        $run!("customers", customers);
+        $run!("draining", draining);
+        $run!("rollouts", rollouts);
+    }};
+}
+
+impl Delta {
+    /// The difference that turns `old` into `new`.
+    pub fn between(old: &Config, new: &Config) -> Self {
+        let before = sections(old);
+        let after = sections(new);
+        let mut changes = Vec::new();
+        for (&(section, ref key), value) in &after {
+            if before.get(&(section, key.clone())) != Some(value) {
+                changes.push(Change { section: section.into(), key: key.clone(), value: Some(value.clone()) });
+            }
+        }
+        for (section, key) in before.keys().filter(|entry| !after.contains_key(*entry)) {
+            changes.push(Change { section: (*section).into(), key: key.clone(), value: None });
+        }
+        Self { base: old.revision, revision: new.revision, manifest_revision: new.manifest_revision, changes }
+    }
+
+    /// The configuration that results from `config`, which must have the base revision.
+    pub fn apply(&self, config: &Config) -> Result<Config, DeltaError> {
+        if config.revision != self.base {
+            return Err(DeltaError::Base { have: config.revision, base: self.base });
+        }
+        if self.revision <= self.base || self.manifest_revision < config.manifest_revision {
+            return Err(DeltaError::Order(self.revision));
+        }
+        let mut config = config.clone();
+        for change in &self.changes {
+            change.apply(&mut config)?;
+        }
+        config.revision = self.revision;
+        config.manifest_revision = self.manifest_revision;
+        Ok(config)
+    }
+
+    /// Size of the delta in bytes, near enough for limits on what is kept.
+    pub fn size(&self) -> usize {
+        let entries = self.changes.iter().map(|change| {
+            let value = change.value.as_ref().map_or(0, String::len);
+            change.section.len() + change.key.len() + value + 32
+        });
+        entries.sum::<usize>() + 48
+    }
+}
+
+impl Change {
+    fn apply(&self, config: &mut Config) -> Result<(), DeltaError> {
+        macro_rules! apply_if_named {
+            ($name:literal, $map:ident) => {
+                if self.section == $name {
+                    return set($map, self);
+                }
+            };
+        }
+        for_each_section!(config, apply_if_named);
+        Err(DeltaError::Section(self.section.clone()))
+    }
+}
+
+/// All entries of a configuration as JSON text.
+fn sections(config: &Config) -> BTreeMap<(&'static str, CompactString), String> {
+    let mut entries = BTreeMap::new();
+    macro_rules! collect {
+        ($name:literal, $map:ident) => {
+            for (key, value) in $map {
+                let value = serde_json::to_string(value).expect("configuration serialises to JSON");
+                entries.insert(($name, CompactString::from(key.to_string())), value);
+            }
+        };
+    }
+    for_each_section!(config, collect);
+    entries
+}
+
+fn set<K: Ord + DeserializeOwned, V: DeserializeOwned>(
+    map: &mut BTreeMap<K, V>,
+    change: &Change,
+) -> Result<(), DeltaError> {
+    let fail = |source| DeltaError::Entry { entry: format!("{}/{}", change.section, change.key), source };
+    let key = serde_json::from_value(change.key.as_str().into()).map_err(fail)?;
+    let Some(value) = &change.value else {
+        map.remove(&key);
+        return Ok(());
+    };
+    map.insert(key, serde_json::from_str(value).map_err(fail)?);
+    Ok(())
+}
--- a/crates/manifest/src/lib.rs
+++ b/crates/manifest/src/lib.rs
@@ -1,5 +1,6 @@
 //! The manifest that operators submit, the configuration in force, and the settings of a process.
 
 pub mod config;
+pub mod delta;
 pub mod manifest;
 pub mod settings;
