--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -3,6 +3,7 @@
 
 pub mod hash;
 pub mod id;
+pub mod membership;
 pub mod refusal;
 pub mod route;
 pub mod unit;
--- /dev/null
+++ b/crates/core/src/membership.rs
@@ -0,0 +1,216 @@
+//! Rendezvous hashing over hosts: watchers, ranks for shards, link subsets; and failure detection
+//! by heartbeats.
+
+use std::{cmp::Reverse, collections::BTreeMap};
+
+use crate::{
+    hash::{HashMap, stable_hash},
+    id::{DomainId, HostId, Incarnation, ServiceName},
+    unit::Millis,
+};
+
+/// Routers that link to each agent.
+pub const ROUTERS_PER_AGENT: usize = 8;
+/// Agents of each pool that every router links to, so that small pools are reachable from all routers.
+pub const AGENTS_PER_POOL: usize = 3;
+/// Routers of each failure domain that watch the platform.
+pub const WATCHERS_PER_DOMAIN: usize = 2;
+/// Time without a heartbeat after which a router counts as dead. With 350 routers and two exchanges
+/// a second the oldest heartbeat of a live router is under 5 s.
+pub const DEAD_AFTER: Millis = Millis(8_000);
+
+/// A router or agent as the subsets see it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Node {
+    /// The host.
+    pub id: HostId,
+    /// Its failure domain.
+    pub domain: DomainId,
+    /// Its pool; empty for routers.
+    pub pool: ServiceName,
+}
+
+/// A link that a router should keep.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct PlannedLink {
+    /// Index of the agent.
+    pub agent: usize,
+    /// Place of the router among the agent's routers; none when the link only serves the minimum per pool.
+    pub rank: Option<usize>,
+}
+
+/// Indices of `ids` in falling order of rendezvous weight for `key`.
+pub fn rank(key: &str, ids: &[&HostId]) -> Vec<usize> {
+    let key = stable_hash(&[key]);
+    let mut ranked: Vec<usize> = (0..ids.len()).collect();
+    ranked.sort_by_cached_key(|&i| (Reverse(weight(key, node_hash(ids[i]))), ids[i].clone()));
+    ranked
+}
+
+/// Whether `own` is among the watchers that the routers of its failure domain elect.
+pub fn is_watcher(own: &HostId, domain: &DomainId, routers: &[Node]) -> bool {
+    let mut ids: Vec<&HostId> = routers.iter().filter(|r| r.domain == *domain).map(|r| &r.id).collect();
+    if !ids.contains(&own) {
+        ids.push(own);
+    }
+    rank(WATCH_KEY, &ids).iter().take(WATCHERS_PER_DOMAIN).any(|&i| ids[i] == own)
+}
+
+const WATCH_KEY: &str = "watch";
+
+/// Number of watchers that `routers` elect in all failure domains.
+pub fn watcher_count(routers: &[Node]) -> usize {
+    let mut domains: BTreeMap<&DomainId, usize> = BTreeMap::new();
+    for router in routers {
+        *domains.entry(&router.domain).or_default() += 1;
+    }
+    domains.values().map(|&n| n.min(WATCHERS_PER_DOMAIN)).sum()
+}
+
+/// The links that `own` should keep, in order of the agents. `routers` must contain `own`.
+pub fn plan_links(own: &HostId, routers: &[Node], agents: &[Node]) -> Vec<PlannedLink> {
+    let Some(own_index) = routers.iter().position(|r| r.id == *own) else { return Vec::new() };
+    let own_hash = node_hash(own);
+    let groups = Groups::new(routers);
+    let mut links: Vec<PlannedLink> = Vec::new();
+    let mut pools: BTreeMap<&ServiceName, Vec<usize>> = BTreeMap::new();
+    for (agent, node) in agents.iter().enumerate() {
+        pools.entry(&node.pool).or_default().push(agent);
+        let rank = groups.pick(node_hash(&node.id), ROUTERS_PER_AGENT).iter().position(|&i| i == own_index);
+        if rank.is_some() {
+            links.push(PlannedLink { agent, rank });
+        }
+    }
+    for members in pools.values() {
+        let nodes: Vec<&Node> = members.iter().map(|&i| &agents[i]).collect();
+        for picked in Groups::from_refs(&nodes).pick(own_hash, AGENTS_PER_POOL) {
+            let agent = members[picked];
+            if links.iter().all(|link| link.agent != agent) {
+                links.push(PlannedLink { agent, rank: None });
+            }
+        }
+    }
+    links.sort_by_key(|link| link.agent);
+    links
+}
+
+/// Routers that should link to `agent`, as indices in order of rank.
+pub fn routers_of(agent: &HostId, routers: &[Node]) -> Vec<usize> {
+    Groups::new(routers).pick(node_hash(agent), ROUTERS_PER_AGENT)
+}
+
+/// Nodes by failure domain, with their hashes computed once.
+struct Groups {
+    domains: Vec<Vec<(u64, usize)>>,
+}
+
+impl Groups {
+    fn new(nodes: &[Node]) -> Self {
+        Self::from_refs(&nodes.iter().collect::<Vec<_>>())
+    }
+
+    fn from_refs(nodes: &[&Node]) -> Self {
+        let mut domains: BTreeMap<&DomainId, Vec<(u64, usize)>> = BTreeMap::new();
+        for (i, node) in nodes.iter().enumerate() {
+            domains.entry(&node.domain).or_default().push((node_hash(&node.id), i));
+        }
+        Self { domains: domains.into_values().collect() }
+    }
+
+    /// Takes up to `count` nodes round-robin over the failure domains: first the best of each domain
+    /// in falling order of weight, then the second best of each, and so on.
+    fn pick(&self, key: u64, count: usize) -> Vec<usize> {
+        let mut ranked: Vec<(usize, Reverse<u64>, usize)> = Vec::with_capacity(self.domains.len() * 2);
+        let mut best: Vec<(Reverse<u64>, usize)> = Vec::with_capacity(count + 1);
+        // No domain can supply more than what is left when each other domain supplies one per round.
+        for domain in &self.domains {
+            best.clear();
+            let depth = count.min(domain.len());
+            for &(hash, i) in domain {
+                let entry = (Reverse(weight(key, hash)), i);
+                if best.len() == depth && entry >= best[depth - 1] {
+                    continue;
+                }
+                let at = best.partition_point(|other| *other < entry);
+                best.insert(at, entry);
+                best.truncate(depth);
+            }
+            ranked.extend(best.iter().enumerate().map(|(round, &(weight, i))| (round, weight, i)));
+        }
+        ranked.sort_unstable();
+        ranked.truncate(count);
+        ranked.into_iter().map(|(_, _, i)| i).collect()
+    }
+}
+
+fn node_hash(id: &HostId) -> u64 {
+    stable_hash(&[id.as_str()])
+}
+
+/// Rendezvous weight of a pair of hashes. Both are well mixed, so one multiply-xor round suffices.
+fn weight(a: u64, b: u64) -> u64 {
+    let mut x = a.rotate_left(32) ^ b;
+    x = (x ^ (x >> 32)).wrapping_mul(0xd6e8_feb8_6659_fd93);
+    x = (x ^ (x >> 32)).wrapping_mul(0xd6e8_feb8_6659_fd93);
+    x ^ (x >> 32)
+}
+
+/// Heartbeats of routers, heard directly or through others. `T` is what is known of a router.
+#[derive(Clone, Debug)]
+pub struct Heartbeats<T> {
+    heard: HashMap<HostId, Heard<T>>,
+}
+
+/// The newest heartbeat of a router.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Heard<T> {
+    /// Incarnation that sent it.
+    pub incarnation: Incarnation,
+    /// Time of it on this process's clock.
+    pub at: Millis,
+    /// Whether the incarnation has announced that it leaves.
+    pub leaving: bool,
+    /// What else is known.
+    pub info: T,
+}
+
+impl<T> Default for Heartbeats<T> {
+    fn default() -> Self {
+        Self { heard: HashMap::default() }
+    }
+}
+
+impl<T> Heartbeats<T> {
+    /// Takes in a heartbeat. Older ones of the same incarnation change nothing except that a
+    /// leaving incarnation stays leaving; of two incarnations the one heard last counts.
+    pub fn note(&mut self, id: &HostId, beat: Heard<T>) {
+        let Some(known) = self.heard.get_mut(id) else {
+            self.heard.insert(id.clone(), beat);
+            return;
+        };
+        if known.incarnation == beat.incarnation {
+            known.leaving |= beat.leaving;
+            known.at = known.at.max(beat.at);
+        } else if beat.at > known.at {
+            *known = beat;
+        }
+    }
+
+    /// Drops routers that count as dead at `now`.
+    pub fn expire(&mut self, now: Millis) {
+        self.heard.retain(|_, heard| now.saturating_sub(heard.at) < DEAD_AFTER);
+    }
+
+    /// Routers that are alive at `now`, leaving ones included, in order of id.
+    pub fn live(&self, now: Millis) -> Vec<(&HostId, &Heard<T>)> {
+        let mut live: Vec<_> =
+            self.heard.iter().filter(|(_, heard)| now.saturating_sub(heard.at) < DEAD_AFTER).collect();
+        live.sort_by_key(|(id, _)| *id);
+        live
+    }
+
+    /// What is known of the router at `id`.
+    pub fn get(&self, id: &HostId) -> Option<&Heard<T>> {
+        self.heard.get(id)
+    }
+}
--- a/crates/daemon/src/config.rs
+++ b/crates/daemon/src/config.rs
@@ -1,10 +1,16 @@
 //! The configuration in force in this process.
 
-use std::sync::Arc;
+use std::{
+    collections::VecDeque,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+};
 
 use eelgrasswell_core::{id::Revision, unit::Millis};
-use eelgrasswell_manifest::config::{Config, STALE_AFTER};
-use eelgrasswell_proto::v1::{ConfigSnapshot, ConfigUpdate};
+use eelgrasswell_manifest::{
+    config::{Config, STALE_AFTER},
+    delta::{Change, Delta},
+};
+use eelgrasswell_proto::v1::{ConfigChange, ConfigDelta, ConfigSnapshot, ConfigUpdate};
 use eyre::{Result, WrapErr};
 use tokio::sync::watch;
 
@@ -14,25 +20,41 @@
     invariant::{self, Promise},
 };
 
+/// Most deltas kept for processes that lag. At 14,000 changes a day this covers 25 minutes.
+const MAX_DELTAS: usize = 256;
+/// Most bytes of deltas kept.
+const MAX_DELTA_BYTES: usize = 256 << 10;
+
 /// Shared handle on the configuration in force and its freshness.
 #[derive(Clone, Debug)]
 pub struct ConfigHandle {
     clock: Clock,
     tx: Arc<watch::Sender<State>>,
+    held: Arc<Mutex<Held>>,
 }
 
 #[derive(Clone, Debug, Default)]
 struct State {
     config: Arc<Config>,
-    /// Time of this process's clock at which the platform last confirmed the revision.
+    /// Deltas that lead to `config`, each based on the one before.
+    history: VecDeque<Arc<Delta>>,
+    /// Time of this process's clock at which the platform last confirmed the revision; zero when
+    /// it never did.
     confirmed_at: Millis,
 }
 
+/// Whether updates of peers are held back, and the highest configuration among them.
+#[derive(Debug, Default)]
+struct Held {
+    holding: bool,
+    best: Option<Arc<Config>>,
+}
+
 impl ConfigHandle {
     /// Starts with an empty configuration of revision 0, under which everything is refused.
     pub fn open(clock: Clock) -> Self {
         let (tx, _) = watch::channel(State::default());
-        Self { clock, tx: Arc::new(tx) }
+        Self { clock, tx: Arc::new(tx), held: Arc::default() }
     }
 
     /// The configuration in force.
@@ -45,6 +67,12 @@
         self.tx.borrow().config.revision
     }
 
+    /// The highest revision known: the one in force, or a higher one that is held back.
+    pub fn known_revision(&self) -> Revision {
+        let held = self.lock_held().best.as_ref().map_or(Revision(0), |config| config.revision);
+        held.max(self.revision())
+    }
+
     /// Waits until the revision is at least `revision`.
     pub async fn reached(&self, revision: Revision) {
         let mut rx = self.tx.subscribe();
@@ -53,45 +81,70 @@
 
     /// Puts `config` in force when its revision is higher than the one in force.
     pub fn adopt(&self, config: Config) -> bool {
-        let adopted = self.tx.send_if_modified(|state| {
-            let newer = config.revision > state.config.revision;
-            if newer {
-                invariant::check(Promise::Config, config.manifest_revision >= state.config.manifest_revision, || {
-                    format!(
-                        "manifest revision fell from {} to {}",
-                        state.config.manifest_revision, config.manifest_revision
-                    )
-                });
-                state.config = Arc::new(config.clone());
-            }
-            newer
-        });
-        if adopted {
-            event!(Info, "config_adopted", revision = config.revision, manifest_revision = config.manifest_revision);
-        }
-        adopted
+        self.install(Arc::new(config), Vec::new())
+    }
+
+    /// Puts `config` in force like `adopt`; `deltas` lead to it and are kept for other processes.
+    pub fn adopt_with(&self, config: Config, deltas: Vec<Delta>) -> bool {
+        self.install(Arc::new(config), deltas)
     }
 
-    /// Takes in an update from another process; true when the revision in force rose.
+    /// Takes in an update from another process; true when the revision in force rose. Deltas that
+    /// do not follow on are left out: the next exchange brings a snapshot.
     pub fn apply(&self, update: &ConfigUpdate) -> Result<bool> {
-        let Some(snapshot) = &update.snapshot else { return Ok(false) };
-        let config = serde_json::from_str(&snapshot.json)
-            .wrap_err_with(|| format!("could not parse configuration revision {}", snapshot.revision))?;
-        Ok(self.adopt(config))
+        let mut held = self.lock_held();
+        let start = held.best.clone().unwrap_or_else(|| self.current());
+        let Some((config, deltas)) = follow(&start, update)? else { return Ok(false) };
+        if held.holding {
+            held.best = Some(Arc::new(config));
+            return Ok(false);
+        }
+        Ok(self.install(Arc::new(config), deltas))
     }
 
     /// What a process at revision `have` needs to catch up; none when it has nothing to learn.
     pub fn update_since(&self, have: Revision) -> Option<ConfigUpdate> {
-        let config = self.current();
-        if config.revision <= have {
+        let state = self.tx.borrow();
+        if state.config.revision <= have {
             return None;
         }
+        if let Some(first) = state.history.iter().position(|delta| delta.base == have) {
+            let deltas = state.history.range(first..).map(|delta| encode(delta)).collect();
+            return Some(ConfigUpdate { deltas, snapshot: None });
+        }
+        drop(state);
+        Some(self.snapshot())
+    }
+
+    /// The whole configuration as an update.
+    pub fn snapshot(&self) -> ConfigUpdate {
+        let config = self.current();
         let snapshot = ConfigSnapshot {
             revision: config.revision.0,
             manifest_revision: config.manifest_revision.0,
             json: serde_json::to_string(&*config).expect("configuration serialises to JSON"),
         };
-        Some(ConfigUpdate { deltas: Vec::new(), snapshot: Some(snapshot) })
+        ConfigUpdate { deltas: Vec::new(), snapshot: Some(snapshot) }
+    }
+
+    /// Holds updates back until `release`: a process that starts must not put the revision of the
+    /// first peer in force when other peers hold a higher one.
+    pub fn hold(&self) {
+        self.lock_held().holding = true;
+    }
+
+    /// Whether updates are held back.
+    pub fn is_holding(&self) -> bool {
+        self.lock_held().holding
+    }
+
+    /// Puts the highest configuration that was held back in force.
+    pub fn release(&self) {
+        let mut held = self.lock_held();
+        held.holding = false;
+        if let Some(config) = held.best.take() {
+            self.install(config, Vec::new());
+        }
     }
 
     /// Notes that the platform confirmed `revision` as the newest `age` ago.
@@ -105,13 +158,114 @@
         });
     }
 
-    /// Time since the platform last confirmed the configuration.
+    /// Time since the platform last confirmed the configuration; the largest time when it never did.
     pub fn confirmed_ago(&self) -> Millis {
-        self.clock.now().saturating_sub(self.tx.borrow().confirmed_at)
+        let at = self.tx.borrow().confirmed_at;
+        if at == Millis::ZERO { Millis(u64::MAX) } else { self.clock.now().saturating_sub(at) }
     }
 
     /// Whether the last confirmation is too old to give new work to versions in rollout.
     pub fn is_stale(&self) -> bool {
         self.confirmed_ago() > STALE_AFTER
     }
+
+    fn install(&self, config: Arc<Config>, deltas: Vec<Delta>) -> bool {
+        let (revision, manifest_revision) = (config.revision, config.manifest_revision);
+        let adopted = self.tx.send_if_modified(|state| {
+            if revision <= state.config.revision {
+                return false;
+            }
+            invariant::check(Promise::Config, manifest_revision >= state.config.manifest_revision, || {
+                format!("manifest revision fell from {} to {manifest_revision}", state.config.manifest_revision)
+            });
+            state.remember(&config, deltas);
+            state.config = config;
+            true
+        });
+        if adopted {
+            event!(Info, "config_adopted", revision = revision, manifest_revision = manifest_revision);
+        }
+        adopted
+    }
+
+    fn lock_held(&self) -> MutexGuard<'_, Held> {
+        self.held.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl State {
+    /// Appends the deltas that lead from the configuration in force to `config`.
+    fn remember(&mut self, config: &Config, mut deltas: Vec<Delta>) {
+        deltas.retain(|delta| delta.base >= self.config.revision);
+        if deltas.first().is_none_or(|delta| delta.base != self.config.revision) {
+            deltas = vec![Delta::between(&self.config, config)];
+        }
+        self.history.extend(deltas.into_iter().map(Arc::new));
+        let mut bytes: usize = self.history.iter().map(|delta| delta.size()).sum();
+        while self.history.len() > MAX_DELTAS || bytes > MAX_DELTA_BYTES {
+            let Some(oldest) = self.history.pop_front() else { break };
+            bytes -= oldest.size();
+        }
+    }
+}
+
+/// The configuration that `update` leads to from `start`, with the deltas on the way; none when it
+/// is not newer.
+fn follow(start: &Config, update: &ConfigUpdate) -> Result<Option<(Config, Vec<Delta>)>> {
+    let mut config: Option<Config> = None;
+    let mut deltas = Vec::new();
+    for message in &update.deltas {
+        let delta = decode(message);
+        let from = config.as_ref().unwrap_or(start);
+        if delta.revision <= from.revision {
+            continue;
+        }
+        if delta.base != from.revision {
+            break;
+        }
+        config = Some(delta.apply(from)?);
+        deltas.push(delta);
+    }
+    let reached = config.as_ref().unwrap_or(start).revision;
+    if let Some(snapshot) = update.snapshot.as_ref().filter(|snapshot| snapshot.revision > reached.0) {
+        let whole: Config = serde_json::from_str(&snapshot.json)
+            .wrap_err_with(|| format!("could not parse configuration revision {}", snapshot.revision))?;
+        return Ok(Some((whole, Vec::new())));
+    }
+    Ok(config.map(|config| (config, deltas)))
+}
+
+fn encode(delta: &Delta) -> ConfigDelta {
+    ConfigDelta {
+        base: delta.base.0,
+        revision: delta.revision.0,
+        manifest_revision: delta.manifest_revision.0,
+        changes: delta
+            .changes
+            .iter()
+            .map(|change| ConfigChange {
+                section: change.section.to_string(),
+                key: change.key.to_string(),
+                value: change.value.clone().unwrap_or_default(),
+            })
+            .collect(),
+    }
+}
+
+fn decode(message: &ConfigDelta) -> Delta {
+    Delta {
+        base: Revision(message.base),
+        revision: Revision(message.revision),
+        manifest_revision: Revision(message.manifest_revision),
+        changes: message
+            .changes
+            .iter()
+            .map(|change| Change {
+                section: change.section.as_str().into(),
+                key: change.key.as_str().into(),
+                // JSON is never empty, so the empty text stands for a removed entry.
+                value: (!change.value.is_empty()).then(|| change.value.clone()),
+            })
+            .collect(),
+    }
 }
