--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod hash;
 pub mod id;
 pub mod quality;
+pub mod membership;
 pub mod refusal;
 pub mod rollout;
 pub mod route;
