--- a/crates/manifest/src/lib.rs
+++ b/crates/manifest/src/lib.rs
@@ -1,5 +1,8 @@
 //! The manifest that operators submit, the configuration in force, and the settings of a process.
 
+pub mod check;
 pub mod config;
 pub mod manifest;
 pub mod settings;
+mod shape;
+mod tree;
--- /dev/null
+++ b/crates/manifest/src/tree.rs
@@ -0,0 +1,139 @@
+//! A YAML document as a tree in which each node knows its line.
+
+use std::fmt;
+
+use serde::{
+    Deserialize, Deserializer,
+    de::{MapAccess, SeqAccess, Visitor},
+};
+use serde_saphyr::{DuplicateKeyPolicy, Spanned};
+
+use crate::check::{Path, Problem};
+
+/// A node of the document.
+#[derive(Debug)]
+pub enum Node {
+    Null,
+    Bool(bool),
+    Whole(u64),
+    Number(f64),
+    Text(String),
+    List(Vec<Spanned<Self>>),
+    /// Entries in order of the document; a repeated key stands here twice.
+    Map(Vec<(Spanned<String>, Spanned<Self>)>),
+}
+
+impl Node {
+    /// What the node is, for messages.
+    pub fn describe(&self) -> &'static str {
+        match self {
+            Self::Null => "nothing",
+            Self::Bool(_) => "true or false",
+            Self::Whole(_) => "a whole number",
+            Self::Number(_) => "a number",
+            Self::Text(_) => "text",
+            Self::List(_) => "a list",
+            Self::Map(_) => "a mapping",
+        }
+    }
+}
+
+/// Parses one YAML document. The parser bounds nesting, nodes and the expansion of aliases.
+pub fn parse(text: &str) -> Result<Spanned<Node>, Problem> {
+    let options = serde_saphyr::options! {
+        duplicate_keys: DuplicateKeyPolicy::PassThrough,
+        budget: serde_saphyr::budget! { max_documents: 1, max_depth: 16 },
+    };
+    serde_saphyr::from_str_with_options(text, options).map_err(|err| {
+        let line = err.location().map_or(0, |location| location.line());
+        Problem { path: Path::default(), line, expected: format!("valid YAML: {}", err.without_snippet()) }
+    })
+}
+
+/// Line of the node at `path`, or of the deepest node above it that exists.
+pub fn line_of(root: &Spanned<Node>, path: &Path) -> u64 {
+    let mut line = root.referenced.line();
+    let mut node = &root.value;
+    for segment in path.segments() {
+        let next = match node {
+            Node::Map(entries) => entries
+                .iter()
+                .find(|(key, _)| key.value == segment.as_str())
+                .map(|(key, value)| (key.referenced.line(), &value.value)),
+            Node::List(items) => segment
+                .parse::<usize>()
+                .ok()
+                .and_then(|index| items.get(index))
+                .map(|item| (item.referenced.line(), &item.value)),
+            _ => None,
+        };
+        let Some((below, child)) = next else { break };
+        line = below;
+        node = child;
+    }
+    line
+}
+
+impl<'de> Deserialize<'de> for Node {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        deserializer.deserialize_any(NodeVisitor)
+    }
+}
+
+struct NodeVisitor;
+
+impl<'de> Visitor<'de> for NodeVisitor {
+    type Value = Node;
+
+    fn expecting(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("a YAML node")
+    }
+
+    fn visit_unit<E>(self) -> Result<Node, E> {
+        Ok(Node::Null)
+    }
+
+    fn visit_none<E>(self) -> Result<Node, E> {
+        Ok(Node::Null)
+    }
+
+    fn visit_some<D: Deserializer<'de>>(self, deserializer: D) -> Result<Node, D::Error> {
+        Node::deserialize(deserializer)
+    }
+
+    fn visit_bool<E>(self, value: bool) -> Result<Node, E> {
+        Ok(Node::Bool(value))
+    }
+
+    fn visit_u64<E>(self, value: u64) -> Result<Node, E> {
+        Ok(Node::Whole(value))
+    }
+
+    fn visit_i64<E>(self, value: i64) -> Result<Node, E> {
+        Ok(u64::try_from(value).map_or(Node::Number(value as f64), Node::Whole))
+    }
+
+    fn visit_f64<E>(self, value: f64) -> Result<Node, E> {
+        Ok(Node::Number(value))
+    }
+
+    fn visit_str<E>(self, value: &str) -> Result<Node, E> {
+        Ok(Node::Text(value.into()))
+    }
+
+    fn visit_seq<A: SeqAccess<'de>>(self, mut seq: A) -> Result<Node, A::Error> {
+        let mut items = Vec::new();
+        while let Some(item) = seq.next_element()? {
+            items.push(item);
+        }
+        Ok(Node::List(items))
+    }
+
+    fn visit_map<A: MapAccess<'de>>(self, mut map: A) -> Result<Node, A::Error> {
+        let mut entries = Vec::new();
+        while let Some(entry) = map.next_entry()? {
+            entries.push(entry);
+        }
+        Ok(Node::Map(entries))
+    }
+}
