Serve the operators' endpoint

Health and metrics need none.

Revisions of other hosts are kept in ConfigHandle::reported, because both the links and the peer service already hold that handle. Budget figures come from a draw of nothing, so that the interface of the shards stays as it is.

--- a/crates/daemon/src/config.rs
+++ b/crates/daemon/src/config.rs
@@ -12,6 +12,7 @@
     clock::Clock,
     event,
     invariant::{self, Promise},
+    revisions::Revisions,
 };
 
 /// Shared handle on the configuration in force and its freshness.
@@ -19,6 +20,8 @@
 pub struct ConfigHandle {
     clock: Clock,
     tx: Arc<watch::Sender<State>>,
+    /// Revisions that other hosts reported in their heartbeats.
+    pub reported: Revisions,
 }
 
 #[derive(Clone, Debug, Default)]
@@ -32,7 +35,7 @@
     /// Starts with an empty configuration of revision 0, under which everything is refused.
     pub fn open(clock: Clock) -> Self {
         let (tx, _) = watch::channel(State::default());
-        Self { clock, tx: Arc::new(tx) }
+        Self { clock, tx: Arc::new(tx), reported: Revisions::default() }
     }
 
     /// The configuration in force.
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod log;
 pub mod operator;
 pub mod platform;
+pub mod revisions;
 pub mod router;
 pub mod shutdown;
 pub mod telemetry;
--- /dev/null
+++ b/crates/daemon/src/operator/health.rs
@@ -0,0 +1,31 @@
+//! `/healthz`, `/readyz` and `/metrics`; they need no credential.
+
+use eelgrasswell_core::id::Revision;
+use hyper::StatusCode;
+use serde_json::json;
+
+use super::reply::{self, Reply};
+use crate::router::Router;
+
+/// The process answers.
+pub(super) fn live() -> Reply {
+    reply::json(StatusCode::OK, &json!({"live": true}))
+}
+
+/// Whether callers may be sent here: a configuration is in force and a link is live.
+pub(super) fn ready(router: &Router) -> Reply {
+    let config = router.config.current();
+    let linked = config.manifest.services.keys().any(|service| !router.links.candidates(service).is_empty());
+    let missing: &[&str] = match (config.revision > Revision(0), linked) {
+        (true, true) => &[],
+        (true, false) => &["link"],
+        (false, _) => &["configuration", "link"],
+    };
+    let status = if missing.is_empty() { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
+    reply::json(status, &json!({"ready": missing.is_empty(), "missing": missing}))
+}
+
+/// All metrics of the process.
+pub(super) fn metrics(router: &Router) -> Reply {
+    reply::text(StatusCode::OK, router.metrics.render())
+}
--- /dev/null
+++ b/crates/daemon/src/operator/manifest.rs
@@ -0,0 +1,64 @@
+//! `GET` and `PUT /v1/manifest`.
+
+use std::str;
+
+use eelgrasswell_manifest::{
+    check::{self, Path, Problem},
+    config::{Config, RolloutKey, RolloutPhase},
+    manifest::Manifest,
+};
+use hyper::{Request, StatusCode, body::Incoming};
+use serde_json::json;
+
+use super::{
+    Change,
+    reply::{self, Failure, Reply},
+};
+use crate::router::Router;
+
+/// The manifest in force with its revisions.
+pub(super) fn show(router: &Router) -> Reply {
+    let config = router.config.current();
+    reply::json(
+        StatusCode::OK,
+        &json!({
+            "revision": config.revision,
+            "manifest_revision": config.manifest_revision,
+            "manifest": config.manifest,
+        }),
+    )
+}
+
+/// Replaces the manifest. The body is YAML or JSON; the parameter `expected` is required.
+pub(super) async fn replace(router: &Router, req: Request<Incoming>) -> Result<Reply, Failure> {
+    let change = Change::of(&req)?;
+    if change.expected.is_none() {
+        let message = "could not replace the manifest: the parameter expected (revision of the manifest) is missing";
+        return Err(Failure::bad_request(message));
+    }
+    let body = super::read_body(req).await?;
+    let text = str::from_utf8(&body).map_err(|err| Failure::bad_request(format!("could not read the body: {err}")))?;
+    let manifest = check::parse(text).map_err(|invalid| Failure::invalid(invalid.problems))?;
+    change.commit(router, &|config| put(config, &manifest)).await
+}
+
+/// Puts `manifest` into `config`, unless a current version was stopped in its rollout: every
+/// request for the model would be refused.
+pub fn put(config: &mut Config, manifest: &Manifest) -> Result<(), Failure> {
+    let stopped = manifest.models.iter().filter(|(name, model)| {
+        let key = RolloutKey { model: (*name).clone(), version: model.current.clone() };
+        config.rollouts.get(&key).is_some_and(|status| status.phase == RolloutPhase::Stopped)
+    });
+    let problems: Vec<_> = stopped
+        .map(|(name, model)| Problem {
+            path: Path::of(&["models", name.as_str(), "current"]),
+            line: 0,
+            expected: format!("a version whose rollout was not stopped, not {:?}", model.current.as_str()),
+        })
+        .collect();
+    if !problems.is_empty() {
+        return Err(Failure::invalid(problems));
+    }
+    config.manifest = manifest.clone();
+    Ok(())
+}
--- /dev/null
+++ b/crates/daemon/src/operator/status.rs
@@ -0,0 +1,213 @@
+//! `GET /v1/status` and `GET /v1/hosts`: the view of this router.
+
+use std::time::Duration;
+
+use eelgrasswell_core::{
+    id::{CustomerId, HostId, Revision},
+    unit::Cost,
+};
+use eelgrasswell_manifest::{config::Config, manifest::Budget};
+use futures::{StreamExt, stream};
+use hyper::StatusCode;
+use serde::Serialize;
+use serde_json::{Value, json};
+use tokio::time::timeout;
+
+use super::reply::{self, Reply};
+use crate::router::Router;
+
+/// Shares of a spend cap in percent at which a warning is shown.
+const WARN_PERCENT: [u64; 3] = [95, 80, 50];
+
+/// Time to wait for the owner of a customer's shard; a status must come even while it is away.
+const BUDGET_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Calls to shard owners at a time.
+const BUDGET_CALLS: usize = 16;
+
+/// What this router knows of the whole system.
+pub(super) async fn show(router: &Router) -> Reply {
+    let config = router.config.current();
+    let routers = routers(router, &config);
+    let links = links(router, &config);
+    let lagging: Vec<_> = routers
+        .iter()
+        .chain(links.iter().map(|link| &link.host))
+        .filter(|host| host.revision.is_some_and(|revision| revision < config.revision))
+        .collect();
+    let status = json!({
+        "router": router.settings.host.id,
+        "incarnation": router.incarnation.to_string(),
+        "revision": config.revision,
+        "manifest_revision": config.manifest_revision,
+        "confirmed_ms_ago": router.config.confirmed_ago(),
+        "stale": router.config.is_stale(),
+        "routers": routers,
+        "links": links,
+        "lagging": lagging,
+        "shards": shards(router),
+        "rollouts": rollouts(&config),
+        "domains": config.manifest.domains,
+        "draining": config.manifest.draining.keys().collect::<Vec<_>>(),
+        "budgets": budgets(router, &config).await,
+    });
+    reply::json(StatusCode::OK, &status)
+}
+
+/// The host list as this router has it.
+pub(super) fn hosts(router: &Router) -> Reply {
+    let config = router.config.current();
+    let routers = routers(router, &config);
+    let agents: Vec<_> = router
+        .members
+        .agents()
+        .iter()
+        .map(|entry| {
+            json!({
+                "id": entry.id,
+                "domain": entry.domain,
+                "address": entry.address,
+                "service": entry.service,
+                "leaving": entry.leaving,
+                "draining": config.manifest.draining.contains_key(&entry.id),
+                "linked": router.links.link(&entry.id).is_some(),
+                "revision": router.config.reported.get(&entry.id),
+            })
+        })
+        .collect();
+    reply::json(StatusCode::OK, &json!({"routers": routers, "agents": agents}))
+}
+
+/// A host with the revision that it reported last; none before its first report.
+#[derive(Clone, Serialize)]
+struct Host {
+    id: HostId,
+    role: &'static str,
+    domain: String,
+    // A text, because JSON numbers lose digits of a 64-bit random number in many readers.
+    incarnation: String,
+    revision: Option<Revision>,
+}
+
+#[derive(Serialize)]
+struct Link {
+    #[serde(flatten)]
+    host: Host,
+    service: String,
+    outstanding: u32,
+    running: u32,
+    queued: u32,
+    limit: u32,
+    tokens_held: u64,
+    tokens_limit: u64,
+    cold: bool,
+    leaving: bool,
+}
+
+fn routers(router: &Router, config: &Config) -> Vec<Host> {
+    let routers = router.members.routers().into_iter();
+    routers
+        .map(|live| {
+            let own = live.id == router.settings.host.id;
+            let revision = if own { Some(config.revision) } else { router.config.reported.get(&live.id) };
+            Host {
+                role: "router",
+                domain: live.domain.to_string(),
+                incarnation: live.incarnation.to_string(),
+                revision,
+                id: live.id,
+            }
+        })
+        .collect()
+}
+
+fn links(router: &Router, config: &Config) -> Vec<Link> {
+    let services = config.manifest.services.keys();
+    let candidates = services.flat_map(|service| router.links.candidates(service));
+    let mut links: Vec<_> = candidates
+        .map(|(link, view)| Link {
+            host: Host {
+                id: link.id.clone(),
+                role: "agent",
+                domain: link.domain.to_string(),
+                incarnation: link.incarnation.to_string(),
+                revision: router.config.reported.get(&link.id),
+            },
+            service: link.service.to_string(),
+            outstanding: view.outstanding,
+            running: view.load.running,
+            queued: view.load.queued,
+            limit: view.load.limit,
+            tokens_held: view.load.tokens_held.0,
+            tokens_limit: view.load.tokens_limit.0,
+            cold: view.load.cold,
+            leaving: view.leaving,
+        })
+        .collect();
+    links.sort_by(|a, b| a.host.id.cmp(&b.host.id));
+    links
+}
+
+fn shards(router: &Router) -> Vec<Value> {
+    let mut owners = router.shards.owners();
+    owners.sort_by_key(|owner| owner.shard);
+    owners
+        .iter()
+        .map(|owner| {
+            json!({
+                "shard": owner.shard,
+                "owner": owner.owner,
+                "address": owner.address,
+                "incarnation": owner.incarnation.to_string(),
+                "fence": owner.fence,
+            })
+        })
+        .collect()
+}
+
+fn rollouts(config: &Config) -> Vec<Value> {
+    config
+        .rollouts
+        .iter()
+        .map(|(key, status)| {
+            json!({
+                "model": key.model,
+                "version": key.version,
+                "baseline": status.baseline,
+                "step": status.step,
+                "permille": status.permille,
+                "phase": status.phase,
+                "reason": status.reason,
+            })
+        })
+        .collect()
+}
+
+/// Customers with a spend cap, in order of their ids. The owner of each is asked by a draw of
+/// nothing, which returns the present sum of shares.
+async fn budgets(router: &Router, config: &Config) -> Vec<Value> {
+    let mut calls = Vec::new();
+    for (id, customer) in &config.manifest.customers {
+        if let Some(budget) = &customer.budget {
+            calls.push(budget_json(router.clone(), id.clone(), budget.clone()));
+        }
+    }
+    stream::iter(calls).buffered(BUDGET_CALLS).collect().await
+}
+
+async fn budget_json(router: Router, id: CustomerId, budget: Budget) -> Value {
+    let grant = timeout(BUDGET_TIMEOUT, router.shards.draw(&id, Cost::ZERO, Cost::ZERO)).await.ok().flatten();
+    json!({
+        "customer": id,
+        "period": budget.period,
+        "cap_micros": budget.cap,
+        "committed_micros": grant.map(|grant| grant.committed),
+        "warning_percent": grant.and_then(|grant| warning(grant.committed, budget.cap)),
+    })
+}
+
+/// The highest warning threshold in percent that `committed` has reached.
+pub fn warning(committed: Cost, cap: Cost) -> Option<u64> {
+    let reached = |percent: &u64| u128::from(committed.0) * 100 >= u128::from(cap.0) * u128::from(*percent);
+    WARN_PERCENT.into_iter().find(reached)
+}
--- a/crates/manifest/src/check.rs
+++ b/crates/manifest/src/check.rs
@@ -95,7 +95,8 @@
         self.0.pop();
     }
 
-    fn of(segments: &[&str]) -> Self {
+    /// The place with these keys and indexes.
+    pub fn of(segments: &[&str]) -> Self {
         let mut path = Self::default();
         for segment in segments {
             path.push(segment);
--- a/crates/manifest/src/shape.rs
+++ b/crates/manifest/src/shape.rs
@@ -11,7 +11,7 @@
     tree::Node,
 };
 
-/// Longest id in bytes. Ids are parts of object keys, URLs and messages.
+/// Longest id in bytes. Ids are parts of object keys and URLs, which also limits their characters.
 pub const MAX_ID_LEN: usize = 128;
 
 /// What a value must be.
@@ -195,7 +195,7 @@
         path.push(&key.value);
         let line = key.referenced.line();
         if !is_id(&key.value) {
-            let expected = format!("an id of 1 to {MAX_ID_LEN} printable characters without white space or slash");
+            let expected = format!("an id of 1 to {MAX_ID_LEN} letters, digits or any of -._~+:@");
             report(problems, path, line, expected);
         }
         if map.contains_key(&key.value) {
@@ -257,7 +257,8 @@
 }
 
 fn is_id(text: &str) -> bool {
-    (1..=MAX_ID_LEN).contains(&text.len()) && text.chars().all(|c| !c.is_whitespace() && !c.is_control() && c != '/')
+    let plain = |b: u8| b.is_ascii_alphanumeric() || b"-._~+:@".contains(&b);
+    (1..=MAX_ID_LEN).contains(&text.len()) && text.bytes().all(plain)
 }
 
 /// Whether `path` is a whole section of the manifest, or the manifest itself.
