Add submit, show, rollout and bill to the operators' client

submit checks the file before it connects, sends it under a submission id, repeats the call under the same id when the response is lost, and waits until every host in the router's status reports the revision. A host that has reported none counts as lagging: the alternative, to pass over it, could claim that a change is in force where nobody has seen it.

show prints YAML instead of a table, since operators edit and submit it again.

--- /dev/null
+++ b/crates/client/src/cmd/mod.rs
@@ -0,0 +1,111 @@
+//! Subcommands, one file each.
+
+mod bill;
+mod rollout;
+mod show;
+mod submit;
+
+use std::{
+    env,
+    io::{self, Write},
+    net::SocketAddr,
+    path::PathBuf,
+    process::ExitCode,
+};
+
+use argh::{ArgsInfo, FromArgs};
+use serde_json::Value;
+
+use crate::{
+    api::Api,
+    error::{EXIT_FAILURE, EXIT_USAGE, Error},
+};
+
+/// Name of the command.
+const NAME: &str = "eelgrasswell";
+
+/// Operate an eelgrasswell deployment through one of its routers.
+///
+/// Exit codes: 0 success, 1 failure, 2 wrong usage, 3 conflict with another change, 4 invalid
+/// manifest, 5 accepted but not in force on all hosts in time.
+#[derive(FromArgs, ArgsInfo)]
+struct Cmd {
+    /// operators' address of a router, ip:port (environment: EELGRASSWELL_ROUTER)
+    #[argh(option)]
+    router: Option<SocketAddr>,
+
+    /// file with the operators' credential (environment: EELGRASSWELL_CREDENTIAL)
+    #[argh(option)]
+    credential: Option<PathBuf>,
+
+    /// print JSON instead of tables
+    #[argh(switch)]
+    json: bool,
+
+    #[argh(subcommand)]
+    sub: Sub,
+}
+
+#[derive(FromArgs, ArgsInfo)]
+#[argh(subcommand)]
+enum Sub {
+    Submit(submit::SubmitCmd),
+    Show(show::ShowCmd),
+    Rollout(rollout::RolloutCmd),
+    Bill(bill::BillCmd),
+}
+
+/// Parses the arguments and runs the chosen subcommand.
+pub fn run() -> ExitCode {
+    let args: Result<Vec<_>, _> = env::args_os().skip(1).map(std::ffi::OsString::into_string).collect();
+    let args = match args {
+        Ok(args) => args,
+        Err(arg) => return fail(EXIT_USAGE, &format!("could not read argument {arg:?}: it is not UTF-8")),
+    };
+    let args: Vec<_> = args.iter().map(String::as_str).collect();
+    let cmd = match Cmd::from_args(&[NAME], &args) {
+        Ok(cmd) => cmd,
+        Err(exit) if exit.status.is_ok() => return print(&exit.output),
+        Err(exit) => return fail(EXIT_USAGE, exit.output.trim_end()),
+    };
+    match execute(cmd) {
+        Ok(text) => print(&text),
+        Err(err) => fail(err.exit_code(), &err.to_string()),
+    }
+}
+
+/// Runs the subcommand and returns what goes to standard output.
+fn execute(cmd: Cmd) -> Result<String, Error> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let runtime = runtime.map_err(|err| eyre::eyre!("could not start the runtime: {err}"))?;
+    runtime.block_on(async {
+        let api = || Api::open(cmd.router, cmd.credential.clone());
+        match &cmd.sub {
+            Sub::Submit(sub) => submit::run(sub, api, cmd.json).await,
+            Sub::Show(sub) => show::run(sub, &api()?, cmd.json).await,
+            Sub::Rollout(sub) => rollout::run(sub, &api()?, cmd.json).await,
+            Sub::Bill(sub) => bill::run(sub, &api()?, cmd.json).await,
+        }
+    })
+}
+
+/// Pretty JSON with a final newline.
+pub fn pretty(value: &Value) -> String {
+    format!("{value:#}\n")
+}
+
+fn print(text: &str) -> ExitCode {
+    let mut stdout = io::stdout().lock();
+    match stdout.write_all(text.as_bytes()).and_then(|()| stdout.flush()) {
+        // The reader of a pipe may stop early, as `head` does.
+        Err(err) if err.kind() != io::ErrorKind::BrokenPipe => {
+            fail(EXIT_FAILURE, &format!("could not write to standard output: {err}"))
+        }
+        _ => ExitCode::SUCCESS,
+    }
+}
+
+fn fail(code: u8, message: &str) -> ExitCode {
+    eprintln!("{NAME}: {message}");
+    ExitCode::from(code)
+}
--- /dev/null
+++ b/crates/client/src/cmd/rollout.rs
@@ -0,0 +1,110 @@
+//! `eelgrasswell rollout`
+
+use std::{str::FromStr, time::Duration};
+
+use argh::{ArgsInfo, FromArgs};
+use bytes::Bytes;
+use eelgrasswell_manifest::config::RolloutKey;
+use eyre::WrapErr;
+use hyper::Method;
+use serde::Deserialize;
+
+use crate::{
+    api::{Api, Change},
+    cmd,
+    error::Error,
+    table::Table,
+    wait,
+};
+
+/// List rollouts, or start, step, stop or finish one.
+#[derive(FromArgs, ArgsInfo)]
+#[argh(subcommand, name = "rollout")]
+pub struct RolloutCmd {
+    /// one of list, start, step, stop, finish
+    #[argh(positional)]
+    action: Action,
+
+    /// the rollout, as model/version; not for list
+    #[argh(positional)]
+    rollout: Option<RolloutKey>,
+
+    /// id of a change to repeat after its response was lost
+    #[argh(option)]
+    submission: Option<String>,
+
+    /// seconds to wait for all hosts (30 when left out; 0 does not wait)
+    #[argh(option, default = "30")]
+    wait_s: u64,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Action {
+    List,
+    Change(&'static str),
+}
+
+impl FromStr for Action {
+    type Err = String;
+
+    fn from_str(s: &str) -> Result<Self, String> {
+        let changes = ["start", "step", "stop", "finish"];
+        if s == "list" {
+            return Ok(Self::List);
+        }
+        let change = changes.into_iter().find(|change| *change == s);
+        change.map(Self::Change).ok_or_else(|| format!("expected list, start, step, stop or finish, not {s:?}"))
+    }
+}
+
+#[derive(Deserialize)]
+struct Rollout {
+    model: String,
+    version: String,
+    baseline: String,
+    step: u32,
+    permille: u32,
+    phase: String,
+    reason: String,
+}
+
+pub async fn run(cmd: &RolloutCmd, api: &Api, json: bool) -> Result<String, Error> {
+    match (cmd.action, &cmd.rollout) {
+        (Action::List, None) => list(api, json).await,
+        (Action::List, Some(_)) => Err(Error::Usage("could not use the rollout: list takes none".into())),
+        (Action::Change(action), Some(key)) => change(cmd, api, action, key, json).await,
+        (Action::Change(action), None) => {
+            Err(Error::Usage(format!("could not {action} a rollout: give it as model/version")))
+        }
+    }
+}
+
+async fn list(api: &Api, json: bool) -> Result<String, Error> {
+    let mut status = api.get("/v1/status").await?;
+    let rollouts = status["rollouts"].take();
+    if json {
+        return Ok(cmd::pretty(&rollouts));
+    }
+    let rollouts: Vec<Rollout> =
+        serde_json::from_value(rollouts).wrap_err("could not understand the rollouts in the status")?;
+    let mut table = Table::new(["model", "version", "baseline", "phase", "step", "permille", "reason"]);
+    for rollout in rollouts {
+        table.push([
+            rollout.model,
+            rollout.version,
+            rollout.baseline,
+            rollout.phase,
+            rollout.step.to_string(),
+            rollout.permille.to_string(),
+            rollout.reason,
+        ]);
+    }
+    Ok(table.render())
+}
+
+async fn change(cmd: &RolloutCmd, api: &Api, action: &str, key: &RolloutKey, json: bool) -> Result<String, Error> {
+    let path = format!("/v1/rollouts/{key}/{action}");
+    let change = Change::new(cmd.submission.clone(), None);
+    let changed = api.change(Method::POST, &path, &change, Bytes::new()).await?;
+    wait::report(api, &changed, &format!("rollout {key} {action}"), Duration::from_secs(cmd.wait_s), json).await
+}
--- /dev/null
+++ b/crates/client/src/cmd/submit.rs
@@ -0,0 +1,51 @@
+//! `eelgrasswell submit`
+
+use std::{fs, path::PathBuf, time::Duration};
+
+use argh::{ArgsInfo, FromArgs};
+use eelgrasswell_manifest::check;
+use eyre::WrapErr;
+use hyper::Method;
+
+use crate::{
+    api::{Api, Change},
+    error::Error,
+    wait,
+};
+
+/// Put a manifest in force and wait until all hosts have it.
+#[derive(FromArgs, ArgsInfo)]
+#[argh(subcommand, name = "submit")]
+pub struct SubmitCmd {
+    /// file with the manifest
+    #[argh(positional)]
+    file: PathBuf,
+
+    /// revision of the manifest that yours is based on; the one in force when left out
+    #[argh(option)]
+    expected: Option<u64>,
+
+    /// id of a submission to repeat after its response was lost
+    #[argh(option)]
+    submission: Option<String>,
+
+    /// seconds to wait for all hosts (30 when left out; 0 does not wait)
+    #[argh(option, default = "30")]
+    wait_s: u64,
+}
+
+pub async fn run(cmd: &SubmitCmd, api: impl FnOnce() -> Result<Api, Error>, json: bool) -> Result<String, Error> {
+    let origin = cmd.file.display();
+    let text = fs::read_to_string(&cmd.file).wrap_err_with(|| format!("could not read manifest {origin}"))?;
+    if let Err(invalid) = check::parse(&text) {
+        return Err(Error::Invalid { origin: origin.to_string(), problems: invalid.problems });
+    }
+    let api = api()?;
+    let expected = match cmd.expected {
+        Some(expected) => expected,
+        None => api.manifest().await?.manifest_revision,
+    };
+    let change = Change::new(cmd.submission.clone(), Some(expected));
+    let changed = api.change(Method::PUT, "/v1/manifest", &change, text.into()).await?;
+    wait::report(&api, &changed, &format!("submit {origin}"), Duration::from_secs(cmd.wait_s), json).await
+}
--- a/crates/daemon/src/operator/reply.rs
+++ b/crates/daemon/src/operator/reply.rs
@@ -8,7 +8,7 @@
 use http_body_util::Full;
 use hyper::{Response, StatusCode, header};
 use serde::Serialize;
-use serde_json::{Value, json};
+use serde_json::json;
 
 /// A response to an operator.
 pub type Reply = Response<Full<Bytes>>;
@@ -68,7 +68,7 @@
             error["manifest_revision"] = revision.0.into();
         }
         if !self.problems.is_empty() {
-            error["problems"] = self.problems.iter().map(problem_json).collect();
+            error["problems"] = json!(self.problems);
         }
         json(self.status, &json!({"error": error}))
     }
@@ -99,7 +99,3 @@
     reply.headers_mut().insert(header::CONTENT_TYPE, header::HeaderValue::from_static(content_type));
     reply
 }
-
-fn problem_json(problem: &Problem) -> Value {
-    json!({"path": problem.path.to_string(), "line": problem.line, "expected": problem.expected})
-}
--- a/crates/manifest/src/check.rs
+++ b/crates/manifest/src/check.rs
@@ -3,7 +3,8 @@
 use std::{collections::BTreeMap, fmt};
 
 use compact_str::{CompactString, ToCompactString};
-use serde::{Deserialize, Serialize};
+use eyre::WrapErr;
+use serde::{Deserialize, Serialize, Serializer};
 
 use crate::{
     manifest::{Customer, Manifest, Model, RolloutPlan, Service, ServiceKind, VersionState},
@@ -67,9 +68,15 @@
     checker.problems
 }
 
-/// A place in a manifest: keys and list indexes from the root.
-#[derive(Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
-#[serde(transparent)]
+/// The manifest as YAML, which `parse` reads back to the same manifest.
+pub fn to_yaml(manifest: &Manifest) -> eyre::Result<String> {
+    serde_saphyr::to_string(manifest).wrap_err("could not write the manifest as YAML")
+}
+
+/// A place in a manifest: keys and list indexes from the root. In JSON it is one text, and one that
+/// was read from JSON is a single segment, since keys may hold dots; it serves messages only.
+#[derive(Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Deserialize)]
+#[serde(from = "CompactString")]
 pub struct Path(Vec<CompactString>);
 
 /// Longest key that a path shows whole, so that messages stay short for absurd keys.
@@ -105,6 +112,18 @@
     }
 }
 
+impl From<CompactString> for Path {
+    fn from(text: CompactString) -> Self {
+        Self(vec![text])
+    }
+}
+
+impl Serialize for Path {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        serializer.collect_str(self)
+    }
+}
+
 impl fmt::Display for Path {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         if self.0.is_empty() {
