Add check, diff, status, domain, drain and completions to the operators' client

Commands that change the configuration wait for all hosts like submit does, since operators act on the result (for example stop a host after a drain).

--- /dev/null
+++ b/crates/client/src/cmd/domain.rs
@@ -0,0 +1,68 @@
+//! `eelgrasswell domain`
+
+use std::{str::FromStr, time::Duration};
+
+use argh::{ArgsInfo, FromArgs};
+use bytes::Bytes;
+use hyper::Method;
+
+use crate::{
+    api::{Api, Change},
+    error::Error,
+    wait,
+};
+
+/// Take a failure domain out of service, or put it in again.
+#[derive(FromArgs, ArgsInfo)]
+#[argh(subcommand, name = "domain")]
+pub struct DomainCmd {
+    /// out or in
+    #[argh(positional)]
+    action: Action,
+
+    /// the failure domain
+    #[argh(positional)]
+    domain: String,
+
+    /// id of a change to repeat after its response was lost
+    #[argh(option)]
+    submission: Option<String>,
+
+    /// seconds to wait for all hosts (30 when left out; 0 does not wait)
+    #[argh(option, default = "30")]
+    wait_s: u64,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Action {
+    Out,
+    In,
+}
+
+impl Action {
+    fn as_str(self) -> &'static str {
+        match self {
+            Self::Out => "out",
+            Self::In => "in",
+        }
+    }
+}
+
+impl FromStr for Action {
+    type Err = String;
+
+    fn from_str(s: &str) -> Result<Self, String> {
+        match s {
+            "out" => Ok(Self::Out),
+            "in" => Ok(Self::In),
+            _ => Err(format!("expected out or in, not {s:?}")),
+        }
+    }
+}
+
+pub async fn run(cmd: &DomainCmd, api: &Api, json: bool) -> Result<String, Error> {
+    let (action, domain) = (cmd.action.as_str(), &cmd.domain);
+    let change = Change::new(cmd.submission.clone(), None);
+    let changed = api.change(Method::POST, &format!("/v1/domains/{domain}/{action}"), &change, Bytes::new()).await?;
+    wait::report(api, &changed, &format!("domain {action} {domain}"), Duration::from_secs(cmd.wait_s), json).await
+}
--- a/crates/client/src/cmd/mod.rs
+++ b/crates/client/src/cmd/mod.rs
@@ -1,8 +1,14 @@
 //! Subcommands, one file each.
 
 mod bill;
+mod check;
+mod completions;
+mod diff;
+mod domain;
+mod drain;
 mod rollout;
 mod show;
+mod status;
 mod submit;
 
 use std::{
@@ -18,7 +24,7 @@
 
 use crate::{
     api::Api,
-    error::{EXIT_FAILURE, EXIT_USAGE, Error},
+    error::{EXIT_USAGE, Error},
 };
 
 /// Name of the command.
@@ -49,10 +55,16 @@
 #[derive(FromArgs, ArgsInfo)]
 #[argh(subcommand)]
 enum Sub {
+    Check(check::CheckCmd),
+    Diff(diff::DiffCmd),
     Submit(submit::SubmitCmd),
     Show(show::ShowCmd),
+    Status(status::StatusCmd),
     Rollout(rollout::RolloutCmd),
+    Domain(domain::DomainCmd),
+    Drain(drain::DrainCmd),
     Bill(bill::BillCmd),
+    Completions(completions::CompletionsCmd),
 }
 
 /// Parses the arguments and runs the chosen subcommand.
@@ -81,10 +93,16 @@
     runtime.block_on(async {
         let api = || Api::open(cmd.router, cmd.credential.clone());
         match &cmd.sub {
+            Sub::Check(sub) => check::run(sub, cmd.json),
+            Sub::Diff(sub) => diff::run(sub, api, cmd.json).await,
             Sub::Submit(sub) => submit::run(sub, api, cmd.json).await,
             Sub::Show(sub) => show::run(sub, &api()?, cmd.json).await,
+            Sub::Status(sub) => status::run(sub, &api()?, cmd.json).await,
             Sub::Rollout(sub) => rollout::run(sub, &api()?, cmd.json).await,
+            Sub::Domain(sub) => domain::run(sub, &api()?, cmd.json).await,
+            Sub::Drain(sub) => drain::run(sub, &api()?, cmd.json).await,
             Sub::Bill(sub) => bill::run(sub, &api()?, cmd.json).await,
+            Sub::Completions(sub) => Ok(completions::run(sub)),
         }
     })
 }
@@ -95,13 +113,20 @@
 }
 
 fn print(text: &str) -> ExitCode {
+    match write(text) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(err) => fail(err.exit_code(), &err.to_string()),
+    }
+}
+
+/// Writes to standard output. The reader of a pipe may stop early, as `head` does.
+pub fn write(text: &str) -> Result<(), Error> {
     let mut stdout = io::stdout().lock();
     match stdout.write_all(text.as_bytes()).and_then(|()| stdout.flush()) {
-        // The reader of a pipe may stop early, as `head` does.
         Err(err) if err.kind() != io::ErrorKind::BrokenPipe => {
-            fail(EXIT_FAILURE, &format!("could not write to standard output: {err}"))
+            Err(eyre::eyre!("could not write to standard output: {err}").into())
         }
-        _ => ExitCode::SUCCESS,
+        _ => Ok(()),
     }
 }
 
--- a/crates/client/src/cmd/rollout.rs
+++ b/crates/client/src/cmd/rollout.rs
@@ -57,8 +57,9 @@
     }
 }
 
+/// A rollout as the status shows it.
 #[derive(Deserialize)]
-struct Rollout {
+pub struct Rollout {
     model: String,
     version: String,
     baseline: String,
@@ -87,19 +88,24 @@
     }
     let rollouts: Vec<Rollout> =
         serde_json::from_value(rollouts).wrap_err("could not understand the rollouts in the status")?;
+    Ok(table(&rollouts))
+}
+
+/// The rollouts as a table.
+pub fn table(rollouts: &[Rollout]) -> String {
     let mut table = Table::new(["model", "version", "baseline", "phase", "step", "permille", "reason"]);
     for rollout in rollouts {
         table.push([
-            rollout.model,
-            rollout.version,
-            rollout.baseline,
-            rollout.phase,
+            rollout.model.clone(),
+            rollout.version.clone(),
+            rollout.baseline.clone(),
+            rollout.phase.clone(),
             rollout.step.to_string(),
             rollout.permille.to_string(),
-            rollout.reason,
+            rollout.reason.clone(),
         ]);
     }
-    Ok(table.render())
+    table.render()
 }
 
 async fn change(cmd: &RolloutCmd, api: &Api, action: &str, key: &RolloutKey, json: bool) -> Result<String, Error> {
--- a/crates/client/src/cmd/submit.rs
+++ b/crates/client/src/cmd/submit.rs
@@ -1,12 +1,11 @@
 //! `eelgrasswell submit`
 
-use std::{fs, path::PathBuf, time::Duration};
+use std::{path::PathBuf, time::Duration};
 
 use argh::{ArgsInfo, FromArgs};
-use eelgrasswell_manifest::check;
-use eyre::WrapErr;
 use hyper::Method;
 
+use super::check;
 use crate::{
     api::{Api, Change},
     error::Error,
@@ -35,11 +34,7 @@
 }
 
 pub async fn run(cmd: &SubmitCmd, api: impl FnOnce() -> Result<Api, Error>, json: bool) -> Result<String, Error> {
-    let origin = cmd.file.display();
-    let text = fs::read_to_string(&cmd.file).wrap_err_with(|| format!("could not read manifest {origin}"))?;
-    if let Err(invalid) = check::parse(&text) {
-        return Err(Error::Invalid { origin: origin.to_string(), problems: invalid.problems });
-    }
+    let (text, _) = check::read(&cmd.file)?;
     let api = api()?;
     let expected = match cmd.expected {
         Some(expected) => expected,
@@ -47,5 +42,5 @@
     };
     let change = Change::new(cmd.submission.clone(), Some(expected));
     let changed = api.change(Method::PUT, "/v1/manifest", &change, text.into()).await?;
-    wait::report(&api, &changed, &format!("submit {origin}"), Duration::from_secs(cmd.wait_s), json).await
+    wait::report(&api, &changed, &format!("submit {}", cmd.file.display()), Duration::from_secs(cmd.wait_s), json).await
 }
