Add leases, claims, ledger, budgets and the shard log to core

State machines with the time passed in, so that tests can drive them.

Retention is kept as the rest of the time, not as an age or a wall clock time: a restored claim is kept for at least its 24 h whatever the clocks of two owners show, and a process that started a moment ago has no earlier point in time to subtract an age from.

Not measured; tests follow with the daemon's part.

--- /dev/null
+++ b/crates/core/src/budget.rs
@@ -0,0 +1,226 @@
+//! Spend shares: the owner of a customer's shard hands out parts of the spend cap to routers.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use compact_str::CompactString;
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    id::{CustomerId, HostId, Incarnation},
+    unit::Cost,
+};
+
+/// Shares of the cap, in percent, at which a warning is due.
+pub const WARNINGS_PERCENT: [u64; 3] = [50, 80, 95];
+/// Draw ids remembered per router. A router has one draw of a customer open at a time; the rest
+/// covers duplicates that arrive late.
+const REMEMBERED_DRAWS: usize = 8;
+/// Periods remembered per customer.
+const REMEMBERED_PERIODS: usize = 3;
+
+/// A router's request for a share.
+#[derive(Clone, Debug)]
+pub struct DrawAsk {
+    /// The customer.
+    pub customer: CustomerId,
+    /// Period of the budget.
+    pub period: CompactString,
+    /// Unique id of the draw.
+    pub id: CompactString,
+    /// The router.
+    pub router: HostId,
+    /// Its incarnation.
+    pub incarnation: Incarnation,
+    /// Wanted share.
+    pub amount: Cost,
+    /// Unspent part of earlier shares, handed back.
+    pub returned: Cost,
+}
+
+/// What to answer to a draw.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum DrawDecision {
+    /// The share may be granted by this change, once it is durable.
+    Draw(BudgetOp),
+    /// The draw was granted this share before.
+    Repeat(Cost),
+    /// The router's shares were reconciled, since it was taken for dead.
+    Closed,
+}
+
+/// A change of a budget, as logged.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum BudgetOp {
+    /// A share granted, and another part handed back.
+    Draw {
+        /// The customer.
+        customer: CustomerId,
+        /// Period of the budget.
+        period: CompactString,
+        /// Unique id of the draw.
+        id: CompactString,
+        /// The router.
+        router: HostId,
+        /// Its incarnation.
+        incarnation: Incarnation,
+        /// Share granted.
+        granted: Cost,
+        /// Part handed back.
+        returned: Cost,
+    },
+    /// A dead router's shares shrink to what its bills show as spent.
+    Reconcile {
+        /// The customer.
+        customer: CustomerId,
+        /// Period of the budget.
+        period: CompactString,
+        /// Incarnation of the dead router.
+        incarnation: Incarnation,
+        /// Sum of its bills.
+        spent: Cost,
+    },
+}
+
+/// The budgets of one shard.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct Budgets {
+    /// Budgets by customer, the period used last at the end.
+    customers: BTreeMap<CustomerId, Vec<Budget>>,
+}
+
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+struct Budget {
+    period: CompactString,
+    holders: BTreeMap<Incarnation, Holder>,
+    /// Highest warning given, in percent.
+    warned: u64,
+}
+
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+struct Holder {
+    router: HostId,
+    /// Shares granted and not handed back; what was spent of them stays in here.
+    held: Cost,
+    closed: bool,
+    draws: VecDeque<(CompactString, Cost)>,
+}
+
+/// A router that holds shares.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct OpenShares {
+    /// The customer.
+    pub customer: CustomerId,
+    /// Period of the budget.
+    pub period: CompactString,
+    /// The router.
+    pub router: HostId,
+    /// Its incarnation.
+    pub incarnation: Incarnation,
+}
+
+impl Budgets {
+    /// Decides on a draw under `cap` without changing anything. The grant is cut to what is left.
+    pub fn decide(&self, ask: &DrawAsk, cap: Cost) -> DrawDecision {
+        let budget = self.budget(&ask.customer, &ask.period);
+        let holder = budget.and_then(|budget| budget.holders.get(&ask.incarnation));
+        if let Some((_, granted)) = holder.and_then(|holder| holder.draws.iter().find(|(id, _)| *id == ask.id)) {
+            return DrawDecision::Repeat(*granted);
+        }
+        if holder.is_some_and(|holder| holder.closed) {
+            return DrawDecision::Closed;
+        }
+        let held = holder.map_or(Cost::ZERO, |holder| holder.held);
+        let returned = ask.returned.min(held);
+        let committed = budget.map_or(Cost::ZERO, Budget::committed) - returned;
+        DrawDecision::Draw(BudgetOp::Draw {
+            customer: ask.customer.clone(),
+            period: ask.period.clone(),
+            id: ask.id.clone(),
+            router: ask.router.clone(),
+            incarnation: ask.incarnation,
+            granted: ask.amount.min(cap - committed),
+            returned,
+        })
+    }
+
+    /// Makes a change that has been decided or read from the log.
+    pub fn apply(&mut self, op: &BudgetOp) {
+        match op {
+            BudgetOp::Draw { customer, period, id, router, incarnation, granted, returned } => {
+                let budget = self.use_budget(customer, period);
+                let holder = budget.holders.entry(*incarnation).or_default();
+                holder.router = router.clone();
+                holder.held = holder.held - *returned + *granted;
+                holder.draws.push_back((id.clone(), *granted));
+                if holder.draws.len() > REMEMBERED_DRAWS {
+                    holder.draws.pop_front();
+                }
+            }
+            BudgetOp::Reconcile { customer, period, incarnation, spent } => {
+                let budget = self.use_budget(customer, period);
+                if let Some(holder) = budget.holders.get_mut(incarnation) {
+                    holder.held = holder.held.min(*spent);
+                    holder.closed = true;
+                    holder.draws.clear();
+                }
+            }
+        }
+    }
+
+    /// Sum of the shares of `customer` that are granted and not handed back.
+    pub fn committed(&self, customer: &CustomerId, period: &str) -> Cost {
+        self.budget(customer, period).map_or(Cost::ZERO, Budget::committed)
+    }
+
+    /// The highest warning that has become due and was not given before, in percent of `cap`.
+    pub fn take_warning(&mut self, customer: &CustomerId, period: &str, cap: Cost) -> Option<u64> {
+        let budget = self.customers.get_mut(customer)?.iter_mut().find(|budget| budget.period == period)?;
+        let percent = u128::from(budget.committed().0) * 100 / u128::from(cap.0.max(1));
+        let due = WARNINGS_PERCENT.into_iter().rev().find(|warning| u128::from(*warning) <= percent)?;
+        (due > budget.warned).then(|| {
+            budget.warned = due;
+            due
+        })
+    }
+
+    /// Routers that hold shares which were not reconciled.
+    pub fn open_shares(&self) -> Vec<OpenShares> {
+        let budgets = self.customers.iter().flat_map(|(customer, all)| all.iter().map(move |one| (customer, one)));
+        let holders = budgets.flat_map(|(customer, budget)| {
+            budget.holders.iter().filter(|(_, holder)| !holder.closed && holder.held > Cost::ZERO).map(
+                move |(incarnation, holder)| OpenShares {
+                    customer: customer.clone(),
+                    period: budget.period.clone(),
+                    router: holder.router.clone(),
+                    incarnation: *incarnation,
+                },
+            )
+        });
+        holders.collect()
+    }
+
+    fn budget(&self, customer: &CustomerId, period: &str) -> Option<&Budget> {
+        self.customers.get(customer)?.iter().find(|budget| budget.period == period)
+    }
+
+    fn use_budget(&mut self, customer: &CustomerId, period: &str) -> &mut Budget {
+        let budgets = self.customers.entry(customer.clone()).or_default();
+        let found = budgets.iter().position(|budget| budget.period == period);
+        let budget = match found {
+            Some(at) => budgets.remove(at),
+            None => Budget { period: period.into(), ..Budget::default() },
+        };
+        if budgets.len() >= REMEMBERED_PERIODS {
+            budgets.remove(0);
+        }
+        budgets.push(budget);
+        budgets.last_mut().expect("a budget was just added")
+    }
+}
+
+impl Budget {
+    fn committed(&self) -> Cost {
+        self.holders.values().map(|holder| holder.held).sum()
+    }
+}
--- /dev/null
+++ b/crates/core/src/ledger.rs
@@ -0,0 +1,183 @@
+//! The ledger of a shard: bill records as a set keyed by request id, with totals.
+
+use base64::{Engine, prelude::BASE64_STANDARD_NO_PAD};
+use compact_str::CompactString;
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    hash::{HashMap, stable_hash},
+    id::{CustomerId, Incarnation, ModelName, RequestId, ServiceName, VersionName},
+    unit::{Cost, Millis, Tokens},
+};
+
+/// Time for which the ids of sealed bills are remembered. Both holders of a bill send it within
+/// seconds, or after an outage; outages last hours.
+pub const BILL_ID_RETENTION: Millis = Millis(24 * 3_600_000);
+/// Width of the groups by rest of retention in a snapshot. Each takeover rounds the rest up to it.
+const REST_GROUP: Millis = Millis(600_000);
+
+/// What a customer owes for one request.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Bill {
+    /// The request.
+    #[serde(rename = "id")]
+    pub request: RequestId,
+    /// Who pays.
+    #[serde(rename = "c")]
+    pub customer: CustomerId,
+    /// Model; empty for a plain service.
+    #[serde(rename = "m", default, skip_serializing_if = "ModelName::is_empty")]
+    pub model: ModelName,
+    /// Version of the model.
+    #[serde(rename = "v", default, skip_serializing_if = "VersionName::is_empty")]
+    pub version: VersionName,
+    /// Plain service; empty for a model.
+    #[serde(rename = "s", default, skip_serializing_if = "ServiceName::is_empty")]
+    pub service: ServiceName,
+    /// Tokens of the prompt.
+    #[serde(rename = "p", default)]
+    pub prompt_tokens: Tokens,
+    /// Tokens delivered.
+    #[serde(rename = "o", default)]
+    pub output_tokens: Tokens,
+    /// Cost of all attempts.
+    #[serde(rename = "u")]
+    pub cost: Cost,
+    /// Router incarnation whose budget share paid.
+    #[serde(rename = "r", default)]
+    pub router: Incarnation,
+}
+
+/// A bill with the budget period in which it was recorded.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct BillOp {
+    /// The record.
+    pub bill: Bill,
+    /// Period of the customer's budget; empty without a budget.
+    #[serde(default)]
+    pub period: CompactString,
+}
+
+/// Sum over the bills of a customer in a period.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Total {
+    /// Number of bills.
+    pub bills: u64,
+    /// Sum of their costs.
+    pub cost: Cost,
+}
+
+/// The bills of one shard.
+#[derive(Clone, Debug, Default)]
+pub struct Ledger {
+    /// Bills that are in no sealed segment.
+    recent: HashMap<RequestId, BillOp>,
+    /// Ids of sealed bills, with the time at which they are forgotten.
+    sealed: HashMap<BillId, Millis>,
+    totals: HashMap<(CustomerId, CompactString), Total>,
+}
+
+/// 128-bit hash of a request id, in place of its text of about 50 bytes. Two ids among a billion
+/// are equal with a probability of about 1e-21.
+type BillId = [u8; 16];
+
+/// A ledger as kept in a snapshot.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct LedgerRecord {
+    recent: Vec<BillOp>,
+    /// Ids of sealed bills, joined and in base64, in groups by rest of retention.
+    sealed: Vec<(Millis, String)>,
+    totals: Vec<(CustomerId, CompactString, Total)>,
+}
+
+impl Ledger {
+    /// Whether the bill of `request` is recorded.
+    pub fn contains(&self, request: &RequestId) -> bool {
+        self.recent.contains_key(request) || self.sealed.contains_key(&bill_id(request))
+    }
+
+    /// Adds a bill; false when its request has one already, which stays.
+    pub fn apply(&mut self, op: &BillOp) -> bool {
+        if self.contains(&op.bill.request) {
+            return false;
+        }
+        let total = self.totals.entry((op.bill.customer.clone(), op.period.clone())).or_default();
+        total.bills += 1;
+        total.cost += op.bill.cost;
+        self.recent.insert(op.bill.request.clone(), op.clone());
+        true
+    }
+
+    /// Sum over the bills of `customer` in `period`.
+    pub fn total(&self, customer: &CustomerId, period: &str) -> Total {
+        self.totals.get(&(customer.clone(), period.into())).copied().unwrap_or_default()
+    }
+
+    /// Bills that are in no sealed segment.
+    pub fn recent(&self) -> impl Iterator<Item = &Bill> {
+        self.recent.values().map(|op| &op.bill)
+    }
+
+    /// Number of bills that are in no sealed segment.
+    pub fn recent_len(&self) -> usize {
+        self.recent.len()
+    }
+
+    /// Number of remembered ids of sealed bills.
+    pub fn sealed_len(&self) -> usize {
+        self.sealed.len()
+    }
+
+    /// Notes that these bills are kept in a segment; only their ids stay in memory.
+    pub fn seal(&mut self, bills: &[Bill], now: Millis) {
+        for bill in bills {
+            if self.recent.remove(&bill.request).is_some() {
+                self.sealed.insert(bill_id(&bill.request), now + BILL_ID_RETENTION);
+            }
+        }
+    }
+
+    /// Forgets ids of bills that were sealed longer than the retention ago.
+    pub fn expire(&mut self, now: Millis) {
+        self.sealed.retain(|_, expires| now < *expires);
+    }
+
+    /// The ledger with rests of retention in place of points in time.
+    pub fn record(&self, now: Millis) -> LedgerRecord {
+        let mut groups: HashMap<u64, Vec<u8>> = HashMap::default();
+        for (id, expires) in &self.sealed {
+            let rest = expires.saturating_sub(now);
+            groups.entry(rest.0 / REST_GROUP.0).or_default().extend(id);
+        }
+        let totals = self.totals.iter().map(|((customer, period), total)| (customer.clone(), period.clone(), *total));
+        LedgerRecord {
+            recent: self.recent.values().cloned().collect(),
+            sealed: groups
+                .into_iter()
+                .map(|(group, ids)| {
+                    (Millis((group + 1) * REST_GROUP.0).min(BILL_ID_RETENTION), BASE64_STANDARD_NO_PAD.encode(ids))
+                })
+                .collect(),
+            totals: totals.collect(),
+        }
+    }
+
+    /// The ledger of a snapshot; none when it is malformed.
+    pub fn restore(record: LedgerRecord, now: Millis) -> Option<Self> {
+        let mut sealed = HashMap::default();
+        for (rest, ids) in record.sealed {
+            let ids = BASE64_STANDARD_NO_PAD.decode(ids).ok()?;
+            let expires = now + rest;
+            sealed.extend(ids.chunks_exact(16).filter_map(|id| Some((BillId::try_from(id).ok()?, expires))));
+        }
+        let recent = record.recent.into_iter().map(|op| (op.bill.request.clone(), op)).collect();
+        let totals = record.totals.into_iter().map(|(customer, period, total)| ((customer, period), total)).collect();
+        Some(Self { recent, sealed, totals })
+    }
+}
+
+fn bill_id(request: &RequestId) -> BillId {
+    let low = stable_hash(&["bill", request.as_str()]);
+    let high = stable_hash(&[request.as_str(), "bill"]);
+    (u128::from(high) << 64 | u128::from(low)).to_be_bytes()
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -1,8 +1,13 @@
 //! Decision logic of eelgrasswell. Nothing here opens a socket or reads a clock: callers pass
 //! the time and the state, so that tests and experiments can drive every decision directly.
 
+pub mod budget;
+pub mod claim;
 pub mod hash;
 pub mod id;
+pub mod lease;
+pub mod ledger;
 pub mod refusal;
 pub mod route;
+pub mod shard;
 pub mod unit;
