--- a/crates/testbed/src/lib.rs
+++ b/crates/testbed/src/lib.rs
@@ -6,3 +6,6 @@
 pub mod http;
 pub mod plan;
 pub mod process;
+//! Stand-ins for the systems outside of eelgrasswell, for tests and experiments.
+
+pub mod platform;
