--- a/crates/testbed/src/lib.rs
+++ b/crates/testbed/src/lib.rs
@@ -9,3 +9,6 @@
 //! Stand-ins for the systems outside of eelgrasswell, for tests and experiments.
 
 pub mod platform;
+//! Stand-ins for outside systems, process harness and experiments.
+
+pub mod engine;
