--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -1,18 +1,18 @@
 //! Decision logic of eelgrasswell. Nothing here opens a socket or reads a clock: callers pass
 //! the time and the state, so that tests and experiments can drive every decision directly.
 
+pub mod budget;
 pub mod cascade;
+pub mod claim;
 pub mod evidence;
 pub mod hash;
-pub mod id;
-pub mod quality;
-pub mod membership;
-pub mod budget;
-pub mod claim;
 pub mod hash;
 pub mod id;
+pub mod id;
 pub mod lease;
 pub mod ledger;
+pub mod membership;
+pub mod quality;
 pub mod refusal;
 pub mod rollout;
 pub mod route;
