--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -6,8 +6,6 @@
 pub mod claim;
 pub mod evidence;
 pub mod hash;
-pub mod hash;
-pub mod id;
 pub mod id;
 pub mod lease;
 pub mod ledger;
