Report evidence, judge rollouts and estimate quality in the daemon

A version stopped at full weight falls back to the version that it had replaced.

Not measured yet: needs the request path.

--- a/crates/daemon/src/router.rs
+++ b/crates/daemon/src/router.rs
@@ -75,8 +75,9 @@
             Links::open(Arc::clone(&settings), incarnation, clock, config.clone(), members.clone(), bills.clone());
         let budgets = Budgets::open(settings.host.id.clone(), incarnation, config.clone(), shards.clone());
         let sessions = Sessions::open(platform.clone(), clock);
-        let evidence = Evidence::open(settings.host.id.clone(), incarnation, config.clone(), shards.clone());
-        let quality = Quality::open(settings.ratings, clock, config.clone(), evidence.clone());
+        let evidence =
+            Evidence::open(settings.host.id.clone(), incarnation, config.clone(), shards.clone(), members.clone());
+        let quality = Quality::open(settings.ratings, config.clone(), evidence.clone(), links.clone());
         Ok(Self {
             settings,
             incarnation,
--- a/crates/manifest/src/config.rs
+++ b/crates/manifest/src/config.rs
@@ -95,7 +95,8 @@
     /// Versions that are not open are left out and their weight goes to the other one.
     pub fn weights(&self, model: &ModelName) -> Vec<Weighted> {
         let Some(declared) = self.manifest.models.get(model) else { return Vec::new() };
-        let mut weights = vec![Weighted { version: declared.current.clone(), permille: 1000, in_rollout: false }];
+        let current = self.last_good(model, &declared.current);
+        let mut weights = vec![Weighted { version: current.clone(), permille: 1000, in_rollout: false }];
         if let Some((version, status)) = self.live_rollout(model) {
             weights = vec![
                 Weighted {
@@ -117,6 +118,25 @@
         weights
     }
 
+    /// `version`, or when its rollout was stopped, the version that it had replaced.
+    fn last_good<'a>(&'a self, model: &ModelName, version: &'a VersionName) -> &'a VersionName {
+        let key = RolloutKey { model: model.clone(), version: version.clone() };
+        match self.rollouts.get(&key) {
+            Some(status) if status.phase == RolloutPhase::Stopped => &status.baseline,
+            _ => version,
+        }
+    }
+
+    /// Rollouts whose evidence is watched: those under way, and finished ones whose version still
+    /// serves, since a version may turn bad at full weight.
+    pub fn watched_rollouts(&self) -> impl Iterator<Item = (&RolloutKey, &RolloutStatus)> {
+        self.rollouts.iter().filter(|(key, status)| {
+            let Some(model) = self.manifest.models.get(&key.model) else { return false };
+            let planned = model.rollout.as_ref().is_some_and(|plan| plan.version == key.version);
+            status.phase != RolloutPhase::Stopped && (planned || model.current == key.version)
+        })
+    }
+
     /// The planned rollout of `model` with its status, unless it was stopped or has not begun.
     pub fn live_rollout(&self, model: &ModelName) -> Option<(&VersionName, &RolloutStatus)> {
         let plan = self.manifest.models.get(model)?.rollout.as_ref()?;
