Add the exchange between routers

Cause: only the elected routers read the platform; the others need configuration, host list, live routers and shard owners from their peers, and a router that starts during an outage has no other source. Sizes: at 350 routers one message carries one byte per live router for the age of its heartbeat, valid when both sides have the same digest of the live routers, and 25 bytes per failure domain for the digest of its part of the host list. The lists themselves travel only when a digest differs. Ruled out: a list of (id, age) in each message, about 60 bytes per router, 84 KB/s per node at two exchanges a second.

--- /dev/null
+++ b/crates/daemon/src/controller/peers/service.rs
@@ -0,0 +1,58 @@
+//! Serves the calls of other routers.
+
+use eelgrasswell_core::{id::Revision, unit::Millis};
+use eelgrasswell_proto::v1::{ReportReply, ReportRequest, SyncReply, SyncRequest, peer_server::Peer};
+use tonic::{Request, Response, Status};
+
+use super::exchange::{self, Incoming, TRANSIT};
+use crate::{controller::membership::Gossip, router::Router};
+
+/// Serves `Peer.Sync` and `Peer.Report`.
+pub struct PeerService {
+    router: Router,
+}
+
+impl PeerService {
+    /// Serves from the state of `router`.
+    pub fn new(router: Router) -> Self {
+        Self { router }
+    }
+}
+
+#[tonic::async_trait]
+impl Peer for PeerService {
+    async fn sync(&self, req: Request<SyncRequest>) -> Result<Response<SyncReply>, Status> {
+        let router = &self.router;
+        let req = req.into_inner();
+        let theirs =
+            Gossip { routers_digest: req.routers_digest, heard: req.heard, routers: Vec::new(), hosts: req.hosts };
+        let message = Incoming {
+            from: req.from.as_ref(),
+            gossip: &theirs,
+            update: req.update.as_ref(),
+            revision: Revision(req.revision),
+            confirmed_ago: Millis(req.confirmed_ms_ago),
+            owners: &req.owners,
+            delay: TRANSIT,
+        };
+        exchange::receive(router, &message);
+        let gossip = router.members.reply_to(&theirs);
+        // The caller knows what it has just said.
+        let owners = router.shards.owners().into_iter().filter(|owner| !req.owners.contains(owner)).collect();
+        Ok(Response::new(SyncReply {
+            from: Some(router.members.own_info()),
+            revision: router.config.revision().0,
+            confirmed_ms_ago: router.config.confirmed_ago().0,
+            update: router.config.update_since(Revision(req.revision)),
+            owners,
+            routers_digest: gossip.routers_digest,
+            heard: gossip.heard,
+            routers: gossip.routers,
+            hosts: gossip.hosts,
+        }))
+    }
+
+    async fn report(&self, req: Request<ReportRequest>) -> Result<Response<ReportReply>, Status> {
+        Ok(Response::new(self.router.evidence.receive(req.get_ref())))
+    }
+}
