--- a/crates/core/src/hash.rs
+++ b/crates/core/src/hash.rs
@@ -2,6 +2,8 @@
 
 use std::collections;
 
+use sha2::{Digest, Sha256};
+
 /// Hash map with a fast hasher that is seeded at random for each process.
 pub type HashMap<K, V> = collections::HashMap<K, V, foldhash::fast::RandomState>;
 /// Hash set with a fast hasher that is seeded at random for each process.
@@ -21,6 +23,15 @@
     mix(hash)
 }
 
+/// SHA-256 of the parts, one after another.
+pub fn sha256(parts: &[&[u8]]) -> [u8; 32] {
+    let mut hasher = Sha256::new();
+    for part in parts {
+        hasher.update(part);
+    }
+    hasher.finalize().into()
+}
+
 /// Spreads the bits of `hash` (the finaliser of splitmix64).
 fn mix(mut hash: u64) -> u64 {
     hash = (hash ^ (hash >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -4,5 +4,6 @@
 pub mod hash;
 pub mod id;
 pub mod refusal;
+pub mod retry;
 pub mod route;
 pub mod unit;
--- a/crates/core/src/route.rs
+++ b/crates/core/src/route.rs
@@ -45,11 +45,11 @@
 /// all would send every router to the same agent, since load reports lag.
 pub fn choose(agents: &[AgentView], rng: &mut impl Rng) -> Option<usize> {
     let len = agents.len();
-    if len == 0 {
-        return None;
+    if len < 2 {
+        return (len == 1).then_some(0);
     }
     let first = rng.random_range(0..len);
-    let second = rng.random_range(0..len);
+    let second = (first + rng.random_range(1..len)) % len;
     Some(if score(&agents[second]) < score(&agents[first]) { second } else { first })
 }
 
--- /dev/null
+++ b/crates/daemon/src/filter/budget.rs
@@ -0,0 +1,34 @@
+//! Reserves the highest cost that a request may have, and settles it by the bill.
+
+use eelgrasswell_core::unit::Cost;
+
+use super::{Chain, choose::Plan, failure::Failure, parse::Call};
+use crate::controller::budgets::Reservation;
+
+/// Money held for a request. Dropping it counts the whole amount as spent.
+pub struct Held {
+    reservation: Reservation,
+}
+
+/// Reserves the cost of the plan's first choice.
+pub async fn reserve(chain: &Chain, call: &Call, plan: &Plan) -> Result<Held, Failure> {
+    amount(chain, call, plan.choices[0].max_cost).await
+}
+
+/// Reserves `cost`.
+pub async fn amount(chain: &Chain, call: &Call, cost: Cost) -> Result<Held, Failure> {
+    let reservation = chain.router.budgets.reserve(&call.customer, cost).await?;
+    Ok(Held { reservation })
+}
+
+impl Held {
+    /// Keeps `spent` as spent and gives back the rest.
+    pub fn settle(self, spent: Cost) {
+        self.reservation.settle(spent);
+    }
+
+    /// Gives everything back.
+    pub fn settle_unspent(self) {
+        self.settle(Cost::ZERO);
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/filter/choose.rs
@@ -0,0 +1,162 @@
+//! Chooses models and versions for a request, and an agent for an attempt.
+
+use eelgrasswell_core::{
+    hash::stable_hash,
+    id::{ClassName, DomainId, HostId, ModelName, RequestId, ServiceName, VersionName},
+    refusal::Reason,
+    route,
+    unit::Cost,
+};
+use eelgrasswell_manifest::config::{Config, Weighted};
+
+use super::{
+    Chain,
+    backends::Candidate,
+    failure::Failure,
+    parse::{Call, ModelCall, Target},
+    session::{self, Pin},
+};
+
+/// Where a request may run, the preferred choice first.
+pub struct Plan {
+    /// Class of the request; empty when it names a model.
+    pub class: ClassName,
+    /// At least one choice; those after the first are for escalation.
+    pub choices: Vec<Choice>,
+    /// Whether a session pins the version.
+    pub pinned: bool,
+}
+
+/// A service, with model and version unless it is a plain service.
+#[derive(Clone, Debug)]
+pub struct Choice {
+    /// Service whose agents may run the request.
+    pub service: ServiceName,
+    /// Model; empty for a plain service.
+    pub model: ModelName,
+    /// Version; empty for a plain service.
+    pub version: VersionName,
+    /// Highest cost that the request may have there.
+    pub max_cost: Cost,
+}
+
+/// Chooses where the request may run.
+pub fn plan(chain: &Chain, call: &Call, pin: Option<&Pin>) -> Result<Plan, Failure> {
+    let target = match &call.target {
+        Target::Model(target) => target,
+        Target::Plain(plain) => {
+            let choice = Choice {
+                service: plain.service.clone(),
+                model: ModelName::default(),
+                version: VersionName::default(),
+                max_cost: plain.price,
+            };
+            return Ok(Plan { class: ClassName::default(), choices: vec![choice], pinned: false });
+        }
+    };
+    let is_class = !call.config.manifest.models.contains_key(target.name.as_str());
+    let class = if is_class { ClassName::from(target.name.as_str()) } else { ClassName::default() };
+    if let Some(pin) = pin {
+        session::check(call, pin)?;
+        let choice = choice(&call.config, target, &pin.model, &pin.version)
+            .ok_or_else(|| Failure::not_run(Reason::VersionWithdrawn, "the pinned version was removed"))?;
+        return Ok(Plan { class, choices: vec![choice], pinned: true });
+    }
+    let models = candidate_models(chain, call, target, &class)?;
+    let choices = models.iter().filter_map(|model| {
+        let version = pick_version(chain, call, model)?;
+        choice(&call.config, target, model, &version)
+    });
+    let choices: Vec<Choice> = choices.collect();
+    if choices.is_empty() {
+        return Err(Failure::not_run(Reason::NoVersion, format!("no version of {} is open", target.name)));
+    }
+    Ok(Plan { class, choices, pinned: false })
+}
+
+fn candidate_models(
+    chain: &Chain,
+    call: &Call,
+    target: &ModelCall,
+    class: &ClassName,
+) -> Result<Vec<ModelName>, Failure> {
+    let manifest = &call.config.manifest;
+    let name = target.name.as_str();
+    let not_allowed = || Failure::not_run(Reason::NotAllowed, format!("{name} is not allowed"));
+    let customer = manifest.customers.get(&call.customer).ok_or_else(not_allowed)?;
+    if class.is_empty() {
+        if !customer.models.contains_key(name) {
+            return Err(not_allowed());
+        }
+        return Ok(vec![name.into()]);
+    }
+    if !manifest.classes.contains_key(class) {
+        return Err(Failure::not_run(Reason::NotFound, format!("no such model or class: {name}")));
+    }
+    if !customer.quality_targets.contains_key(class) {
+        return Err(not_allowed());
+    }
+    let request = RequestId::from(call.id.to_string().as_str());
+    let mut models = chain.router.quality.rank(&call.customer, class, &request);
+    models.retain(|model| customer.models.contains_key(model));
+    if models.is_empty() {
+        return Err(not_allowed());
+    }
+    Ok(models)
+}
+
+/// Version by rollout weight among those that the customer may use. The hash of the request id
+/// decides, so that all attempts of a request use the same version.
+fn pick_version(chain: &Chain, call: &Call, model: &ModelName) -> Option<VersionName> {
+    let customer = call.config.manifest.customers.get(&call.customer)?;
+    // A stale node could not hear that a version in rollout was withdrawn.
+    let stale = chain.router.config.is_stale();
+    let mut weights = call.config.weights(model);
+    weights.retain(|w| customer.allows(model, &w.version) && !(stale && w.in_rollout));
+    by_weight(&weights, stable_hash(&[&call.id.to_string()]))
+}
+
+fn by_weight(weights: &[Weighted], hash: u64) -> Option<VersionName> {
+    let total: u64 = weights.iter().map(|w| u64::from(w.permille)).sum();
+    let mut point = hash % total.max(1);
+    for weighted in weights {
+        let weight = u64::from(weighted.permille);
+        if point < weight {
+            return Some(weighted.version.clone());
+        }
+        point -= weight;
+    }
+    // All weights are zero: the only version left is the baseline of a rollout at full weight.
+    weights.first().map(|w| w.version.clone())
+}
+
+fn choice(config: &Config, target: &ModelCall, model: &ModelName, version: &VersionName) -> Option<Choice> {
+    let declared = config.manifest.models.get(model)?;
+    let max_cost = declared.versions.get(version)?.cost(target.prompt, target.max_output);
+    Some(Choice { service: declared.service.clone(), model: model.clone(), version: version.clone(), max_cost })
+}
+
+/// Picks an agent for an attempt, none of `tried`.
+pub fn agent(chain: &Chain, call: &Call, choice: &Choice, tried: &[HostId]) -> Option<Candidate> {
+    let mut candidates = chain.backends.candidates(&choice.service);
+    candidates.retain(|candidate| {
+        let view = &candidate.view;
+        !view.leaving
+            && !tried.contains(&view.id)
+            && in_service(&call.config, &view.domain, &view.id)
+            && has_version(&view.loaded, choice)
+    });
+    let views: Vec<_> = candidates.iter().map(|candidate| candidate.view.clone()).collect();
+    let chosen = route::choose(&views, &mut rand::rng())?;
+    Some(candidates.swap_remove(chosen))
+}
+
+fn in_service(config: &Config, domain: &DomainId, host: &HostId) -> bool {
+    let manifest = &config.manifest;
+    manifest.domains.get(domain).is_some_and(|domain| domain.in_service) && !manifest.draining.contains_key(host)
+}
+
+fn has_version(loaded: &[(ModelName, VersionName)], choice: &Choice) -> bool {
+    choice.model.is_empty()
+        || loaded.iter().any(|(model, version)| *model == choice.model && *version == choice.version)
+}
--- /dev/null
+++ b/crates/daemon/src/filter/claim.rs
@@ -0,0 +1,256 @@
+//! Claims a non-idempotent request before it runs, and replays the answer when it has run already.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use eelgrasswell_core::{
+    hash::sha256,
+    id::{CustomerId, Fence, HostId, Incarnation, RequestId},
+    refusal::Reason,
+    retry,
+    unit::Millis,
+};
+use eelgrasswell_proto::v1::{ResolveReply, ResolveRequest, resolve_reply::Fate};
+use hyper::Response;
+use tokio::time::{sleep, timeout};
+
+use super::{
+    Body, Chain, answer,
+    backends::Candidate,
+    choose::{self, Choice, Plan},
+    execute::attempt_id,
+    failure::{Failure, full},
+    parse::{Call, Fetch, Target},
+};
+use crate::{
+    controller::shards::{ClaimCall, ClaimEnd, ClaimResult},
+    event,
+};
+
+/// Largest answer that is kept with a claim.
+const MAX_KEPT: usize = 4 << 10;
+/// Time after which an agent that was asked about an attempt counts as unreachable.
+const RESOLVE_TIMEOUT: Duration = Duration::from_secs(3);
+/// When a caller should ask again while the first attempt runs.
+const PENDING_RETRY: Millis = Millis(500);
+/// When a caller should ask again while claims cannot be made durable.
+const UNAVAILABLE_RETRY: Millis = Millis(1_000);
+/// Claims in a row that may find yet another attempt pending.
+const MAX_ROUNDS: u32 = 3;
+/// Times that the end of a claim is reported before it is left to `Agent.Resolve`.
+const MAX_REPORTS: u32 = 10;
+
+/// Result of the filter.
+pub enum Claimed {
+    /// The request may run; with a claim when it is not idempotent.
+    Run(Option<Box<Claim>>),
+    /// The request has run; this is its answer.
+    Replay(Response<Body>),
+}
+
+/// A claim that was granted for one attempt at one agent.
+pub struct Claim {
+    /// Fence that the agent checks.
+    pub fence: Fence,
+    /// Agent that may run the request.
+    pub agent: Candidate,
+    /// Id of the attempt.
+    pub request_id: RequestId,
+    key: String,
+    digest: [u8; 32],
+}
+
+/// Claims the request if its route is not idempotent.
+pub async fn take(chain: &Chain, call: &Call, plan: &Plan) -> Result<Claimed, Failure> {
+    let Target::Plain(target) = &call.target else { return Ok(Claimed::Run(None)) };
+    if target.idempotent {
+        return Ok(Claimed::Run(None));
+    }
+    let key = target.key.clone().unwrap_or_default();
+    let method = call.method.as_str().as_bytes();
+    let digest = sha256(&[method, b"\0", call.path.as_bytes(), b"\0", &call.body]);
+    let choice = &plan.choices[0];
+    let agent = choose::agent(chain, call, choice, &[])
+        .ok_or_else(|| Failure::not_run(Reason::NoBackend, format!("no agent of {} can be reached", choice.service)))?;
+    grant(chain, call, agent, key, digest, None).await
+}
+
+/// Claims anew for another agent after the claim's attempt was barred; none when there is no other
+/// agent.
+pub async fn retake(
+    chain: &Chain,
+    call: &Call,
+    choice: &Choice,
+    tried: &[HostId],
+    old: &Claim,
+) -> Result<Option<Claimed>, Failure> {
+    let Some(agent) = choose::agent(chain, call, choice, tried) else { return Ok(None) };
+    let barred = Some(old.request_id.clone());
+    grant(chain, call, agent, old.key.clone(), old.digest, barred).await.map(Some)
+}
+
+async fn grant(
+    chain: &Chain,
+    call: &Call,
+    agent: Candidate,
+    key: String,
+    digest: [u8; 32],
+    barred: Option<RequestId>,
+) -> Result<Claimed, Failure> {
+    let mut claim_call = ClaimCall {
+        customer: call.customer.clone(),
+        key,
+        request_id: attempt_id(call.id, &agent.view.id),
+        digest,
+        agent: agent.view.id.clone(),
+        agent_incarnation: agent.incarnation,
+        barred,
+    };
+    for _ in 0..MAX_ROUNDS {
+        match chain.backends.claim(&claim_call).await {
+            ClaimResult::Granted(fence) => {
+                let ClaimCall { key, request_id, .. } = claim_call;
+                return Ok(Claimed::Run(Some(Box::new(Claim { fence, agent, request_id, key, digest }))));
+            }
+            ClaimResult::Pending { request_id, agent, agent_incarnation } => {
+                let settled = settle_pending(chain, &claim_call, &request_id, &agent, agent_incarnation).await?;
+                let Some(replay) = settled else {
+                    claim_call.barred = Some(request_id);
+                    continue;
+                };
+                return Ok(Claimed::Replay(replay));
+            }
+            ClaimResult::Done { request_id, status, body: Some(body) } => {
+                return Ok(Claimed::Replay(replay(&request_id, status, body)));
+            }
+            ClaimResult::Done { request_id, .. } => {
+                let fetch = Fetch { customer: call.customer.clone(), request_id, offset: 0 };
+                return answer::fetch(chain, fetch).await.map(Claimed::Replay);
+            }
+            ClaimResult::KeyReused => {
+                return Err(Failure::not_run(Reason::KeyReused, "the key was used for another request"));
+            }
+            ClaimResult::Unavailable => {
+                let mut failure = Failure::not_run(Reason::ClaimsUnavailable, "the request could not be claimed");
+                failure.refusal = failure.refusal.retry_after(UNAVAILABLE_RETRY);
+                return Err(failure);
+            }
+        }
+    }
+    Err(pending(&claim_call.request_id, "other attempts keep claiming the key"))
+}
+
+/// Finds out what became of the attempt that holds the claim: its answer, or none when the attempt
+/// is barred from running.
+async fn settle_pending(
+    chain: &Chain,
+    call: &ClaimCall,
+    request_id: &RequestId,
+    agent: &HostId,
+    incarnation: Incarnation,
+) -> Result<Option<Response<Body>>, Failure> {
+    let Some(reply) = resolve(chain, &call.customer, request_id, agent, incarnation).await else {
+        return Err(pending(request_id, "the agent of the attempt that holds the key cannot be reached"));
+    };
+    match reply.fate() {
+        Fate::Barred => Ok(None),
+        Fate::Running => Err(pending(request_id, "the request with this key is running")),
+        Fate::Finished => {
+            let status = u16::try_from(reply.status).unwrap_or_default();
+            let end = ClaimEnd::Done { status, body: kept(&reply.body) };
+            let (customer, key) = (call.customer.clone(), call.key.clone());
+            report(chain.clone(), customer, key, request_id.clone(), end).await;
+            Ok(Some(replay(request_id, status, reply.body)))
+        }
+        Fate::Unspecified | Fate::Unknown => {
+            let message = "the outcome of the request with this key is unknown; it is not run again";
+            Err(Failure::unknown(Reason::ConnectionLost, message).at(request_id))
+        }
+    }
+}
+
+/// Asks an agent about an attempt; the agent bars it when it has not run. None when the agent
+/// cannot be reached.
+pub async fn resolve(
+    chain: &Chain,
+    customer: &CustomerId,
+    request_id: &RequestId,
+    agent: &HostId,
+    incarnation: Incarnation,
+) -> Option<ResolveReply> {
+    let mut client = chain.backends.client(agent)?;
+    let req = ResolveRequest {
+        request_id: request_id.to_string(),
+        customer: customer.to_string(),
+        agent_incarnation: incarnation.0,
+    };
+    match timeout(RESOLVE_TIMEOUT, client.resolve(req)).await {
+        Ok(Ok(reply)) => Some(reply.into_inner()),
+        Ok(Err(status)) => {
+            event!(Warn, "resolve_failed", agent = agent, request = request_id, error = status);
+            None
+        }
+        Err(_) => {
+            event!(Warn, "resolve_timed_out", agent = agent, request = request_id);
+            None
+        }
+    }
+}
+
+impl Claim {
+    /// Asks the agent to bar the attempt; true once it has promised never to run it.
+    pub async fn bar(&self, chain: &Chain, customer: &CustomerId) -> bool {
+        let agent = &self.agent;
+        let reply = resolve(chain, customer, &self.request_id, &agent.view.id, agent.incarnation).await;
+        reply.is_some_and(|reply| reply.fate() == Fate::Barred)
+    }
+
+    /// Releases the claim of an attempt that did not run and never will.
+    pub async fn release(self, chain: &Chain, customer: &CustomerId) {
+        report(chain.clone(), customer.clone(), self.key, self.request_id, ClaimEnd::Released).await;
+    }
+
+    /// Stores the answer; none when it is too large to keep.
+    pub async fn complete(self, chain: &Chain, customer: &CustomerId, status: u16, body: Option<Bytes>) {
+        let end = ClaimEnd::Done { status, body };
+        report(chain.clone(), customer.clone(), self.key, self.request_id, end).await;
+    }
+}
+
+/// The part of an answer that is kept with a claim: all of it, or none when it is too large.
+pub fn kept(body: &Bytes) -> Option<Bytes> {
+    (body.len() <= MAX_KEPT).then(|| body.clone())
+}
+
+/// Reports the end of a claim. When that does not become durable at once, the caller gets the
+/// answer and the report is repeated in the background.
+async fn report(chain: Chain, customer: CustomerId, key: String, request_id: RequestId, end: ClaimEnd) {
+    if chain.backends.complete(&customer, &key, &request_id, end.clone()).await {
+        return;
+    }
+    tokio::spawn(async move {
+        for attempt in 0..MAX_REPORTS {
+            let pause = retry::backoff(attempt, &mut rand::rng());
+            sleep(pause.into()).await;
+            if chain.backends.complete(&customer, &key, &request_id, end.clone()).await {
+                return;
+            }
+        }
+        event!(Warn, "claim_end_not_durable", request = request_id);
+    });
+}
+
+fn replay(request_id: &RequestId, status: u16, body: Bytes) -> Response<Body> {
+    Response::builder()
+        .status(if (100..1000).contains(&status) { status } else { 502 })
+        .header("x-request-id", request_id.as_str())
+        .body(full(body))
+        .expect("a status in range makes a valid response")
+}
+
+/// Another attempt has the claim. The outcome is unknown, because that attempt may have run.
+fn pending(request_id: &RequestId, message: &str) -> Failure {
+    let mut failure = Failure::unknown(Reason::ClaimPending, message).at(request_id);
+    failure.refusal = failure.refusal.retry_after(PENDING_RETRY);
+    failure
+}
--- /dev/null
+++ b/crates/daemon/src/filter/failure.rs
@@ -0,0 +1,103 @@
+//! Errors as callers see them.
+
+use bytes::Bytes;
+use eelgrasswell_core::{
+    id::RequestId,
+    refusal::{Outcome, Reason, Refusal},
+};
+use http_body_util::{BodyExt, Full};
+use hyper::{
+    Response,
+    header::{CONTENT_TYPE, RETRY_AFTER},
+};
+use serde::Serialize;
+use uuid::Uuid;
+
+use super::Body;
+use crate::telemetry;
+
+/// A request that ends without its answer.
+#[derive(Clone, Debug)]
+pub struct Failure {
+    /// Reason, outcome and time of a next attempt.
+    pub refusal: Refusal,
+    /// What went wrong, for people.
+    pub message: String,
+    /// Id of the last attempt; none when no agent was asked.
+    pub request_id: Option<RequestId>,
+}
+
+#[derive(Serialize)]
+struct Envelope<'a> {
+    error: Error<'a>,
+}
+
+#[derive(Serialize)]
+struct Error<'a> {
+    reason: &'a str,
+    outcome: Outcome,
+    message: &'a str,
+    request_id: &'a str,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    retry_after_ms: Option<u64>,
+}
+
+impl Failure {
+    /// A refusal of a request of which no byte reached a backend server.
+    pub fn not_run(reason: Reason, message: impl Into<String>) -> Self {
+        Self { refusal: Refusal::not_run(reason), message: message.into(), request_id: None }
+    }
+
+    /// A failure of a request that may have run.
+    pub fn unknown(reason: Reason, message: impl Into<String>) -> Self {
+        Self { refusal: Refusal::unknown(reason), message: message.into(), request_id: None }
+    }
+
+    /// Names the attempt.
+    pub fn at(self, request_id: &RequestId) -> Self {
+        Self { request_id: Some(request_id.clone()), ..self }
+    }
+
+    /// Replaces the message.
+    pub fn with_message(self, message: String) -> Self {
+        Self { message, ..self }
+    }
+
+    /// The error answer; counts the refusal. `id` names the request when no agent was asked.
+    pub fn into_response(self, id: Uuid) -> Response<Body> {
+        let Refusal { reason, outcome, retry_after } = self.refusal;
+        metrics::counter!(
+            telemetry::REFUSALS, "reason" => reason.as_str(), "outcome" => outcome.to_string()
+        )
+        .increment(1);
+        let request_id = self.request_id.map_or_else(|| id.to_string(), |id| id.to_string());
+        let error = Error {
+            reason: reason.as_str(),
+            outcome,
+            message: &self.message,
+            request_id: &request_id,
+            retry_after_ms: retry_after.map(|after| after.0),
+        };
+        let json = serde_json::to_vec(&Envelope { error }).expect("an error serialises to JSON");
+        let mut response = Response::builder()
+            .status(reason.http_status())
+            .header(CONTENT_TYPE, "application/json")
+            .header("x-request-id", request_id.as_str());
+        if let Some(after) = retry_after {
+            response = response.header(RETRY_AFTER, after.0.div_ceil(1_000));
+        }
+        response.body(full(json)).expect("an error makes a valid response")
+    }
+}
+
+impl From<Refusal> for Failure {
+    fn from(refusal: Refusal) -> Self {
+        let message = format!("the request was refused: {}", refusal.reason);
+        Self { refusal, message, request_id: None }
+    }
+}
+
+/// A body that is known as a whole.
+pub fn full(bytes: impl Into<Bytes>) -> Body {
+    Full::new(bytes.into()).map_err(|never| match never {}).boxed_unsync()
+}
--- a/crates/daemon/src/filter/mod.rs
+++ b/crates/daemon/src/filter/mod.rs
@@ -1,12 +1,90 @@
-//! The filter chain for callers' requests. Each filter is a file; `serve` lists them in order.
+//! The filter chain for callers' requests: one file per filter, listed in order in `Chain::filter`.
 
+mod answer;
+mod authenticate;
+pub mod backends;
+mod budget;
+mod choose;
+mod claim;
+mod endpoint;
+mod events;
+mod execute;
+mod failure;
+mod parse;
+mod session;
+
+use std::sync::{Arc, Mutex};
+
+use bytes::Bytes;
+use eelgrasswell_core::retry::RetryBudget;
 use eyre::Result;
+use http_body_util::combinators::UnsyncBoxBody;
+use hyper::{Request, Response, body::Incoming};
 use tokio::net::TcpListener;
+use uuid::Uuid;
 
+use self::{
+    backends::{Backends, Live},
+    claim::Claimed,
+    failure::Failure,
+    parse::Parsed,
+};
 use crate::{router::Router, shutdown::Shutdown};
 
+pub use self::endpoint::run;
+
+/// Body of an answer to a caller.
+type Body = UnsyncBoxBody<Bytes, eyre::Report>;
+
 /// Serves callers until `shutdown` is requested and the running requests have finished.
-pub async fn serve(_router: Router, _listener: TcpListener, mut shutdown: Shutdown) -> Result<()> {
-    shutdown.wait().await;
-    Ok(())
+pub async fn serve(router: Router, listener: TcpListener, mut shutdown: Shutdown) -> Result<()> {
+    let backends = Live { links: router.links.clone(), shards: router.shards.clone() };
+    let chain = Chain::new(router, Arc::new(backends));
+    run(chain, listener, async move { shutdown.wait().await }).await
+}
+
+/// What the filters share. Cheap to clone.
+#[derive(Clone)]
+pub struct Chain {
+    router: Router,
+    backends: Arc<dyn Backends>,
+    retries: Arc<Mutex<RetryBudget>>,
+}
+
+impl Chain {
+    /// Starts with a fresh retry budget.
+    pub fn new(router: Router, backends: Arc<dyn Backends>) -> Self {
+        let retries = RetryBudget::new(router.clock.now());
+        Self { router, backends, retries: Arc::new(Mutex::new(retries)) }
+    }
+
+    /// Answers one request of a caller.
+    async fn handle(&self, req: Request<Incoming>) -> Response<Body> {
+        let id = Uuid::now_v7();
+        self.filter(id, req).await.unwrap_or_else(|failure| failure.into_response(id))
+    }
+
+    async fn filter(&self, id: Uuid, req: Request<Incoming>) -> Result<Response<Body>, Failure> {
+        let caller = authenticate::check(self, req.headers())?;
+        let call = match parse::read(self, id, caller, req).await? {
+            Parsed::Call(call) => call,
+            Parsed::Fetch(fetch) => return answer::fetch(self, fetch).await,
+        };
+        let pin = session::verify(self, &call)?;
+        let plan = choose::plan(self, &call, pin.as_ref())?;
+        let held = budget::reserve(self, &call, &plan).await?;
+        let claim = match claim::take(self, &call, &plan).await {
+            Ok(Claimed::Run(claim)) => claim,
+            Ok(Claimed::Replay(response)) => {
+                held.settle_unspent();
+                return Ok(response);
+            }
+            Err(failure) => {
+                held.settle_unspent();
+                return Err(failure);
+            }
+        };
+        let run = execute::start(self, call, pin, plan, held, claim).await?;
+        Ok(answer::send(run).await)
+    }
 }
--- /dev/null
+++ b/crates/daemon/src/filter/parse.rs
@@ -0,0 +1,344 @@
+//! Reads a request within the limits and finds out what it asks for.
+
+use std::{sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use compact_str::CompactString;
+use eelgrasswell_core::{
+    hash::stable_hash,
+    id::{CustomerId, RequestId, ServiceName},
+    refusal::Reason,
+    unit::{Cost, Millis, Tokens},
+};
+use eelgrasswell_manifest::{config::Config, manifest::ServiceKind};
+use eelgrasswell_proto::v1;
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::{
+    HeaderMap, Method, Request,
+    body::{Body as _, Incoming},
+    header::HeaderName,
+    http::request::Parts,
+};
+use serde::Deserialize;
+use tokio::time::{Instant, timeout_at};
+use uuid::Uuid;
+
+use super::{Chain, authenticate::Caller, failure::Failure};
+
+/// Bytes of the request body that are counted as one token.
+const BYTES_PER_TOKEN: u64 = 4;
+/// Output tokens of a request that names no limit.
+const DEFAULT_MAX_OUTPUT: Tokens = Tokens(1_024);
+/// Longest deadline that a caller may ask for.
+const MAX_DEADLINE: Millis = Millis(3_600_000);
+/// Longest idempotency key.
+const MAX_KEY: usize = 128;
+/// Characters of each leading message that count for the prefix hash.
+const PREFIX_CHARS: usize = 1_024;
+/// Header fields that concern one connection or this router only and are not passed on.
+const HELD_BACK: [&str; 15] = [
+    "authorization",
+    "connection",
+    "content-length",
+    "expect",
+    "host",
+    "keep-alive",
+    "proxy-authenticate",
+    "proxy-authorization",
+    "proxy-connection",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+    "x-deadline-ms",
+    "x-session",
+];
+
+/// What a caller asks for.
+pub enum Parsed {
+    /// Run a request.
+    Call(Call),
+    /// Fetch an answer again.
+    Fetch(Fetch),
+}
+
+/// A request to run.
+pub struct Call {
+    /// Id of the request; each attempt adds the agent's host id.
+    pub id: Uuid,
+    /// Customer of the request.
+    pub customer: CustomerId,
+    /// Configuration that the request is decided by.
+    pub config: Arc<Config>,
+    /// Model or plain service.
+    pub target: Target,
+    /// HTTP method.
+    pub method: Method,
+    /// Path and query for the backend server.
+    pub path: String,
+    /// Header fields for the backend server.
+    pub headers: Vec<v1::Header>,
+    /// Body as the caller sent it.
+    pub body: Bytes,
+    /// Time at which the caller stops waiting.
+    pub deadline: Instant,
+    /// What the caller wants of sessions.
+    pub session: SessionWish,
+}
+
+/// What a request runs on.
+pub enum Target {
+    /// A model, or a class of requests with several candidate models.
+    Model(ModelCall),
+    /// A plain service.
+    Plain(PlainCall),
+}
+
+/// Model part of a request.
+pub struct ModelCall {
+    /// Name of a model or of a class.
+    pub name: CompactString,
+    /// Whether the answer is a stream of server-sent events.
+    pub stream: bool,
+    /// Estimate of the prompt's length.
+    pub prompt: Tokens,
+    /// Most tokens of output.
+    pub max_output: Tokens,
+    /// Hash of the prompt's leading messages, for the prefix cache.
+    pub prefix: u64,
+}
+
+/// Plain-service part of a request.
+pub struct PlainCall {
+    /// The service.
+    pub service: ServiceName,
+    /// Whether a repeated call does no harm.
+    pub idempotent: bool,
+    /// Idempotency key; present whenever the route is not idempotent.
+    pub key: Option<String>,
+    /// Price of the call.
+    pub price: Cost,
+}
+
+/// What a caller wants of sessions.
+pub enum SessionWish {
+    /// No session.
+    None,
+    /// A new session.
+    New,
+    /// The session with this id.
+    Id(String),
+}
+
+/// A request for an answer that an agent holds.
+pub struct Fetch {
+    /// Customer who asks.
+    pub customer: CustomerId,
+    /// Id of the attempt that made the answer.
+    pub request_id: RequestId,
+    /// First byte wanted.
+    pub offset: u64,
+}
+
+#[derive(Deserialize)]
+struct ChatBody {
+    model: CompactString,
+    #[serde(default)]
+    stream: bool,
+    #[serde(default)]
+    max_tokens: Option<u64>,
+    #[serde(default)]
+    max_completion_tokens: Option<u64>,
+    #[serde(default)]
+    session: Option<String>,
+    #[serde(default)]
+    messages: Vec<Message>,
+}
+
+#[derive(Deserialize)]
+struct Message {
+    #[serde(default)]
+    role: CompactString,
+    #[serde(default)]
+    content: serde_json::Value,
+}
+
+/// Reads a request.
+pub async fn read(chain: &Chain, id: Uuid, caller: Caller, req: Request<Incoming>) -> Result<Parsed, Failure> {
+    let limits = &chain.router.settings.limits;
+    let (head, body) = req.into_parts();
+    let header_bytes: usize = head.headers.iter().map(|(name, value)| name.as_str().len() + value.len()).sum();
+    if header_bytes as u64 > limits.max_headers.0 {
+        return Err(Failure::not_run(Reason::TooLarge, format!("the headers are larger than {}", limits.max_headers)));
+    }
+    if let Some(request_id) = head.uri.path().strip_prefix("/v1/answers/") {
+        return fetch(caller, &head, request_id).map(Parsed::Fetch);
+    }
+    let deadline = deadline(&head.headers, limits.default_deadline)?;
+    let body = read_body(body, limits.max_body.0, deadline).await?;
+    let path = head.uri.path();
+    if path == "/v1/chat/completions" {
+        return model_call(id, caller, &head, body, deadline).map(Parsed::Call);
+    }
+    let Some(rest) = path.strip_prefix("/services/") else {
+        return Err(Failure::not_run(Reason::NotFound, format!("no such path: {path}")));
+    };
+    plain_call(id, caller, &head, rest, body, deadline).map(Parsed::Call)
+}
+
+fn fetch(caller: Caller, head: &Parts, request_id: &str) -> Result<Fetch, Failure> {
+    if head.method != Method::GET {
+        return Err(Failure::not_run(Reason::NotFound, "answers are fetched with GET"));
+    }
+    let query = head.uri.query().unwrap_or_default();
+    let offset = query.split('&').find_map(|pair| pair.strip_prefix("offset=")).unwrap_or("0");
+    let offset = offset.parse().map_err(|_| bad_request(format!("could not parse offset {offset:?}")))?;
+    Ok(Fetch { customer: caller.customer, request_id: request_id.into(), offset })
+}
+
+fn deadline(headers: &HeaderMap, default: Millis) -> Result<Instant, Failure> {
+    let wait = match text(headers, "x-deadline-ms")? {
+        Some(value) => value.parse().map_err(|_| bad_request(format!("could not parse x-deadline-ms {value:?}")))?,
+        None => default,
+    };
+    Ok(Instant::now() + Duration::from(wait.min(MAX_DEADLINE)))
+}
+
+async fn read_body(body: Incoming, limit: u64, deadline: Instant) -> Result<Bytes, Failure> {
+    let too_large = || Failure::not_run(Reason::TooLarge, format!("the body is larger than {limit} bytes"));
+    if body.size_hint().lower() > limit {
+        return Err(too_large());
+    }
+    let collected = timeout_at(deadline, Limited::new(body, limit as usize).collect()).await;
+    let collected = collected.map_err(|_| Failure::not_run(Reason::Deadline, "the body came too slowly"))?;
+    match collected {
+        Ok(collected) => Ok(collected.to_bytes()),
+        Err(err) if err.is::<LengthLimitError>() => Err(too_large()),
+        Err(err) => Err(bad_request(format!("could not read the body: {err}"))),
+    }
+}
+
+fn model_call(id: Uuid, caller: Caller, head: &Parts, body: Bytes, deadline: Instant) -> Result<Call, Failure> {
+    if head.method != Method::POST {
+        return Err(Failure::not_run(Reason::NotFound, "completions are asked for with POST"));
+    }
+    let chat: ChatBody =
+        serde_json::from_slice(&body).map_err(|err| bad_request(format!("could not parse the body: {err}")))?;
+    let max_output = chat.max_completion_tokens.or(chat.max_tokens).map_or(DEFAULT_MAX_OUTPUT, Tokens);
+    let prefix = prefix_hash(&caller.customer, &chat.messages);
+    let wish = text(&head.headers, "x-session")?.map(str::to_owned).or(chat.session);
+    let session = match wish {
+        None => SessionWish::None,
+        Some(wish) if wish == "new" => SessionWish::New,
+        Some(session) => SessionWish::Id(session),
+    };
+    let target = Target::Model(ModelCall {
+        name: chat.model,
+        stream: chat.stream,
+        prompt: Tokens((body.len() as u64).div_ceil(BYTES_PER_TOKEN)),
+        max_output,
+        prefix,
+    });
+    Ok(Call {
+        id,
+        customer: caller.customer,
+        config: caller.config,
+        target,
+        method: Method::POST,
+        path: "/v1/chat/completions".into(),
+        headers: passed_on(&head.headers)?,
+        body,
+        deadline,
+        session,
+    })
+}
+
+/// Hash of the first two messages: with most callers these are the instructions and the opening of
+/// the conversation, which stay equal from turn to turn.
+fn prefix_hash(customer: &CustomerId, messages: &[Message]) -> u64 {
+    let mut parts = vec![customer.to_string()];
+    for message in messages.iter().take(2) {
+        let content = message.content.as_str().map_or_else(|| message.content.to_string(), str::to_owned);
+        parts.push(message.role.to_string());
+        parts.push(content.chars().take(PREFIX_CHARS).collect());
+    }
+    let parts: Vec<&str> = parts.iter().map(String::as_str).collect();
+    stable_hash(&parts)
+}
+
+fn plain_call(
+    id: Uuid,
+    caller: Caller,
+    head: &Parts,
+    rest: &str,
+    body: Bytes,
+    deadline: Instant,
+) -> Result<Call, Failure> {
+    let (service, path) = rest.split_at(rest.find('/').unwrap_or(rest.len()));
+    let path = if path.is_empty() { "/" } else { path };
+    let service = ServiceName::from(service);
+    let manifest = &caller.config.manifest;
+    let declared = manifest.services.get(&service).filter(|declared| declared.kind == ServiceKind::Plain);
+    let declared = declared.ok_or_else(|| Failure::not_run(Reason::NotFound, format!("no such service: {service}")))?;
+    let allowed = manifest.customers.get(&caller.customer).is_some_and(|c| c.services.contains(&service));
+    if !allowed {
+        return Err(Failure::not_run(Reason::NotAllowed, format!("service {service} is not allowed")));
+    }
+    let route = declared.route(head.method.as_str(), path).ok_or_else(|| {
+        Failure::not_run(Reason::NotFound, format!("service {service} has no route {} {path}", head.method))
+    })?;
+    let key = text(&head.headers, "idempotency-key")?.map(str::to_owned);
+    if !route.idempotent && key.as_deref().unwrap_or_default().is_empty() {
+        return Err(Failure::not_run(Reason::KeyMissing, "this route needs the header idempotency-key"));
+    }
+    if key.as_ref().is_some_and(|key| key.len() > MAX_KEY) {
+        return Err(bad_request(format!("the idempotency key is longer than {MAX_KEY} bytes")));
+    }
+    let target = PlainCall { service, idempotent: route.idempotent, key, price: declared.call_price };
+    let path = match head.uri.query() {
+        Some(query) => format!("{path}?{query}"),
+        None => path.to_owned(),
+    };
+    Ok(Call {
+        id,
+        customer: caller.customer,
+        config: Arc::clone(&caller.config),
+        target: Target::Plain(target),
+        method: head.method.clone(),
+        path,
+        headers: passed_on(&head.headers)?,
+        body,
+        deadline,
+        session: SessionWish::None,
+    })
+}
+
+/// Header fields for the backend server, without those that concern one connection.
+fn passed_on(headers: &HeaderMap) -> Result<Vec<v1::Header>, Failure> {
+    let mut passed = Vec::new();
+    for (name, value) in headers {
+        if HELD_BACK.contains(&name.as_str()) {
+            continue;
+        }
+        passed.push(v1::Header { name: name.as_str().to_owned(), value: printable(name, value.to_str().ok())?.into() });
+    }
+    Ok(passed)
+}
+
+/// Whether a header field of a backend server's answer concerns one connection only.
+pub fn is_hop_by_hop(name: &str) -> bool {
+    HELD_BACK.iter().any(|held_back| name.eq_ignore_ascii_case(held_back))
+}
+
+fn text<'a>(headers: &'a HeaderMap, name: &'static str) -> Result<Option<&'a str>, Failure> {
+    let Some(value) = headers.get(name) else { return Ok(None) };
+    printable(&HeaderName::from_static(name), value.to_str().ok()).map(Some)
+}
+
+fn printable<'a>(name: &HeaderName, value: Option<&'a str>) -> Result<&'a str, Failure> {
+    value.ok_or_else(|| bad_request(format!("the header {name} holds unprintable characters")))
+}
+
+fn bad_request(message: String) -> Failure {
+    Failure::not_run(Reason::BadRequest, message)
+}
--- /dev/null
+++ b/crates/daemon/src/filter/session.rs
@@ -0,0 +1,53 @@
+//! Verifies the session id of a request. A session keeps its version.
+
+use eelgrasswell_core::{
+    id::{ModelName, VersionName},
+    refusal::Reason,
+};
+use eelgrasswell_manifest::manifest::VersionState;
+
+use super::{
+    Chain,
+    failure::Failure,
+    parse::{Call, SessionWish, Target},
+};
+
+/// Model and version that a session pins.
+pub struct Pin {
+    /// The model.
+    pub model: ModelName,
+    /// The version.
+    pub version: VersionName,
+}
+
+/// The pin of the request's session, if it has one.
+pub fn verify(chain: &Chain, call: &Call) -> Result<Option<Pin>, Failure> {
+    let SessionWish::Id(session) = &call.session else { return Ok(None) };
+    let (model, version) = chain.router.sessions.verify(&call.customer, session)?;
+    let pin = Pin { model, version };
+    check(call, &pin)?;
+    Ok(Some(pin))
+}
+
+/// Whether the pinned version may serve the request under the request's configuration.
+pub fn check(call: &Call, pin: &Pin) -> Result<(), Failure> {
+    let Target::Model(target) = &call.target else { return Ok(()) };
+    let manifest = &call.config.manifest;
+    let in_class = || manifest.classes.get(target.name.as_str()).is_some_and(|c| c.candidates.contains(&pin.model));
+    if target.name != pin.model.as_str() && !in_class() {
+        let message = format!("the session pins model {}, the request names {}", pin.model, target.name);
+        return Err(Failure::not_run(Reason::SessionInvalid, message));
+    }
+    let allowed = manifest.customers.get(&call.customer).is_some_and(|c| c.allows(&pin.model, &pin.version));
+    if !allowed {
+        let message = format!("version {} of model {} is not allowed", pin.version, pin.model);
+        return Err(Failure::not_run(Reason::NotAllowed, message));
+    }
+    match call.config.version_state(&pin.model, &pin.version) {
+        Some(VersionState::Open | VersionState::Closed) => Ok(()),
+        Some(VersionState::Withdrawn) | None => {
+            let message = format!("version {} of model {} was withdrawn", pin.version, pin.model);
+            Err(Failure::not_run(Reason::VersionWithdrawn, message))
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/tests/fake/mod.rs
@@ -0,0 +1,393 @@
+//! A router whose agents are scripted tonic services in this process.
+
+use std::{
+    collections::VecDeque,
+    fs,
+    net::SocketAddr,
+    pin::Pin,
+    sync::{Arc, Mutex},
+};
+
+use bytes::Bytes;
+use eelgrasswell_core::{
+    id::{CustomerId, HostId, Incarnation, RequestId, Revision, ServiceName},
+    route::{AgentView, LoadReport},
+    unit::Millis,
+};
+use eelgrasswell_daemon::{
+    controller::{
+        links::Client,
+        shards::{ClaimCall, ClaimEnd, ClaimResult},
+    },
+    credential::Present,
+    filter::{
+        self, Chain,
+        backends::{Backends, Candidate},
+    },
+    router::Router,
+};
+use eelgrasswell_manifest::{
+    config::Config,
+    settings::{CallerLimits, HostSettings, RouterSettings, read_secret},
+};
+use eelgrasswell_proto::v1::{
+    self, AgentBeat, ExecuteEvent, ExecuteRequest, OrderReply, OrderRequest, ResolveReply, ResolveRequest,
+    ResumeRequest, RouterBeat, agent_client::AgentClient, agent_server, execute_event::Event,
+};
+use futures::{
+    Stream, StreamExt,
+    future::{BoxFuture, FutureExt},
+    stream,
+};
+use http_body_util::{BodyExt, Full};
+use hyper::{HeaderMap, Request, StatusCode};
+use hyper_util::{
+    client::legacy::{self, connect::HttpConnector},
+    rt::TokioExecutor,
+};
+use metrics_exporter_prometheus::PrometheusBuilder;
+use serde_json::{Value, json};
+use tokio::{net::TcpListener, sync::oneshot, task::JoinHandle};
+use tokio_stream::wrappers::TcpListenerStream;
+use tonic::{Response, Status, Streaming, transport::Server};
+
+type Events = Pin<Box<dyn Stream<Item = Result<ExecuteEvent, Status>> + Send>>;
+
+/// What the agent does with one call.
+pub enum Script {
+    /// Sends the events and ends the stream.
+    End(Vec<Event>),
+    /// Sends the events, then nothing more on the open stream.
+    Hang(Vec<Event>),
+    /// Sends the events as the test hands them over.
+    Live(tokio::sync::mpsc::Receiver<Event>),
+    /// Fails the call.
+    Fail(Status),
+}
+
+/// A scripted agent.
+#[derive(Default)]
+pub struct FakeAgent {
+    pub execute: Mutex<VecDeque<Script>>,
+    pub resume: Mutex<VecDeque<Script>>,
+    pub resolve: Mutex<VecDeque<v1::resolve_reply::Fate>>,
+    pub executed: Mutex<Vec<ExecuteRequest>>,
+    pub resumed: Mutex<Vec<ResumeRequest>>,
+}
+
+fn play(script: Option<Script>, request_id: &str) -> Result<Response<Events>, Status> {
+    let fill = {
+        let request_id = request_id.to_owned();
+        move |event| Ok(ExecuteEvent { event: Some(with_id(event, &request_id)) })
+    };
+    let events: Events = match script {
+        None => return Err(Status::not_found("no script is left")),
+        Some(Script::Fail(status)) => return Err(status),
+        Some(Script::End(events)) => Box::pin(stream::iter(events).map(fill)),
+        Some(Script::Hang(events)) => Box::pin(stream::iter(events).map(fill).chain(stream::pending())),
+        Some(Script::Live(rx)) => Box::pin(tokio_stream::wrappers::ReceiverStream::new(rx).map(fill)),
+    };
+    Ok(Response::new(events))
+}
+
+/// Writes the request id into an empty bill.
+fn with_id(mut event: Event, request_id: &str) -> Event {
+    if let Event::Finished(v1::Finished { bill: Some(bill), .. }) = &mut event
+        && bill.request_id.is_empty()
+    {
+        bill.request_id = request_id.to_owned();
+    }
+    event
+}
+
+struct Service(Arc<FakeAgent>);
+
+#[tonic::async_trait]
+impl agent_server::Agent for Service {
+    type ExecuteStream = Events;
+    type ResumeStream = Events;
+    type LinkStream = Pin<Box<dyn Stream<Item = Result<AgentBeat, Status>> + Send>>;
+
+    async fn execute(&self, req: tonic::Request<ExecuteRequest>) -> Result<Response<Events>, Status> {
+        let req = req.into_inner();
+        let script = self.0.execute.lock().unwrap().pop_front();
+        let id = req.request_id.clone();
+        self.0.executed.lock().unwrap().push(req);
+        play(script, &id)
+    }
+
+    async fn resume(&self, req: tonic::Request<ResumeRequest>) -> Result<Response<Events>, Status> {
+        let req = req.into_inner();
+        let script = self.0.resume.lock().unwrap().pop_front();
+        let id = req.request_id.clone();
+        self.0.resumed.lock().unwrap().push(req);
+        play(script, &id)
+    }
+
+    async fn resolve(&self, _: tonic::Request<ResolveRequest>) -> Result<Response<ResolveReply>, Status> {
+        let fate = self.0.resolve.lock().unwrap().pop_front();
+        let fate = fate.ok_or_else(|| Status::unavailable("no fate is left"))?;
+        Ok(Response::new(ResolveReply { fate: fate.into(), status: 200, ..ResolveReply::default() }))
+    }
+
+    async fn link(&self, _: tonic::Request<Streaming<RouterBeat>>) -> Result<Response<Self::LinkStream>, Status> {
+        Err(Status::unimplemented("no links in this test"))
+    }
+
+    async fn order(&self, _: tonic::Request<OrderRequest>) -> Result<Response<OrderReply>, Status> {
+        Err(Status::unimplemented("no orders in this test"))
+    }
+}
+
+/// Agents and claims of the test.
+#[derive(Default)]
+pub struct Fakes {
+    pub candidates: Mutex<Vec<Candidate>>,
+    pub claims: Mutex<VecDeque<ClaimResult>>,
+    pub claimed: Mutex<Vec<ClaimCall>>,
+    pub completed: Mutex<Vec<(RequestId, ClaimEnd)>>,
+}
+
+impl Backends for Fakes {
+    fn candidates(&self, _: &ServiceName) -> Vec<Candidate> {
+        self.candidates.lock().unwrap().clone()
+    }
+
+    fn client(&self, agent: &HostId) -> Option<Client> {
+        let candidates = self.candidates.lock().unwrap();
+        candidates.iter().find(|c| c.view.id == *agent).map(|c| c.client.clone())
+    }
+
+    fn claim<'a>(&'a self, call: &'a ClaimCall) -> BoxFuture<'a, ClaimResult> {
+        self.claimed.lock().unwrap().push(call.clone());
+        let result = self.claims.lock().unwrap().pop_front().unwrap_or(ClaimResult::Unavailable);
+        async { result }.boxed()
+    }
+
+    fn complete<'a>(
+        &'a self,
+        _: &'a CustomerId,
+        _: &'a str,
+        request_id: &'a RequestId,
+        end: ClaimEnd,
+    ) -> BoxFuture<'a, bool> {
+        self.completed.lock().unwrap().push((request_id.clone(), end));
+        async { true }.boxed()
+    }
+}
+
+/// A running callers' endpoint.
+pub struct Bench {
+    pub router: Router,
+    pub fakes: Arc<Fakes>,
+    pub agents: Vec<Arc<FakeAgent>>,
+    pub address: SocketAddr,
+    pub stop: Option<oneshot::Sender<()>>,
+    pub served: JoinHandle<eyre::Result<()>>,
+    client: legacy::Client<HttpConnector, Full<Bytes>>,
+}
+
+/// A complete reply.
+pub struct Reply {
+    pub status: StatusCode,
+    pub headers: HeaderMap,
+    pub trailers: HeaderMap,
+    pub body: Bytes,
+}
+
+impl Reply {
+    pub fn json(&self) -> Value {
+        serde_json::from_slice(&self.body).unwrap()
+    }
+
+    pub fn header(&self, name: &str) -> &str {
+        self.headers.get(name).map_or("", |value| value.to_str().unwrap())
+    }
+}
+
+pub const KEY: &str = "secret-of-alma";
+
+impl Bench {
+    /// Starts a router with this many agents, which run versions v1 and v2 of model `small` and v1 of
+    /// `large`.
+    pub async fn open(agents: usize) -> Self {
+        Self::open_with(agents, |_| {}).await
+    }
+
+    pub async fn open_with(agents: usize, edit: impl FnOnce(&mut Value)) -> Self {
+        let dir = std::path::Path::new(env!("CARGO_TARGET_TMPDIR"));
+        let credential = dir.join(format!("inner-{}", uuid::Uuid::new_v4()));
+        fs::write(&credential, "inner-secret").unwrap();
+        let present = Present::new(&read_secret(&credential).unwrap()).unwrap();
+        let metrics = PrometheusBuilder::new().build_recorder().handle();
+        let router = Router::open(settings(&credential), metrics).await.unwrap();
+        let mut config = config();
+        edit(&mut config);
+        let config: Config = serde_json::from_value(config).unwrap();
+        let revision = config.revision;
+        assert!(router.config.adopt(config));
+        router.config.confirm(revision, Millis(0));
+        let mut bench = Vec::new();
+        let fakes = Arc::new(Fakes::default());
+        for n in 0..agents {
+            let agent = Arc::new(FakeAgent::default());
+            let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+            let address = listener.local_addr().unwrap();
+            let service = agent_server::AgentServer::new(Service(Arc::clone(&agent)));
+            let server = Server::builder().add_service(service);
+            tokio::spawn(server.serve_with_incoming(TcpListenerStream::new(listener)));
+            let candidate = candidate(&format!("host-{n}"), address, &present);
+            fakes.candidates.lock().unwrap().push(candidate);
+            bench.push(agent);
+        }
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let (stop, stopped) = oneshot::channel();
+        let backends: Arc<dyn Backends> = fakes.clone();
+        let chain = Chain::new(router.clone(), backends);
+        let served = tokio::spawn(filter::run(chain, listener, async {
+            let _ = stopped.await;
+        }));
+        let client = legacy::Client::builder(TokioExecutor::new()).http2_only(true).build_http();
+        Self { router, fakes, agents: bench, address, stop: Some(stop), served, client }
+    }
+
+    /// Adds a candidate at an address where nothing listens.
+    pub async fn add_dead_agent(&self, id: &str) {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        drop(listener);
+        let secret = self.router.settings.host.inner_credential.clone();
+        let present = Present::new(&read_secret(&secret).unwrap()).unwrap();
+        self.fakes.candidates.lock().unwrap().push(candidate(id, address, &present));
+    }
+
+    /// Lets an agent report this many running requests.
+    pub fn set_running(&self, agent: usize, running: u32) {
+        self.fakes.candidates.lock().unwrap()[agent].view.load.running = running;
+    }
+
+    pub fn request(&self, method: &str, path: &str) -> hyper::http::request::Builder {
+        let uri = format!("http://{}{path}", self.address);
+        Request::builder().method(method).uri(uri).header("authorization", format!("Bearer {KEY}"))
+    }
+
+    pub async fn send(&self, req: Request<Full<Bytes>>) -> hyper::Response<hyper::body::Incoming> {
+        self.client.request(req).await.unwrap()
+    }
+
+    pub async fn fetch(&self, req: Request<Full<Bytes>>) -> Reply {
+        let (head, body) = self.send(req).await.into_parts();
+        let body = body.collect().await.unwrap();
+        let trailers = body.trailers().cloned().unwrap_or_default();
+        Reply { status: head.status, headers: head.headers, trailers, body: body.to_bytes() }
+    }
+
+    pub async fn get(&self, path: &str) -> Reply {
+        self.fetch(self.request("GET", path).body(Full::default()).unwrap()).await
+    }
+
+    pub async fn chat(&self, body: Value) -> Reply {
+        self.fetch(self.request("POST", "/v1/chat/completions").body(body.to_string().into()).unwrap()).await
+    }
+
+    /// All execute requests, in no particular order between agents.
+    pub fn executed(&self) -> Vec<ExecuteRequest> {
+        self.agents.iter().flat_map(|agent| agent.executed.lock().unwrap().clone()).collect()
+    }
+}
+
+fn candidate(id: &str, address: SocketAddr, present: &Present) -> Candidate {
+    let endpoint = tonic::transport::Endpoint::from_shared(format!("http://{address}")).unwrap();
+    let view = AgentView {
+        id: id.into(),
+        domain: "north".into(),
+        outstanding: 0,
+        load: LoadReport { limit: 8, ..LoadReport::default() },
+        loaded: vec![("small".into(), "v1".into()), ("small".into(), "v2".into()), ("large".into(), "v1".into())],
+        leaving: false,
+    };
+    let client = AgentClient::with_interceptor(endpoint.connect_lazy(), present.clone());
+    Candidate { view, incarnation: Incarnation(7), client, link: None }
+}
+
+fn settings(credential: &std::path::Path) -> RouterSettings {
+    let any = "127.0.0.1:0".parse().unwrap();
+    RouterSettings {
+        host: HostSettings {
+            id: "entry-0".into(),
+            domain: "north".into(),
+            inner: any,
+            inner_credential: credential.to_owned(),
+            drain: Millis(10_000),
+            log_level: "info".into(),
+            fatal_invariants: true,
+        },
+        callers: any,
+        operators: any,
+        operator_credential: credential.to_owned(),
+        platform: any,
+        ratings: None,
+        seeds: Vec::new(),
+        limits: CallerLimits { max_body: eelgrasswell_core::unit::Bytes(4_096), ..CallerLimits::default() },
+    }
+}
+
+fn config() -> Value {
+    let version = json!({"state": "open", "input_price": 1, "output_price": 2});
+    let key = eelgrasswell_core::hash::sha256(&[KEY.as_bytes()]);
+    let key: String = key.iter().map(|byte| format!("{byte:02x}")).collect();
+    json!({
+        "revision": 3,
+        "manifest_revision": 2,
+        "manifest": {
+            "domains": {"north": {"region": "r", "in_service": true}},
+            "services": {
+                "engines": {"kind": "model", "max_running": 8, "cold_limit": 1},
+                "booking": {
+                    "kind": "plain", "max_running": 8, "cold_limit": 1, "call_price": 5,
+                    "routes": [
+                        {"method": "GET", "path": "/", "idempotent": true},
+                        {"method": "POST", "path": "/book", "idempotent": false},
+                    ],
+                },
+            },
+            "models": {
+                "small": {"service": "engines", "current": "v1", "versions": {"v1": version, "v2": version}},
+                "large": {"service": "engines", "current": "v1", "versions": {"v1": version}},
+            },
+            "classes": {"easy": {"candidates": ["small", "large"]}},
+            "customers": {"alma": {
+                "api_key_sha256": key,
+                "models": {"small": [], "large": []},
+                "services": ["booking"],
+                "quality_targets": {"easy": 0.8},
+            }},
+        },
+    })
+}
+
+pub fn head() -> Event {
+    let headers = vec![v1::Header { name: "content-type".into(), value: "text/event-stream".into() }];
+    Event::Head(v1::Head { status: 200, headers })
+}
+
+pub fn data(offset: u64, text: &'static str) -> Event {
+    Event::Data(v1::Data { offset, chunk: text.into() })
+}
+
+pub fn finished(length: u64) -> Event {
+    let bill = v1::BillRecord { cost_micros: 11, ..v1::BillRecord::default() };
+    Event::Finished(v1::Finished { bill: Some(bill), length })
+}
+
+pub fn refused(reason: &str) -> Event {
+    Event::Refused(v1::Refused { reason: reason.into(), not_run: true, ..v1::Refused::default() })
+}
+
+pub fn failed(reason: &str) -> Event {
+    Event::Failed(v1::Failed { reason: reason.into(), bill: None })
+}
+
+/// The revision that the bench starts with.
+pub const REVISION: Revision = Revision(3);
--- /dev/null
+++ b/crates/daemon/tests/filters.rs
@@ -0,0 +1,284 @@
+//! The request path against scripted agents.
+
+mod fake;
+
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use hyper::StatusCode;
+use serde_json::json;
+use test_case::test_case;
+
+use eelgrasswell_core::id::{Fence, Incarnation};
+use eelgrasswell_daemon::controller::shards::{ClaimEnd, ClaimResult};
+use eelgrasswell_proto::v1::resolve_reply::Fate;
+
+use fake::{Bench, Script, data, failed, finished, head, refused};
+
+fn push(bench: &Bench, agent: usize, script: Script) {
+    bench.agents[agent].execute.lock().unwrap().push_back(script);
+}
+
+/// Guards against answers without their id, version or cost.
+#[tokio::test]
+async fn answers_whole_with_cost_header() {
+    let bench = Bench::open(1).await;
+    push(&bench, 0, Script::End(vec![head(), data(0, "hel"), data(3, "lo"), finished(5)]));
+    let reply = bench.chat(json!({"model": "small", "messages": []})).await;
+    assert_eq!(reply.status, StatusCode::OK);
+    assert_eq!(reply.body, Bytes::from("hello"));
+    assert_eq!((reply.header("x-model"), reply.header("x-version")), ("small", "v1"));
+    assert_eq!(reply.header("x-cost-micros"), "11");
+    let sent = bench.executed().remove(0);
+    assert_eq!(reply.header("x-request-id"), sent.request_id);
+    assert!(sent.request_id.ends_with(".host-0"));
+    assert_eq!(sent.revision, fake::REVISION.0);
+}
+
+/// Guards against late or repeated chunks that change the bytes of a stream (P7).
+#[tokio::test]
+async fn streams_each_byte_once() {
+    let bench = Bench::open(1).await;
+    let events = vec![head(), data(0, "data: 1\n\n"), data(0, "data: 1\n\n"), data(5, " 1\n\nrest"), finished(13)];
+    push(&bench, 0, Script::End(events));
+    let reply = bench.chat(json!({"model": "small", "stream": true})).await;
+    assert_eq!(reply.body, Bytes::from("data: 1\n\nrest"));
+    assert_eq!(reply.trailers.get("x-cost-micros").unwrap(), "11");
+}
+
+/// Guards against a lost tail when a stream breaks: it goes on at the next byte, and nothing runs twice.
+#[tokio::test]
+async fn resumes_broken_stream_at_offset() {
+    let bench = Bench::open(1).await;
+    push(&bench, 0, Script::End(vec![head(), data(0, "abc")]));
+    let rest = Script::End(vec![head(), data(3, "def"), finished(6)]);
+    bench.agents[0].resume.lock().unwrap().push_back(rest);
+    let reply = bench.chat(json!({"model": "small", "stream": true})).await;
+    assert_eq!(reply.body, Bytes::from("abcdef"));
+    assert_eq!(bench.executed().len(), 1);
+    assert_eq!(bench.agents[0].resumed.lock().unwrap()[0].offset, 3);
+}
+
+/// Guards against a caller that cannot fetch the rest of its answer.
+#[tokio::test]
+async fn fetches_held_answer_from_offset() {
+    let bench = Bench::open(1).await;
+    let held = Script::End(vec![head(), data(2, "llo"), finished(5)]);
+    bench.agents[0].resume.lock().unwrap().push_back(held);
+    let reply = bench.get("/v1/answers/0190-x.host-0?offset=2").await;
+    assert_eq!(reply.body, Bytes::from("llo"));
+    let asked = bench.agents[0].resumed.lock().unwrap()[0].clone();
+    assert_eq!((asked.offset, asked.customer.as_str()), (2, "alma"));
+}
+
+/// Guards against a refused request that could run elsewhere, and against a second run.
+#[tokio::test]
+async fn retries_refusal_at_other_agent() {
+    let bench = Bench::open(2).await;
+    bench.set_running(1, 4);
+    push(&bench, 0, Script::End(vec![refused("overloaded")]));
+    push(&bench, 1, Script::End(vec![head(), data(0, "ok"), finished(2)]));
+    let reply = bench.chat(json!({"model": "small"})).await;
+    assert_eq!(reply.status, StatusCode::OK);
+    assert!(reply.header("x-request-id").ends_with(".host-1"));
+}
+
+/// Guards against a request that fails because one agent is down, when it cannot have been sent.
+#[tokio::test]
+async fn retries_unsent_request_at_other_agent() {
+    let bench = Bench::open(1).await;
+    bench.set_running(0, 4);
+    bench.add_dead_agent("host-dead").await;
+    push(&bench, 0, Script::End(vec![head(), data(0, "ok"), finished(2)]));
+    let reply = bench.chat(json!({"model": "small"})).await;
+    assert_eq!((reply.status, reply.body), (StatusCode::OK, Bytes::from("ok")));
+}
+
+/// Guards against a stop that cuts a running stream or keeps accepting (P11).
+#[tokio::test]
+async fn shutdown_finishes_running_stream() {
+    let mut bench = Bench::open(1).await;
+    let (tx, rx) = tokio::sync::mpsc::channel(8);
+    push(&bench, 0, Script::Live(rx));
+    tx.send(head()).await.unwrap();
+    tx.send(data(0, "one")).await.unwrap();
+    let body = json!({"model": "small", "stream": true}).to_string();
+    let req = bench.request("POST", "/v1/chat/completions").body(body.into()).unwrap();
+    let response = bench.send(req).await;
+    bench.stop.take().unwrap().send(()).unwrap();
+    while tokio::net::TcpStream::connect(bench.address).await.is_ok() {
+        tokio::task::yield_now().await;
+    }
+    assert!(!bench.served.is_finished());
+    tx.send(data(3, "two")).await.unwrap();
+    tx.send(finished(6)).await.unwrap();
+    assert_eq!(response.into_body().collect().await.unwrap().to_bytes(), Bytes::from("onetwo"));
+    bench.served.await.unwrap().unwrap();
+}
+
+/// Guards against wrong reasons, statuses and outcomes of refusals before any agent is asked.
+#[test_case("POST", "/v1/chat/completions", "{", 400, "bad_request"; "not json")]
+#[test_case("POST", "/v1/chat/completions", r#"{"model":"none"}"#, 404, "not_found"; "unknown model")]
+#[test_case("GET", "/elsewhere", "", 404, "not_found"; "unknown path")]
+#[test_case("POST", "/services/booking/book", "{}", 400, "key_missing"; "no idempotency key")]
+#[test_case("POST", "/services/booking/other", "{}", 404, "not_found"; "unknown route")]
+#[tokio::test]
+async fn refuses_before_running(method: &str, path: &str, body: &str, status: u16, reason: &str) {
+    let bench = Bench::open(1).await;
+    let reply = bench.fetch(bench.request(method, path).body(body.to_owned().into()).unwrap()).await;
+    let error = &reply.json()["error"];
+    assert_eq!((reply.status.as_u16(), &error["reason"]), (status, &json!(reason)));
+    assert_eq!(error["outcome"], "not_run");
+    assert!(bench.executed().is_empty());
+}
+
+/// Guards against bodies that exhaust memory.
+#[tokio::test]
+async fn refuses_large_body() {
+    let bench = Bench::open(1).await;
+    let limit = bench.router.settings.limits.max_body.0 as usize;
+    let body = vec![b' '; limit + 1];
+    let reply = bench.fetch(bench.request("POST", "/v1/chat/completions").body(body.into()).unwrap()).await;
+    assert_eq!((reply.status, &reply.json()["error"]["reason"]), (StatusCode::PAYLOAD_TOO_LARGE, &json!("too_large")));
+}
+
+/// Guards against "not run" for a request that a backend server failed (P8).
+#[tokio::test]
+async fn failure_has_unknown_outcome() {
+    let bench = Bench::open(1).await;
+    push(&bench, 0, Script::End(vec![failed("backend_error")]));
+    let reply = bench.chat(json!({"model": "small"})).await;
+    assert_eq!((reply.status, &reply.json()["error"]["outcome"]), (StatusCode::BAD_GATEWAY, &json!("unknown")));
+}
+
+/// Guards against a cheap model's failure that reaches the caller although a stronger one could answer.
+#[tokio::test]
+async fn escalates_after_failure() {
+    let bench = Bench::open(1).await;
+    push(&bench, 0, Script::End(vec![failed("backend_error")]));
+    push(&bench, 0, Script::End(vec![head(), data(0, "ok"), finished(2)]));
+    let reply = bench.chat(json!({"model": "easy"})).await;
+    assert_eq!((reply.status, reply.header("x-model")), (StatusCode::OK, "large"));
+    let body: serde_json::Value = serde_json::from_slice(&bench.executed()[1].body).unwrap();
+    assert_eq!(body["model"], "large");
+}
+
+/// Guards against plain services that lose path, query or price.
+#[tokio::test]
+async fn passes_plain_request() {
+    let bench = Bench::open(1).await;
+    push(&bench, 0, Script::End(vec![head(), data(0, "room 7"), finished(6)]));
+    let reply = bench.get("/services/booking/rooms?free=1").await;
+    assert_eq!(reply.body, Bytes::from("room 7"));
+    let sent = bench.executed().remove(0);
+    assert_eq!((sent.service.as_str(), sent.path.as_str()), ("booking", "/rooms?free=1"));
+    assert!(sent.headers.iter().all(|h| h.name != "authorization"));
+}
+
+fn book(bench: &Bench) -> hyper::Request<http_body_util::Full<Bytes>> {
+    let req = bench.request("POST", "/services/booking/book").header("idempotency-key", "k1");
+    req.body("{}".into()).unwrap()
+}
+
+/// Guards against a booking that runs without a claim or whose answer is not stored (P9).
+#[tokio::test]
+async fn booking_runs_with_claim() {
+    let bench = Bench::open(1).await;
+    bench.fakes.claims.lock().unwrap().push_back(ClaimResult::Granted(Fence(9)));
+    push(&bench, 0, Script::End(vec![head(), data(0, "booked"), finished(6)]));
+    let reply = bench.fetch(book(&bench)).await;
+    assert_eq!(reply.body, Bytes::from("booked"));
+    let sent = bench.executed().remove(0);
+    assert_eq!((sent.claim_fence, sent.idempotent), (9, false));
+    let completed = bench.fakes.completed.lock().unwrap().remove(0);
+    assert_eq!(completed.0.as_str(), sent.request_id);
+    assert_eq!(completed.1, ClaimEnd::Done { status: 200, body: Some(Bytes::from("booked")) });
+}
+
+/// Guards against a second run of a booking that has run (P9).
+#[tokio::test]
+async fn booking_replays_stored_answer() {
+    let bench = Bench::open(1).await;
+    let done = ClaimResult::Done { request_id: "u.host-0".into(), status: 201, body: Some(Bytes::from("booked")) };
+    bench.fakes.claims.lock().unwrap().push_back(done);
+    let reply = bench.fetch(book(&bench)).await;
+    assert_eq!((reply.status, reply.body), (StatusCode::CREATED, Bytes::from("booked")));
+    assert!(bench.executed().is_empty());
+}
+
+/// Guards against a booking that stays blocked, or runs twice, when its first router has died (P9).
+#[test_case(Fate::Barred, 200, 1; "barred attempt makes way")]
+#[test_case(Fate::Running, 409, 0; "running attempt blocks")]
+#[test_case(Fate::Unknown, 502, 0; "unknown attempt is not repeated")]
+#[tokio::test]
+async fn booking_settles_pending_claim(fate: Fate, status: u16, runs: usize) {
+    let bench = Bench::open(1).await;
+    let pending = ClaimResult::Pending {
+        request_id: "u.host-0".into(),
+        agent: "host-0".into(),
+        agent_incarnation: Incarnation(7),
+    };
+    bench.fakes.claims.lock().unwrap().extend([pending, ClaimResult::Granted(Fence(2))]);
+    bench.agents[0].resolve.lock().unwrap().push_back(fate);
+    push(&bench, 0, Script::End(vec![head(), data(0, "booked"), finished(6)]));
+    let reply = bench.fetch(book(&bench)).await;
+    assert_eq!((reply.status.as_u16(), bench.executed().len()), (status, runs));
+    if runs > 0 {
+        assert_eq!(bench.fakes.claimed.lock().unwrap()[1].barred, Some("u.host-0".into()));
+    }
+}
+
+/// Guards against a claim that stays with an agent that refused the booking.
+#[tokio::test]
+async fn booking_moves_after_refusal() {
+    let bench = Bench::open(2).await;
+    bench.set_running(1, 4);
+    let granted = [ClaimResult::Granted(Fence(1)), ClaimResult::Granted(Fence(2))];
+    bench.fakes.claims.lock().unwrap().extend(granted);
+    push(&bench, 0, Script::End(vec![refused("leaving")]));
+    bench.agents[0].resolve.lock().unwrap().push_back(Fate::Barred);
+    push(&bench, 1, Script::End(vec![head(), data(0, "booked"), finished(6)]));
+    let reply = bench.fetch(book(&bench)).await;
+    assert_eq!(reply.body, Bytes::from("booked"));
+    let claimed = bench.fakes.claimed.lock().unwrap();
+    assert_eq!(claimed[1].barred.as_ref(), Some(&claimed[0].request_id));
+    assert_eq!(claimed[1].agent.as_str(), "host-1");
+}
+
+/// Guards against a second run of a booking whose agent was lost after it was sent (P9).
+#[test_case(Fate::Running, "unknown", 0; "may have run")]
+#[test_case(Fate::Barred, "not_run", 1; "proven not run")]
+#[tokio::test]
+async fn booking_is_not_repeated_after_loss(fate: Fate, outcome: &str, released: usize) {
+    let bench = Bench::open(2).await;
+    bench.set_running(1, 4);
+    bench.fakes.claims.lock().unwrap().push_back(ClaimResult::Granted(Fence(1)));
+    push(&bench, 0, Script::End(vec![]));
+    bench.agents[0].resolve.lock().unwrap().push_back(fate);
+    let reply = bench.fetch(book(&bench)).await;
+    assert_eq!(reply.json()["error"]["outcome"], outcome);
+    assert_eq!((bench.executed().len(), bench.fakes.completed.lock().unwrap().len()), (1, released));
+}
+
+/// Guards against a silent connection that holds a caller up, or that makes the request run again.
+#[tokio::test]
+async fn silent_connection_is_resumed() {
+    let bench = Bench::open(1).await;
+    push(&bench, 0, Script::Hang(vec![head(), data(0, "abc")]));
+    let once = Script::Fail(tonic::Status::unavailable("once"));
+    let rest = Script::End(vec![data(0, "abcdef"), finished(6)]);
+    bench.agents[0].resume.lock().unwrap().extend([once, rest]);
+    let reply = bench.chat(json!({"model": "small", "stream": true})).await;
+    assert_eq!((reply.body, bench.executed().len()), (Bytes::from("abcdef"), 1));
+}
+
+/// Guards against the loss of an idempotent request that had delivered nothing when its agent died.
+#[tokio::test]
+async fn idempotent_request_runs_elsewhere_after_loss() {
+    let bench = Bench::open(2).await;
+    bench.set_running(1, 4);
+    push(&bench, 0, Script::End(vec![]));
+    push(&bench, 1, Script::End(vec![head(), data(0, "ok"), finished(2)]));
+    let reply = bench.chat(json!({"model": "small"})).await;
+    assert_eq!(reply.body, Bytes::from("ok"));
+    assert_eq!(bench.agents[0].resumed.lock().unwrap().len(), 1);
+}
