--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod quality;
 pub mod refusal;
 pub mod rollout;
+pub mod retry;
 pub mod route;
 pub mod shard;
 pub mod unit;
