--- a/crates/daemon/src/filter/execute.rs
+++ b/crates/daemon/src/filter/execute.rs
@@ -537,7 +537,7 @@
         if !model.is_empty() {
             let sample = AnswerSample { error: false, first_token: self.first_token };
             router.evidence.record(model, version, sample);
-            router.quality.note_answer(&self.request_id, &self.plan.class, model, version);
+            router.quality.note_answer(&self.request_id, &self.customer, model, version);
         }
         if let Some(claim) = self.claim {
             claim.complete(&self.chain, &self.customer, status, body).await;
