--- a/crates/daemon/src/filter/choose.rs
+++ b/crates/daemon/src/filter/choose.rs
@@ -19,8 +19,6 @@
 
 /// Where a request may run, the preferred choice first.
 pub struct Plan {
-    /// Class of the request; empty when it names a model.
-    pub class: ClassName,
     /// At least one choice; those after the first are for escalation.
     pub choices: Vec<Choice>,
     /// Whether a session pins the version.
@@ -51,7 +49,7 @@
                 version: VersionName::default(),
                 max_cost: plain.price,
             };
-            return Ok(Plan { class: ClassName::default(), choices: vec![choice], pinned: false });
+            return Ok(Plan { choices: vec![choice], pinned: false });
         }
     };
     let is_class = !call.config.manifest.models.contains_key(target.name.as_str());
@@ -60,7 +58,7 @@
         session::check(call, pin)?;
         let choice = choice(&call.config, target, &pin.model, &pin.version)
             .ok_or_else(|| Failure::not_run(Reason::VersionWithdrawn, "the pinned version was removed"))?;
-        return Ok(Plan { class, choices: vec![choice], pinned: true });
+        return Ok(Plan { choices: vec![choice], pinned: true });
     }
     let models = candidate_models(chain, call, target, &class)?;
     let choices = models.iter().filter_map(|model| {
@@ -71,7 +69,7 @@
     if choices.is_empty() {
         return Err(Failure::not_run(Reason::NoVersion, format!("no version of {} is open", target.name)));
     }
-    Ok(Plan { class, choices, pinned: false })
+    Ok(Plan { choices, pinned: false })
 }
 
 fn candidate_models(
--- a/crates/daemon/src/filter/execute.rs
+++ b/crates/daemon/src/filter/execute.rs
@@ -65,7 +65,6 @@
     pub request_id: RequestId,
     /// Where it runs.
     pub choice: Choice,
-    plan: Plan,
     agent: HostId,
     customer: eelgrasswell_core::id::CustomerId,
     held: Held,
@@ -294,12 +293,10 @@
             SessionWish::New => self.chain.router.sessions.issue(&self.call.customer, &choice.model, &choice.version),
             SessionWish::Id(id) => Some(id.clone()),
         };
-        let plan = Plan { class: self.plan.class.clone(), choices: Vec::new(), pinned: self.plan.pinned };
         let settlement = Settlement {
             chain: self.chain.clone(),
             request_id,
             choice,
-            plan,
             agent: agent.view.id,
             customer: self.call.customer.clone(),
             held: self.held.take().expect("money is held while the request runs"),
