Run requests at the agent

The agent is the only way to its backend server, so it enforces the promises about that server against its own configuration: allowed models, withdrawn versions, domains out of service, leaving hosts, claim fences and barred ids. Checks run on arrival and again when the request's turn comes, because the configuration may change while it waits. Answers go through a buffer of bounded size, so that a request goes on when its reader leaves and another joins.

The idempotency of a plain route is the router's word and the manifest's, both: a router with an old manifest must not make a booking repeatable.

Ruled out: one buffer lock per answer (an agent sees a few thousand chunks a second; one table keeps the byte counts exact), and unread answers that share the bound with answers already read (the latter are dropped first).

Not yet measured: latency, memory under stalled readers. Admission has no tests of its own yet.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -1,6 +1,7 @@
 //! Decision logic of eelgrasswell. Nothing here opens a socket or reads a clock: callers pass
 //! the time and the state, so that tests and experiments can drive every decision directly.
 
+pub mod admission;
 pub mod hash;
 pub mod id;
 pub mod refusal;
--- /dev/null
+++ b/crates/daemon/src/agent/checks.rs
@@ -0,0 +1,186 @@
+//! Checks of a request against the agent's own configuration and state. None of them touches the
+//! backend server, so that each refusal is "not run".
+
+use std::time::Duration;
+
+use eelgrasswell_core::{
+    id::{CustomerId, DomainId, HostId, ModelName, Revision, ServiceName, VersionName},
+    refusal::{Reason, Refusal},
+    unit::{Cost, Tokens},
+};
+use eelgrasswell_manifest::{
+    config::Config,
+    manifest::{Customer, Service, Version, VersionState},
+};
+use eelgrasswell_proto::v1::ExecuteRequest;
+use tokio::time::timeout;
+
+use super::{Agent, loaded::Loaded};
+use crate::invariant::{self, Promise};
+
+/// Time to wait for a configuration that is as new as the router's.
+const CONFIG_WAIT: Duration = Duration::from_secs(1);
+
+/// A request that passed the checks, with what the manifest says about it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Checked {
+    /// Share of the customer relative to others.
+    pub weight: u32,
+    /// Whether it must not run twice.
+    pub once: bool,
+    /// What it costs.
+    pub price: Price,
+}
+
+/// Price of a request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Price {
+    /// By tokens, at the prices of the version.
+    Tokens(Version),
+    /// A fixed price for each call.
+    Call(Cost),
+}
+
+impl Price {
+    /// Price for these token counts.
+    pub fn cost(&self, input: Tokens, output: Tokens) -> Cost {
+        match self {
+            Self::Tokens(version) => version.cost(input, output),
+            Self::Call(cost) => *cost,
+        }
+    }
+}
+
+/// State of the agent that checks need besides the configuration.
+#[derive(Clone, Debug)]
+pub struct Place<'a> {
+    /// Host of the agent.
+    pub host: &'a HostId,
+    /// Its failure domain.
+    pub domain: &'a DomainId,
+    /// Its service.
+    pub service: &'a ServiceName,
+    /// Versions that its backend server has loaded.
+    pub loaded: &'a Loaded,
+    /// Whether the process stops.
+    pub leaving: bool,
+    /// Whether the configuration was confirmed too long ago.
+    pub stale: bool,
+}
+
+impl Agent {
+    /// Checks `req` after its revision has arrived here.
+    pub async fn check(&self, req: &ExecuteRequest) -> Result<Checked, Refusal> {
+        let wanted = Revision(req.revision);
+        let reached = timeout(CONFIG_WAIT, self.config.reached(wanted)).await;
+        if reached.is_err() {
+            return Err(Refusal::not_run(Reason::StaleConfig));
+        }
+        self.check_now(req)
+    }
+
+    /// Checks `req` against the present configuration and state.
+    pub fn check_now(&self, req: &ExecuteRequest) -> Result<Checked, Refusal> {
+        check(&self.config.current(), &self.place(), req).map_err(Refusal::not_run)
+    }
+
+    /// Checks `req` as it is about to start, and asserts the promises that the checks keep.
+    pub fn check_start(&self, req: &ExecuteRequest) -> Result<Checked, Refusal> {
+        // One view of the configuration for both, as it may change between them.
+        let (config, place) = (self.config.current(), self.place());
+        let checked = check(&config, &place, req).map_err(Refusal::not_run)?;
+        self.assert_may_start(&config, place.leaving, req);
+        Ok(checked)
+    }
+
+    fn assert_may_start(&self, config: &Config, leaving: bool, req: &ExecuteRequest) {
+        let id = &req.request_id;
+        let in_service = config.manifest.domains.get(&self.settings.host.domain).is_some_and(|d| d.in_service);
+        let leaving = leaving || config.manifest.draining.contains_key(&self.settings.host.id);
+        invariant::check(Promise::DomainOut, in_service, || format!("request {id} starts in a domain out of service"));
+        invariant::check(Promise::Leaving, !leaving, || format!("request {id} starts on a leaving host"));
+        if req.model.is_empty() {
+            return;
+        }
+        let (model, version) = (ModelName::from(&*req.model), VersionName::from(&*req.version));
+        let customer = config.manifest.customers.get(&CustomerId::from(&*req.customer));
+        let allowed = customer.is_some_and(|customer| customer.allows(&model, &version));
+        let withdrawn = config.version_state(&model, &version) == Some(VersionState::Withdrawn);
+        let what = || format!("request {id} of {} starts on {model}/{version}", req.customer);
+        invariant::check(Promise::Allowed, allowed, what);
+        invariant::check(Promise::Withdrawn, !withdrawn, what);
+    }
+
+    fn place(&self) -> Place<'_> {
+        Place {
+            host: &self.settings.host.id,
+            domain: &self.settings.host.domain,
+            service: &self.settings.service,
+            loaded: &self.loaded,
+            leaving: *self.leaving.borrow(),
+            stale: self.config.is_stale(),
+        }
+    }
+}
+
+/// Checks `req` against `config` and `place`.
+pub fn check(config: &Config, place: &Place, req: &ExecuteRequest) -> Result<Checked, Reason> {
+    let manifest = &config.manifest;
+    if place.leaving || manifest.draining.contains_key(place.host) {
+        return Err(Reason::Leaving);
+    }
+    if !manifest.domains.get(place.domain).is_some_and(|domain| domain.in_service) {
+        return Err(Reason::DomainOut);
+    }
+    let customer = manifest.customers.get(&CustomerId::from(&*req.customer)).ok_or(Reason::NotAllowed)?;
+    let service = manifest.services.get(place.service).ok_or(Reason::NotFound)?;
+    let (price, idempotent) = if req.model.is_empty() {
+        check_service(service, customer, place, req)?
+    } else {
+        (check_model(config, customer, place, req)?, req.idempotent)
+    };
+    if !idempotent && req.claim_fence == 0 {
+        return Err(Reason::BadRequest);
+    }
+    Ok(Checked { weight: customer.weight, once: !idempotent, price })
+}
+
+fn check_model(config: &Config, customer: &Customer, place: &Place, req: &ExecuteRequest) -> Result<Price, Reason> {
+    let (name, version) = (ModelName::from(&*req.model), VersionName::from(&*req.version));
+    if !customer.allows(&name, &version) {
+        return Err(Reason::NotAllowed);
+    }
+    let model = config.manifest.models.get(&name).ok_or(Reason::NotFound)?;
+    let state = config.version_state(&name, &version).ok_or(Reason::NotFound)?;
+    match state {
+        VersionState::Withdrawn => return Err(Reason::VersionWithdrawn),
+        VersionState::Closed if !req.pinned => return Err(Reason::NoVersion),
+        VersionState::Closed | VersionState::Open => {}
+    }
+    let in_rollout = config.weights(&name).iter().any(|weighted| weighted.version == version && weighted.in_rollout);
+    if in_rollout && place.stale && !req.pinned {
+        return Err(Reason::StaleConfig);
+    }
+    if model.service != *place.service || !place.loaded.has(&req.model, &req.version) {
+        return Err(Reason::NotLoaded);
+    }
+    Ok(Price::Tokens(model.versions[&version].clone()))
+}
+
+/// The price, and whether both the router and the manifest call the route idempotent.
+fn check_service(
+    service: &Service,
+    customer: &Customer,
+    place: &Place,
+    req: &ExecuteRequest,
+) -> Result<(Price, bool), Reason> {
+    let name = ServiceName::from(&*req.service);
+    if !customer.services.contains(&name) {
+        return Err(Reason::NotAllowed);
+    }
+    if name != *place.service {
+        return Err(Reason::NotFound);
+    }
+    let route = service.route(&req.method, &req.path).ok_or(Reason::NotFound)?;
+    Ok((Price::Call(service.call_price), req.idempotent && route.idempotent))
+}
--- /dev/null
+++ b/crates/daemon/src/agent/link.rs
@@ -0,0 +1,91 @@
+//! The agent's side of a link to a router: heartbeats, configuration and settlement of bills.
+
+use std::time::Duration;
+
+use eelgrasswell_core::{id::Revision, route::LoadReport, unit::Millis};
+use eelgrasswell_proto::v1::{AgentBeat, Load, RouterBeat};
+use tokio::{
+    sync::mpsc,
+    time::{Instant, interval_at, sleep_until, timeout},
+};
+use tokio_stream::wrappers::ReceiverStream;
+use tonic::{Status, Streaming};
+
+use super::Agent;
+use crate::event;
+
+/// Time between heartbeats.
+const BEAT_INTERVAL: Duration = Duration::from_secs(2);
+/// While the process leaves, bills are offered as soon as they arise.
+const LEAVING_INTERVAL: Duration = Duration::from_millis(100);
+/// Time without a heartbeat after which a link is dropped.
+const LINK_TIMEOUT: Duration = Duration::from_secs(5);
+/// Heartbeats on their way to a router that does not read.
+const BACKLOG: usize = 2;
+
+/// Serves a link until the router goes away or goes silent, or the process stops.
+pub fn open(agent: Agent, beats: Streaming<RouterBeat>) -> ReceiverStream<Result<AgentBeat, Status>> {
+    let (tx, rx) = mpsc::channel(BACKLOG);
+    tokio::spawn(async move { serve(&agent, beats, &tx).await });
+    ReceiverStream::new(rx)
+}
+
+async fn serve(agent: &Agent, mut beats: Streaming<RouterBeat>, tx: &mpsc::Sender<Result<AgentBeat, Status>>) {
+    let mut ticks = interval_at(Instant::now() + BEAT_INTERVAL, BEAT_INTERVAL);
+    let mut hurried = interval_at(Instant::now() + LEAVING_INTERVAL, LEAVING_INTERVAL);
+    let (mut leaving, mut closing) = (agent.leaving.subscribe(), agent.closing.subscribe());
+    let mut leaves = false;
+    let mut heard = None;
+    loop {
+        let silent_at = heard.unwrap_or_else(Instant::now) + LINK_TIMEOUT;
+        let answer = tokio::select! {
+            beat = beats.message() => {
+                let Ok(Some(beat)) = beat else { return };
+                heard = Some(Instant::now());
+                take_in(agent, &beat);
+                true
+            }
+            _ = ticks.tick() => heard.is_some(),
+            _ = hurried.tick(), if leaves => heard.is_some() && agent.bills.has_overdue(),
+            _ = leaving.wait_for(|leaving| *leaving), if !leaves => {
+                leaves = true;
+                heard.is_some()
+            }
+            _ = closing.wait_for(|closing| *closing) => return,
+            () = sleep_until(silent_at) => return,
+        };
+        if answer && !matches!(timeout(LINK_TIMEOUT, tx.send(Ok(agent.beat()))).await, Ok(Ok(()))) {
+            return;
+        }
+    }
+}
+
+fn take_in(agent: &Agent, beat: &RouterBeat) {
+    if let Some(update) = &beat.update
+        && let Err(err) = agent.config.apply(update)
+    {
+        event!(Warn, "config_not_applied", router = beat.router, error = format!("{err:#}"));
+    }
+    agent.config.confirm(Revision(beat.revision), Millis(beat.confirmed_ms_ago));
+    agent.bills.settle(&beat.settled);
+}
+
+impl Agent {
+    /// The next heartbeat, with the bills that are due for another router.
+    fn beat(&self) -> AgentBeat {
+        let LoadReport { running, queued, limit, tokens_held, tokens_limit, cold } = self.gate.report();
+        AgentBeat {
+            agent: self.settings.host.id.to_string(),
+            incarnation: self.incarnation.0,
+            revision: self.config.revision().0,
+            load: Some(Load { running, queued, limit, tokens_held: tokens_held.0, tokens_limit: tokens_limit.0, cold }),
+            leaving: *self.leaving.borrow(),
+            unsettled: self.bills.take_overdue(),
+            loaded: self.loaded.list(),
+            domain: self.settings.host.domain.to_string(),
+            service: self.settings.service.to_string(),
+            cached: Vec::new(),
+            evicted: Vec::new(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/agent/loaded.rs
@@ -0,0 +1,51 @@
+//! Versions that the backend server has loaded.
+
+use std::sync::{Arc, Mutex, MutexGuard};
+
+use eelgrasswell_core::id::{ModelName, VersionName};
+use eelgrasswell_manifest::settings::LoadedVersion;
+use eelgrasswell_proto::v1;
+
+type Versions = Vec<(ModelName, VersionName)>;
+
+/// Shared list of loaded versions.
+#[derive(Clone, Debug)]
+pub struct Loaded {
+    versions: Arc<Mutex<Versions>>,
+}
+
+impl Loaded {
+    /// Starts with the versions that the settings name.
+    pub fn open(loaded: &[LoadedVersion]) -> Self {
+        let versions = loaded.iter().map(|l| (l.model.clone(), l.version.clone())).collect();
+        Self { versions: Arc::new(Mutex::new(versions)) }
+    }
+
+    /// Whether the backend server has the version.
+    pub fn has(&self, model: &str, version: &str) -> bool {
+        self.lock().iter().any(|(m, v)| m.as_str() == model && v.as_str() == version)
+    }
+
+    /// Adds a version.
+    pub fn add(&self, model: &str, version: &str) {
+        let mut versions = self.lock();
+        let entry = (ModelName::from(model), VersionName::from(version));
+        if !versions.contains(&entry) {
+            versions.push(entry);
+        }
+    }
+
+    /// Removes a version.
+    pub fn remove(&self, model: &str, version: &str) {
+        self.lock().retain(|(m, v)| m.as_str() != model || v.as_str() != version);
+    }
+
+    /// The list for heartbeats.
+    pub fn list(&self) -> Vec<v1::Loaded> {
+        self.lock().iter().map(|(m, v)| v1::Loaded { model: m.to_string(), version: v.to_string() }).collect()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Versions> {
+        self.versions.lock().expect("no holder of the lock panics")
+    }
+}
--- a/crates/daemon/src/agent/mod.rs
+++ b/crates/daemon/src/agent/mod.rs
@@ -1,19 +1,50 @@
 //! The agent: the only way to its backend server.
 
-use std::sync::Arc;
+pub mod answers;
+pub mod backend;
+pub mod bills;
+pub mod checks;
+pub mod fences;
+pub mod gate;
+pub mod link;
+pub mod loaded;
+pub mod meter;
+pub mod operators;
+pub mod poll;
+pub mod run;
+pub mod service;
+
+use std::{sync::Arc, time::Duration};
 
 use eelgrasswell_core::id::Incarnation;
 use eelgrasswell_manifest::settings::{self, AgentSettings, Secret};
-use eyre::Result;
+use eelgrasswell_proto::v1::agent_server::AgentServer;
+use eyre::{Result, WrapErr};
 use metrics_exporter_prometheus::PrometheusHandle;
+use tokio::{sync::watch, time::timeout};
+use tonic::{
+    service::interceptor::InterceptedService,
+    transport::{Server, server::TcpIncoming},
+};
 
+use self::{
+    answers::Answers, backend::Backend, bills::Bills, fences::Fences, gate::Gate, loaded::Loaded, service::AgentService,
+};
 use crate::{
     clock::{self, Clock},
     config::ConfigHandle,
-    event, invariant,
+    credential::Require,
+    event,
+    invariant::{self, Promise},
+    router::bind,
     shutdown::Shutdown,
 };
 
+/// Largest message that the inner endpoint takes: the largest request body plus its headers.
+const MAX_MESSAGE: usize = 8 << 20;
+/// Time for the last events of finished streams to leave the process.
+const FLUSH: Duration = Duration::from_secs(2);
+
 /// What the parts of an agent share. Cheap to clone.
 #[derive(Clone)]
 pub struct Agent {
@@ -29,6 +60,22 @@
     pub secret: Secret,
     /// Renders the metrics.
     pub metrics: PrometheusHandle,
+    /// Admission to the backend server.
+    pub gate: Gate,
+    /// Client of the backend server.
+    pub backend: Backend,
+    /// Running and held answers.
+    pub answers: Answers,
+    /// Bills that are not settled.
+    pub bills: Bills,
+    /// Request ids that ran or are barred, and fences of orders.
+    pub fences: Fences,
+    /// Versions that the backend server has loaded.
+    pub loaded: Loaded,
+    /// True once the process refuses new work because it stops.
+    pub leaving: Arc<watch::Sender<bool>>,
+    /// True once links have nothing left to hand over.
+    pub closing: Arc<watch::Sender<bool>>,
 }
 
 impl Agent {
@@ -37,21 +84,80 @@
         invariant::set_fatal(settings.host.fatal_invariants);
         let secret = settings::read_secret(&settings.host.inner_credential)?;
         let clock = Clock::start();
+        let config = ConfigHandle::open(clock);
         Ok(Self {
-            settings: Arc::new(settings),
             incarnation: clock::draw_incarnation(),
             clock,
-            config: ConfigHandle::open(clock),
+            gate: Gate::open(settings.service.clone(), settings.host.domain.clone(), clock, config.clone()),
+            config,
             secret,
             metrics,
+            backend: Backend::open(settings.backend),
+            answers: Answers::open(settings.answers.clone(), clock),
+            bills: Bills::open(clock),
+            fences: Fences::open(clock),
+            loaded: Loaded::open(&settings.loaded),
+            settings: Arc::new(settings),
+            leaving: Arc::new(watch::Sender::new(false)),
+            closing: Arc::new(watch::Sender::new(false)),
         })
     }
 
     /// Serves until a graceful shutdown has finished.
     pub async fn serve(self, mut shutdown: Shutdown) -> Result<()> {
-        event!(Info, "agent_started", id = self.settings.host.id, incarnation = self.incarnation);
+        let inner = bind(self.settings.host.inner, "inner endpoint").await?;
+        let operators = bind(self.settings.operators, "operators' endpoint").await?;
+        let inner_address = inner.local_addr().wrap_err("could not read the address of the inner endpoint")?;
+        let operators_address = operators.local_addr().wrap_err("could not read the address of the operators")?;
+        let service = AgentServer::new(AgentService::new(self.clone()))
+            .max_decoding_message_size(MAX_MESSAGE)
+            .max_encoding_message_size(MAX_MESSAGE);
+        let mut closing = self.closing.subscribe();
+        let server = Server::builder()
+            .add_service(InterceptedService::new(service, Require::new(self.secret.clone())))
+            .serve_with_incoming_shutdown(TcpIncoming::from(inner).with_nodelay(Some(true)), async move {
+                let _ = closing.wait_for(|closing| *closing).await;
+            });
+        let server = tokio::spawn(server);
+        let tasks = [
+            tokio::spawn(operators::serve(self.clone(), operators)),
+            tokio::spawn(poll::run(self.clone())),
+            tokio::spawn(self.gate.clone().follow_config()),
+            tokio::spawn(self.answers.clone().sweep()),
+        ];
+        event!(
+            Info,
+            "agent_started",
+            id = self.settings.host.id,
+            incarnation = self.incarnation,
+            inner = inner_address,
+            operators = operators_address,
+            backend = self.settings.backend
+        );
         shutdown.wait().await;
+        self.drain().await;
+        self.closing.send_replace(true);
+        if timeout(FLUSH, server).await.is_err() {
+            event!(Warn, "streams_not_flushed", id = self.settings.host.id);
+        }
+        tasks.iter().for_each(tokio::task::JoinHandle::abort);
         event!(Info, "agent_stopped", id = self.settings.host.id);
         Ok(())
     }
+
+    /// Refuses new work, waits for running requests and hands over the bills.
+    async fn drain(&self) {
+        let limit = Duration::from(self.settings.host.drain);
+        self.leaving.send_replace(true);
+        self.bills.hurry();
+        let id = &self.settings.host.id;
+        event!(Info, "agent_leaving", id = id, running = self.answers.unfinished());
+        let idle = timeout(limit, self.answers.idle()).await.is_ok();
+        invariant::check(Promise::Graceful, idle, || {
+            format!("{} requests still run after {} ms", self.answers.unfinished(), limit.as_millis())
+        });
+        if timeout(limit, self.bills.settled_all()).await.is_err() {
+            event!(Error, "bills_not_handed_over", id = id, bills = self.bills.len());
+        }
+    }
 }
--- /dev/null
+++ b/crates/daemon/src/agent/operators.rs
@@ -0,0 +1,61 @@
+//! Health and metrics over HTTP.
+
+use std::{convert::Infallible, time::Duration};
+
+use bytes::Bytes;
+use eelgrasswell_core::id::Revision;
+use http_body_util::Full;
+use hyper::{Method, Request, Response, StatusCode, body::Incoming, server::conn::http1, service::service_fn};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::{net::TcpListener, time::sleep};
+
+use super::Agent;
+use crate::event;
+
+/// Time for a client to send its headers.
+const HEADER_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Serves until the task is aborted.
+pub async fn serve(agent: Agent, listener: TcpListener) {
+    loop {
+        let socket = match listener.accept().await {
+            Ok((socket, _)) => socket,
+            Err(err) => {
+                event!(Warn, "operator_connection_not_accepted", error = err);
+                sleep(Duration::from_millis(100)).await;
+                continue;
+            }
+        };
+        let agent = agent.clone();
+        tokio::spawn(async move {
+            let service = service_fn(move |req| {
+                let response = answer(&agent, &req);
+                async { Ok::<_, Infallible>(response) }
+            });
+            let mut http = http1::Builder::new();
+            http.timer(TokioTimer::new()).header_read_timeout(HEADER_TIMEOUT);
+            let _ = http.serve_connection(TokioIo::new(socket), service).await;
+        });
+    }
+}
+
+fn answer(agent: &Agent, req: &Request<Incoming>) -> Response<Full<Bytes>> {
+    if req.method() != Method::GET {
+        return text(StatusCode::METHOD_NOT_ALLOWED, "only GET is served here\n");
+    }
+    match req.uri().path() {
+        "/healthz" => text(StatusCode::OK, "ok\n"),
+        "/readyz" if *agent.leaving.borrow() => text(StatusCode::SERVICE_UNAVAILABLE, "leaving\n"),
+        "/readyz" if agent.config.revision() == Revision(0) => {
+            text(StatusCode::SERVICE_UNAVAILABLE, "no configuration\n")
+        }
+        "/readyz" => text(StatusCode::OK, "ready\n"),
+        "/metrics" => text(StatusCode::OK, agent.metrics.render()),
+        _ => text(StatusCode::NOT_FOUND, "not found\n"),
+    }
+}
+
+fn text(status: StatusCode, body: impl Into<Bytes>) -> Response<Full<Bytes>> {
+    let response = Response::builder().status(status).header("content-type", "text/plain; charset=utf-8");
+    response.body(Full::new(body.into())).expect("status and content type are valid")
+}
--- /dev/null
+++ b/crates/daemon/src/agent/run.rs
@@ -0,0 +1,288 @@
+//! The course of one request: its turn, the call of the backend server, the answer and the bill.
+
+use std::time::{Duration, Instant};
+
+use eelgrasswell_core::{
+    admission::{Ending, Sample},
+    id::{CustomerId, RequestId},
+    refusal::{Outcome, Reason, Refusal},
+    unit::{Cost, Millis, Tokens},
+};
+use eelgrasswell_proto::v1::{BillRecord, ExecuteRequest, Failed, Finished, Head, execute_event::Event};
+use http_body_util::BodyExt;
+use hyper::{Response, body::Incoming};
+use tokio::time::{sleep, timeout};
+
+use super::{
+    Agent,
+    answers::{self, Answer},
+    backend::{self, CallError},
+    checks::{Checked, Price},
+    gate::{Demand, Permit},
+    meter::Meter,
+};
+use crate::{
+    event,
+    invariant::{self, Promise},
+    telemetry,
+};
+
+/// Longest silence of a stream: ten times the slowest first token that users accept.
+const STREAM_SILENCE: Duration = Duration::from_secs(11);
+/// Longest silence before an answer in one piece, which takes as long as all its tokens.
+const WHOLE_SILENCE: Duration = Duration::from_secs(120);
+/// Tokens over which the time per token is averaged.
+const SAMPLE_TOKENS: u64 = 8;
+
+/// Runs a request that passed the checks and whose id is reserved.
+pub async fn run(agent: Agent, req: ExecuteRequest, checked: Checked, answer: Answer) {
+    let id = RequestId::from(&*req.request_id);
+    let deadline = (req.deadline_ms > 0).then(|| agent.clock.now() + Millis(req.deadline_ms));
+    let turn = wait_turn(&agent, &req, &checked, &answer, deadline).await;
+    let turn = turn.and_then(|permit| Ok((permit, agent.start_now(&req, &id)?)));
+    let (permit, checked) = match turn {
+        Ok(turn) => turn,
+        Err(refusal) => return refuse(&agent, &id, answer, &refusal),
+    };
+    answer.start(checked.once);
+    let mut course = Course { agent: &agent, req: &req, checked: &checked, answer, meter: Meter::new(req.stream) };
+    let ended = course.call(deadline).await;
+    course.conclude(&id, permit, ended).await;
+}
+
+/// Counts and logs a refusal.
+pub fn note_refusal(request_id: &str, refusal: &Refusal) {
+    let (reason, outcome) = (refusal.reason.as_str(), refusal.outcome.to_string());
+    event!(Debug, "request_refused", request_id = request_id, reason = reason, outcome = outcome);
+    metrics::counter!(telemetry::REFUSALS, "reason" => reason, "outcome" => outcome).increment(1);
+}
+
+async fn wait_turn(
+    agent: &Agent,
+    req: &ExecuteRequest,
+    checked: &Checked,
+    answer: &Answer,
+    deadline: Option<Millis>,
+) -> Result<Permit, Refusal> {
+    let demand = Demand {
+        customer: CustomerId::from(&*req.customer),
+        weight: checked.weight,
+        priority: req.priority,
+        tokens: Tokens(req.prompt_tokens.saturating_add(req.max_output_tokens)),
+        deadline,
+    };
+    let mut leaving = agent.leaving.subscribe();
+    tokio::select! {
+        biased;
+        permit = agent.gate.enter(demand) => permit,
+        reason = answer.cancelled() => Err(Refusal::not_run(reason)),
+        () = until(agent, deadline) => Err(Refusal::not_run(Reason::Deadline)),
+        _ = leaving.wait_for(|leaving| *leaving) => Err(Refusal::not_run(Reason::Leaving)),
+    }
+}
+
+fn refuse(agent: &Agent, id: &RequestId, answer: Answer, refusal: &Refusal) {
+    agent.fences.release(id);
+    note_refusal(id.as_str(), refusal);
+    answer.end(answers::refused(refusal, agent.config.revision().0));
+}
+
+async fn until(agent: &Agent, deadline: Option<Millis>) {
+    match deadline {
+        Some(deadline) => sleep((deadline - agent.clock.now()).into()).await,
+        None => std::future::pending().await,
+    }
+}
+
+impl Agent {
+    /// Checks once more, as the configuration may have changed while the request waited, and marks
+    /// the request as running.
+    fn start_now(&self, req: &ExecuteRequest, id: &RequestId) -> Result<Checked, Refusal> {
+        let checked = self.check_start(req)?;
+        if !self.fences.start(id) {
+            return Err(Refusal::not_run(Reason::Barred));
+        }
+        Ok(checked)
+    }
+}
+
+/// A request from the call of the backend server on.
+struct Course<'a> {
+    agent: &'a Agent,
+    req: &'a ExecuteRequest,
+    checked: &'a Checked,
+    answer: Answer,
+    meter: Meter,
+}
+
+/// How a call ended that did not give a whole answer.
+enum Broken {
+    /// Nothing was sent.
+    NotSent(Reason),
+    /// The backend server failed.
+    Backend(Reason),
+    /// The agent cut it.
+    Cut(Reason),
+}
+
+impl Course<'_> {
+    /// Calls the backend server and passes its answer on; gives the status.
+    async fn call(&mut self, deadline: Option<Millis>) -> Result<u16, Broken> {
+        // A request that runs only once goes on to its end, so that its outcome is known.
+        let deadline = deadline.filter(|_| !self.checked.once);
+        let agent = self.agent;
+        tokio::select! {
+            ended = self.exchange() => ended,
+            () = until(agent, deadline) => Err(Broken::Cut(Reason::Deadline)),
+        }
+    }
+
+    async fn exchange(&mut self) -> Result<u16, Broken> {
+        let started = Instant::now();
+        let silence = if self.req.stream { STREAM_SILENCE } else { WHOLE_SILENCE };
+        let call = timeout(silence, self.agent.backend.call(self.req));
+        let response = tokio::select! {
+            response = call => response.map_err(|_| Broken::Backend(Reason::ConnectionLost))?,
+            reason = self.answer.cancelled() => return Err(Broken::Cut(reason)),
+        };
+        let response = response.map_err(|err| match err {
+            CallError::NotSent(reason) => Broken::NotSent(reason),
+            CallError::Lost(detail) => {
+                event!(Warn, "backend_call_lost", request_id = self.req.request_id, error = detail);
+                Broken::Backend(Reason::ConnectionLost)
+            }
+        })?;
+        let status = response.status().as_u16();
+        if self.is_model() && status >= 500 {
+            return Err(Broken::Backend(Reason::BackendError));
+        }
+        self.answer.head(Head { status: status.into(), headers: backend::answer_headers(&response) });
+        self.pass_on(response).await?;
+        if self.is_model() && status < 400 && !self.meter.is_complete() {
+            return Err(Broken::Backend(Reason::BackendError));
+        }
+        if !self.req.stream {
+            let units = if self.is_model() { self.meter.delivered().0.max(1) } else { 1 };
+            self.agent.gate.observe(Sample::Call, micros(started) / units);
+        }
+        Ok(status)
+    }
+
+    async fn pass_on(&mut self, response: Response<Incoming>) -> Result<(), Broken> {
+        let mut body = response.into_body();
+        let mut sampled = (Instant::now(), 0);
+        loop {
+            let frame = tokio::select! {
+                frame = timeout(STREAM_SILENCE, body.frame()) => frame,
+                reason = self.answer.cancelled() => return Err(Broken::Cut(reason)),
+            };
+            let Some(frame) = frame.map_err(|_| Broken::Backend(Reason::ConnectionLost))? else { return Ok(()) };
+            let frame = frame.map_err(|_| Broken::Backend(Reason::ConnectionLost))?;
+            let Ok(bytes) = frame.into_data() else { continue };
+            if self.is_model() {
+                self.meter.feed(&bytes);
+            }
+            if self.req.stream {
+                self.sample(&mut sampled);
+            }
+            let pushed = Instant::now();
+            self.answer.push(&bytes).await.map_err(Broken::Cut)?;
+            // Time that a slow reader takes is no time of the engine.
+            sampled.0 += pushed.elapsed();
+        }
+    }
+
+    /// Feeds the time per token to the admission.
+    fn sample(&self, (since, tokens): &mut (Instant, u64)) {
+        let delivered = self.meter.delivered().0;
+        if *tokens == 0 && delivered > 0 {
+            // The first token takes longer, in proportion to the prompt.
+            (*since, *tokens) = (Instant::now(), delivered);
+        } else if delivered >= *tokens + SAMPLE_TOKENS {
+            self.agent.gate.observe(Sample::Token, micros(*since) / (delivered - *tokens));
+            (*since, *tokens) = (Instant::now(), delivered);
+        }
+    }
+
+    async fn conclude(self, id: &RequestId, permit: Permit, ended: Result<u16, Broken>) {
+        let broken = match ended {
+            Ok(status) => {
+                permit.end(if status < 500 { Ending::Success } else { Ending::Failure });
+                return self.finish(id, status);
+            }
+            Err(broken) => broken,
+        };
+        let reason = match broken {
+            Broken::NotSent(reason) => {
+                permit.end(Ending::Failure);
+                invariant::check(Promise::NotRun, self.answer.length() == 0, || format!("request {id} has an answer"));
+                return refuse(self.agent, id, self.answer, &Refusal::not_run(reason));
+            }
+            Broken::Backend(reason) => {
+                permit.end(Ending::Failure);
+                reason
+            }
+            Broken::Cut(reason) => {
+                if self.is_model() {
+                    self.agent.backend.cancel(id.as_str()).await;
+                }
+                drop(permit);
+                reason
+            }
+        };
+        self.fail(id, reason);
+    }
+
+    fn finish(self, id: &RequestId, status: u16) {
+        let bill = self.bill(status < 500);
+        let length = self.answer.length();
+        self.agent.bills.record(&bill);
+        self.agent.fences.end(id);
+        let kind = if self.is_model() { "model" } else { "service" };
+        metrics::counter!(telemetry::ANSWERS, "kind" => kind).increment(1);
+        self.answer.end(Event::Finished(Finished { bill: Some(bill), length }));
+    }
+
+    fn fail(self, id: &RequestId, reason: Reason) {
+        // A model's answer is billed for what was delivered; a broken call of a service is not.
+        let delivered = self.is_model() && self.answer.length() > 0;
+        let bill = (delivered || self.req.prior_cost_micros > 0).then(|| self.bill(delivered));
+        if let Some(bill) = &bill {
+            self.agent.bills.record(bill);
+        }
+        self.agent.fences.end(id);
+        event!(Info, "request_failed", request_id = id, reason = reason);
+        let labels = [("reason", reason.to_string()), ("outcome", Outcome::Unknown.to_string())];
+        metrics::counter!(telemetry::REFUSALS, &labels).increment(1);
+        self.answer.end(Event::Failed(Failed { reason: reason.to_string(), bill }));
+    }
+
+    /// The record of this request; `charged` tells whether this attempt costs anything.
+    fn bill(&self, charged: bool) -> BillRecord {
+        let usage = self.meter.usage();
+        let output = self.meter.delivered();
+        // An answer without tokens, such as an error of the engine, costs nothing.
+        let input = usage.map_or(if output > Tokens::ZERO { self.req.prompt_tokens } else { 0 }, |usage| usage.input);
+        let free = !charged;
+        let own = if free { Cost::ZERO } else { self.checked.price.cost(Tokens(input), output) };
+        BillRecord {
+            request_id: self.req.request_id.clone(),
+            customer: self.req.customer.clone(),
+            model: self.req.model.clone(),
+            version: self.req.version.clone(),
+            service: self.agent.settings.service.to_string(),
+            prompt_tokens: input,
+            output_tokens: output.0,
+            cost_micros: (own + Cost(self.req.prior_cost_micros)).0,
+            router_incarnation: self.req.router_incarnation,
+        }
+    }
+
+    fn is_model(&self) -> bool {
+        matches!(self.checked.price, Price::Tokens(_))
+    }
+}
+
+fn micros(since: Instant) -> u64 {
+    u64::try_from(since.elapsed().as_micros()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/daemon/tests/agent/refuse.rs
@@ -0,0 +1,166 @@
+//! Requests that the agent refuses, and what it does about ids that ran or are barred.
+
+use eelgrasswell_manifest::{
+    config::{Config, RolloutPhase, RolloutStatus},
+    manifest::{Drain, VersionState},
+};
+use eelgrasswell_proto::v1::{ExecuteRequest, ResolveReply, ResolveRequest, resolve_reply::Fate};
+use eelgrasswell_testbed::engine::FaultsUpdate;
+use test_case::test_case;
+
+use crate::rig::{Rig, booking_request, changed, config, eventually, model_request, page};
+
+const MODELS: &str = "loan-models";
+const RECORDS: &str = "loan-records";
+
+fn domain_out(config: &mut Config) {
+    config.manifest.domains.get_mut("nadi").unwrap().in_service = false;
+}
+
+fn draining(config: &mut Config) {
+    config.manifest.draining.insert("worker-1".into(), Drain {});
+}
+
+fn set_state(config: &mut Config, state: VersionState) {
+    let model = config.manifest.models.get_mut("loan-desk").unwrap();
+    model.versions.get_mut("v1").unwrap().state = state;
+}
+
+fn stopped_rollout(config: &mut Config) {
+    let status = RolloutStatus {
+        baseline: "v2".into(),
+        step: 0,
+        permille: 0,
+        phase: RolloutPhase::Stopped,
+        reason: "errors".into(),
+    };
+    config.rollouts.insert("loan-desk/v1".parse().unwrap(), status);
+}
+
+/// Guards against work on a server or version that must not get any, and against refusals that
+/// reach the backend server.
+#[test_case(domain_out, "domain_out" ; "domain out")]
+#[test_case(draining, "leaving" ; "host draining")]
+#[test_case(|c| set_state(c, VersionState::Withdrawn), "version_withdrawn" ; "version withdrawn")]
+#[test_case(|c| set_state(c, VersionState::Closed), "no_version" ; "version closed")]
+#[test_case(stopped_rollout, "version_withdrawn" ; "rollout stopped")]
+#[test_case(|c| { c.manifest.customers.remove("reef"); }, "not_allowed" ; "customer removed")]
+#[test_case(|c| { c.manifest.models.remove("loan-desk"); }, "not_found" ; "model removed")]
+#[tokio::test]
+async fn execute_after_change_refuses(change: fn(&mut Config), reason: &str) {
+    let (rig, mut link) = Rig::configured(MODELS, "", &config(1)).await;
+    rig.run(model_request("r1", false, 1)).await.finished();
+    link.configure(&changed(&config(1), change)).await;
+    let reply = rig.run(model_request("r2", false, 1)).await;
+    assert_eq!(reply.refusal(), (reason, true));
+    assert_eq!(rig.engine.runs().len(), 1);
+    let (_, metrics) = page(rig.operators, "/metrics").await;
+    let counter = format!("eelgrasswell_refusals_total{{reason=\"{reason}\",outcome=\"not_run\"}} 1");
+    assert!(metrics.contains(&counter), "{metrics}");
+}
+
+fn lagoon_on_v2(req: &mut ExecuteRequest) {
+    req.customer = "lagoon".to_owned();
+    req.version = "v2".to_owned();
+}
+
+/// Guards against a router's mistake that reaches the backend server.
+#[test_case(lagoon_on_v2, "not_allowed" ; "version not allowed")]
+#[test_case(|req| req.version = "v9".to_owned(), "not_found" ; "version unknown")]
+#[test_case(|req| req.idempotent = false, "bad_request" ; "no claim fence")]
+#[test_case(|req| req.revision = 9, "stale_config" ; "revision ahead")]
+#[test_case(|req| req.request_id.clear(), "bad_request" ; "no request id")]
+#[test_case(|req| req.max_output_tokens = 1_000_000, "memory_full" ; "more than the memory")]
+#[tokio::test]
+async fn execute_bad_request_refuses(spoil: fn(&mut ExecuteRequest), reason: &str) {
+    let (rig, _link) = Rig::configured(MODELS, "", &config(1)).await;
+    let mut req = model_request("r1", false, 1);
+    spoil(&mut req);
+    assert_eq!(rig.run(req).await.refusal(), (reason, true));
+    assert!(rig.engine.runs().is_empty());
+}
+
+/// Guards against an agent that refuses what its links are about to allow.
+#[tokio::test]
+async fn execute_ahead_of_config_waits_for_it() {
+    let (rig, mut link) = Rig::configured(MODELS, "", &config(1)).await;
+    let req = ExecuteRequest { revision: 2, ..model_request("r1", false, 1) };
+    let (reply, ()) = tokio::join!(rig.run(req), async { link.configure(&changed(&config(1), |_| ())).await });
+    reply.finished();
+}
+
+/// Guards against a route that the router wrongly takes for idempotent.
+#[tokio::test]
+async fn execute_service_trusts_manifest_over_router() {
+    let (rig, _link) = Rig::configured(RECORDS, "", &config(1)).await;
+    let req = ExecuteRequest { idempotent: true, claim_fence: 0, ..booking_request("b1") };
+    assert_eq!(rig.run(req).await.refusal(), ("bad_request", true));
+    assert!(rig.engine.runs().is_empty());
+}
+
+/// Guards against a second run of a request id, and against a refusal that claims it did not run.
+#[tokio::test]
+async fn execute_same_id_runs_once() {
+    let (rig, _link) = Rig::configured(RECORDS, "", &config(1)).await;
+    rig.run(booking_request("b1")).await.finished();
+    assert_eq!(rig.run(booking_request("b1")).await.refusal(), ("barred", false));
+    assert_eq!(rig.engine.runs().len(), 1);
+}
+
+async fn resolve(rig: &Rig, request_id: &str, agent_incarnation: u64) -> ResolveReply {
+    let req = ResolveRequest { request_id: request_id.to_owned(), customer: "reef".to_owned(), agent_incarnation };
+    rig.client.clone().resolve(req).await.unwrap().into_inner()
+}
+
+/// Guards against a booking that runs after its claim was granted to another attempt.
+#[tokio::test]
+async fn resolve_unseen_id_bars_it() {
+    let (rig, mut link) = Rig::configured(RECORDS, "", &config(1)).await;
+    let incarnation = link.until(|_| true).await.incarnation;
+    assert_eq!(resolve(&rig, "b1", incarnation).await.fate(), Fate::Barred);
+    assert_eq!(rig.run(booking_request("b1")).await.refusal(), ("barred", true));
+    assert_eq!(resolve(&rig, "b1", incarnation).await.fate(), Fate::Barred);
+    assert!(rig.engine.runs().is_empty());
+}
+
+/// Guards against a wrong report on a request that ran, or that another incarnation may have run.
+#[tokio::test]
+async fn resolve_reports_what_ran() {
+    let (rig, mut link) = Rig::configured(RECORDS, "", &config(1)).await;
+    let incarnation = link.until(|_| true).await.incarnation;
+    let silent = |silent| FaultsUpdate { silent: Some(silent), ..FaultsUpdate::default() };
+    rig.engine.fault(&silent(true)).await;
+    let events = rig.execute(booking_request("b1")).await;
+    eventually(|| (!rig.engine.runs().is_empty()).then_some(())).await;
+    assert_eq!(resolve(&rig, "b1", incarnation).await.fate(), Fate::Running);
+    rig.engine.fault(&silent(false)).await;
+    let answer = crate::rig::read(events).await;
+    let reply = resolve(&rig, "b1", incarnation).await;
+    assert_eq!((reply.fate(), reply.status, &reply.body[..]), (Fate::Finished, 200, &answer.body[..]));
+    assert_eq!(resolve(&rig, "b1", incarnation + 1).await.fate(), Fate::Unknown);
+    assert_eq!(resolve(&rig, "b2", 0).await.fate(), Fate::Unknown);
+}
+
+/// Guards against "not run" after bytes were sent, and against "unknown" when none were.
+#[tokio::test]
+async fn execute_backend_down_refuses_or_fails() {
+    let (rig, _link) = Rig::configured(MODELS, "", &config(1)).await;
+    let errors = |permille| FaultsUpdate { error_permille: Some(permille), ..FaultsUpdate::default() };
+    rig.engine.fault(&errors(1000)).await;
+    assert_eq!(rig.run(model_request("r1", false, 1)).await.failure(), ("backend_error", None));
+    rig.engine.fault(&errors(0)).await;
+    let mut events = rig.execute(model_request("r2", true, 500)).await;
+    let mut tokens = 0;
+    while tokens < 3 {
+        let event = events.message().await.unwrap().unwrap().event;
+        tokens += u32::from(matches!(event, Some(eelgrasswell_proto::v1::execute_event::Event::Data(_))));
+    }
+    rig.engine.fault(&FaultsUpdate { down_ms: Some(60_000), ..FaultsUpdate::default() }).await;
+    let reply = crate::rig::read_rest(events).await;
+    let (reason, bill) = reply.failure();
+    let bill = bill.expect("delivered tokens are billed");
+    assert_eq!(reason, "connection_lost");
+    assert!((3..500).contains(&bill.output_tokens), "{bill:?}");
+    assert_eq!(bill.cost_micros, 3 * 2 + bill.output_tokens * 10);
+    assert_eq!(rig.run(model_request("r3", false, 1)).await.refusal(), ("no_backend", true));
+}
