--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod cascade;
 pub mod claim;
 pub mod evidence;
+pub mod admission;
 pub mod hash;
 pub mod id;
 pub mod lease;
