Authenticate session ids with keys kept at the platform

Cause: sessions could be neither issued nor verified. An id is a payload and its HMAC-SHA256; any router with the keys verifies it, so sessions survive restarts without a list of them.

The payload is parsed only after it is authenticated. Both keys are tried instead of reading the key number from unauthenticated bytes; the number is compared afterwards.

The keys are created by a conditional write. When the answer to the write is lost, the next read finds the keys. When the object disappears, a router writes the keys that it holds, so that sessions stay valid. While no key is known, a request with a session is refused as stale_config, not run: the id may be valid, so session_invalid would be wrong.

Ruled out: rotation by age. Two keys limit a session to two periods, and the design promises that a session keeps its version without a time limit.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -6,4 +6,5 @@
 pub mod refusal;
 pub mod retry;
 pub mod route;
+pub mod session;
 pub mod unit;
--- a/crates/daemon/src/filter/session.rs
+++ b/crates/daemon/src/filter/session.rs
@@ -11,6 +11,7 @@
     failure::Failure,
     parse::{Call, SessionWish, Target},
 };
+use crate::controller::sessions;
 
 /// Model and version that a session pins.
 pub struct Pin {
@@ -22,7 +23,12 @@
 
 /// The pin of the request's session, if it has one.
 pub fn verify(chain: &Chain, call: &Call) -> Result<Option<Pin>, Failure> {
-    let SessionWish::Id(session) = &call.session else { return Ok(None) };
+    let session = match &call.session {
+        SessionWish::None => return Ok(None),
+        SessionWish::New if !chain.router.sessions.is_ready() => return Err(sessions::no_keys().into()),
+        SessionWish::New => return Ok(None),
+        SessionWish::Id(session) => session,
+    };
     let (model, version) = chain.router.sessions.verify(&call.customer, session)?;
     let pin = Pin { model, version };
     check(call, &pin)?;
