--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -17,4 +17,5 @@
 pub mod rollout;
 pub mod route;
 pub mod shard;
+pub mod session;
 pub mod unit;
