--- a/crates/client/src/cmd/bill.rs
+++ b/crates/client/src/cmd/bill.rs
@@ -51,13 +51,14 @@
     cost_micros: u64,
 }
 
-pub async fn run(cmd: &BillCmd, api: &Api, json: bool) -> Result<String, Error> {
-    let reply = api.get(&format!("/v1/bills/{}", cmd.customer)).await?;
+pub async fn run(sub: &BillCmd, api: &Api, json: bool) -> Result<String, Error> {
+    cmd::require_id("customer", &sub.customer)?;
+    let reply = api.get(&format!("/v1/bills/{}", sub.customer)).await?;
     if json {
         return Ok(cmd::pretty(&reply));
     }
     let bills: Bills = serde_json::from_value(reply).wrap_err("could not understand the bills")?;
-    let table = if cmd.requests { requests(&bills) } else { sums(&bills) };
+    let table = if sub.requests { requests(&bills) } else { sums(&bills) };
     Ok(format!("{table}total {} in {} requests\n", money(bills.total_micros), bills.bills.len()))
 }
 
--- a/crates/client/src/cmd/domain.rs
+++ b/crates/client/src/cmd/domain.rs
@@ -8,6 +8,7 @@
 
 use crate::{
     api::{Api, Change},
+    cmd,
     error::Error,
     wait,
 };
@@ -60,9 +61,10 @@
     }
 }
 
-pub async fn run(cmd: &DomainCmd, api: &Api, json: bool) -> Result<String, Error> {
-    let (action, domain) = (cmd.action.as_str(), &cmd.domain);
-    let change = Change::new(cmd.submission.clone(), None);
+pub async fn run(sub: &DomainCmd, api: &Api, json: bool) -> Result<String, Error> {
+    cmd::require_id("failure domain", &sub.domain)?;
+    let (action, domain) = (sub.action.as_str(), &sub.domain);
+    let change = Change::new(sub.submission.clone(), None);
     let changed = api.change(Method::POST, &format!("/v1/domains/{domain}/{action}"), &change, Bytes::new()).await?;
-    wait::report(api, &changed, &format!("domain {action} {domain}"), Duration::from_secs(cmd.wait_s), json).await
+    wait::report(api, &changed, &format!("domain {action} {domain}"), Duration::from_secs(sub.wait_s), json).await
 }
--- a/crates/client/src/cmd/drain.rs
+++ b/crates/client/src/cmd/drain.rs
@@ -8,6 +8,7 @@
 
 use crate::{
     api::{Api, Change},
+    cmd,
     error::Error,
     wait,
 };
@@ -29,8 +30,9 @@
     wait_s: u64,
 }
 
-pub async fn run(cmd: &DrainCmd, api: &Api, json: bool) -> Result<String, Error> {
-    let change = Change::new(cmd.submission.clone(), None);
-    let changed = api.change(Method::POST, &format!("/v1/hosts/{}/drain", cmd.host), &change, Bytes::new()).await?;
-    wait::report(api, &changed, &format!("drain {}", cmd.host), Duration::from_secs(cmd.wait_s), json).await
+pub async fn run(sub: &DrainCmd, api: &Api, json: bool) -> Result<String, Error> {
+    cmd::require_id("host", &sub.host)?;
+    let change = Change::new(sub.submission.clone(), None);
+    let changed = api.change(Method::POST, &format!("/v1/hosts/{}/drain", sub.host), &change, Bytes::new()).await?;
+    wait::report(api, &changed, &format!("drain {}", sub.host), Duration::from_secs(sub.wait_s), json).await
 }
--- a/crates/client/src/cmd/mod.rs
+++ b/crates/client/src/cmd/mod.rs
@@ -20,6 +20,7 @@
 };
 
 use argh::{ArgsInfo, FromArgs};
+use eelgrasswell_manifest::check as check_manifest;
 use serde_json::Value;
 
 use crate::{
@@ -107,6 +108,14 @@
     })
 }
 
+/// Refuses text that cannot be an id, before it becomes part of a URL.
+fn require_id(what: &str, text: &str) -> Result<(), Error> {
+    if check_manifest::is_id(text) {
+        return Ok(());
+    }
+    Err(Error::Usage(format!("could not use {what} {text:?}: expected letters, digits or any of -._~+:@")))
+}
+
 /// Pretty JSON with a final newline.
 pub fn pretty(value: &Value) -> String {
     format!("{value:#}\n")
--- a/crates/client/src/cmd/rollout.rs
+++ b/crates/client/src/cmd/rollout.rs
@@ -69,11 +69,11 @@
     reason: String,
 }
 
-pub async fn run(cmd: &RolloutCmd, api: &Api, json: bool) -> Result<String, Error> {
-    match (cmd.action, &cmd.rollout) {
+pub async fn run(sub: &RolloutCmd, api: &Api, json: bool) -> Result<String, Error> {
+    match (sub.action, &sub.rollout) {
         (Action::List, None) => list(api, json).await,
         (Action::List, Some(_)) => Err(Error::Usage("could not use the rollout: list takes none".into())),
-        (Action::Change(action), Some(key)) => change(cmd, api, action, key, json).await,
+        (Action::Change(action), Some(key)) => change(sub, api, action, key, json).await,
         (Action::Change(action), None) => {
             Err(Error::Usage(format!("could not {action} a rollout: give it as model/version")))
         }
@@ -108,9 +108,11 @@
     table.render()
 }
 
-async fn change(cmd: &RolloutCmd, api: &Api, action: &str, key: &RolloutKey, json: bool) -> Result<String, Error> {
+async fn change(sub: &RolloutCmd, api: &Api, action: &str, key: &RolloutKey, json: bool) -> Result<String, Error> {
+    cmd::require_id("model", key.model.as_str())?;
+    cmd::require_id("version", key.version.as_str())?;
     let path = format!("/v1/rollouts/{key}/{action}");
-    let change = Change::new(cmd.submission.clone(), None);
+    let change = Change::new(sub.submission.clone(), None);
     let changed = api.change(Method::POST, &path, &change, Bytes::new()).await?;
-    wait::report(api, &changed, &format!("rollout {key} {action}"), Duration::from_secs(cmd.wait_s), json).await
+    wait::report(api, &changed, &format!("rollout {key} {action}"), Duration::from_secs(sub.wait_s), json).await
 }
--- a/crates/manifest/src/check.rs
+++ b/crates/manifest/src/check.rs
@@ -11,6 +11,8 @@
     shape, tree,
 };
 
+pub use crate::shape::is_id;
+
 /// Largest manifest in bytes; the platform holds values up to this size.
 pub const MAX_BYTES: usize = 1 << 20;
 
@@ -98,6 +100,10 @@
         self.0.push(segment[..end].into());
     }
 
+    pub(crate) fn append(&mut self, below: &Self) {
+        self.0.extend(below.0.iter().cloned());
+    }
+
     pub(crate) fn pop(&mut self) {
         self.0.pop();
     }
--- a/crates/manifest/src/settings.rs
+++ b/crates/manifest/src/settings.rs
@@ -11,9 +11,11 @@
     id::{DomainId, HostId, ModelName, ServiceName, VersionName},
     unit::{Bytes, Millis},
 };
-use eyre::{Context, Result};
+use eyre::{Context, Result, eyre};
 use serde::{Deserialize, de::DeserializeOwned};
 
+use crate::tree;
+
 /// Settings of a router.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -156,7 +158,22 @@
 /// Reads settings from the YAML file at `path`. Errors name the file, key and line.
 pub fn open<T: DeserializeOwned>(path: &Path) -> Result<T> {
     let text = fs::read_to_string(path).wrap_err_with(|| format!("could not read settings {}", path.display()))?;
-    serde_saphyr::from_str(&text).wrap_err_with(|| format!("could not parse settings {}", path.display()))
+    serde_saphyr::from_str(&text).map_err(|err| {
+        let key = key_of(&text, &err).map(|key| format!("{key}: ")).unwrap_or_default();
+        eyre!("could not parse settings {}: {key}{}", path.display(), err.without_snippet())
+    })
+}
+
+/// The key that `err` is about, from its position; none when the text is not YAML at all.
+fn key_of(text: &str, err: &serde_saphyr::Error) -> Option<String> {
+    let location = err.location()?;
+    let root = tree::parse(text).ok()?;
+    let mut key = tree::path_at(&root, location.line(), location.column())?;
+    // The position of a missing key is that of another one beside it.
+    if matches!(err.without_snippet(), serde_saphyr::Error::SerdeMissingField { .. }) {
+        key.pop();
+    }
+    (!key.segments().is_empty()).then(|| key.to_string())
 }
 
 /// Reads a secret from the file at `path`, without white space around it.
--- a/crates/manifest/src/shape.rs
+++ b/crates/manifest/src/shape.rs
@@ -256,7 +256,8 @@
     }
 }
 
-fn is_id(text: &str) -> bool {
+/// Whether `text` may be the id of anything.
+pub fn is_id(text: &str) -> bool {
     let plain = |b: u8| b.is_ascii_alphanumeric() || b"-._~+:@".contains(&b);
     (1..=MAX_ID_LEN).contains(&text.len()) && text.bytes().all(plain)
 }
--- a/crates/manifest/src/tree.rs
+++ b/crates/manifest/src/tree.rs
@@ -6,7 +6,7 @@
     Deserialize, Deserializer,
     de::{MapAccess, SeqAccess, Visitor},
 };
-use serde_saphyr::{DuplicateKeyPolicy, Spanned};
+use serde_saphyr::{DuplicateKeyPolicy, Location, NonFiniteFloatPolicy, Spanned};
 
 use crate::check::{Path, Problem};
 
@@ -42,6 +42,7 @@
 pub fn parse(text: &str) -> Result<Spanned<Node>, Problem> {
     let options = serde_saphyr::options! {
         duplicate_keys: DuplicateKeyPolicy::PassThrough,
+        non_finite_float_policy: NonFiniteFloatPolicy::PassThrough,
         budget: serde_saphyr::budget! { max_documents: 1, max_depth: 16 },
     };
     serde_saphyr::from_str_with_options(text, options).map_err(|err| {
@@ -74,6 +75,33 @@
     line
 }
 
+/// Path of the key or value that starts at this line and column.
+pub fn path_at(root: &Spanned<Node>, line: u64, column: u64) -> Option<Path> {
+    let here = |location: &Location| location.line() == line && location.column() == column;
+    if let Node::Map(entries) = &root.value {
+        for (key, value) in entries {
+            let mut path = Path::of(&[&key.value]);
+            if here(&key.referenced) {
+                return Some(path);
+            }
+            if let Some(below) = path_at(value, line, column) {
+                path.append(&below);
+                return Some(path);
+            }
+        }
+    }
+    if let Node::List(items) = &root.value {
+        for (index, item) in items.iter().enumerate() {
+            if let Some(below) = path_at(item, line, column) {
+                let mut path = Path::of(&[&index.to_string()]);
+                path.append(&below);
+                return Some(path);
+            }
+        }
+    }
+    here(&root.referenced).then(Path::default)
+}
+
 impl<'de> Deserialize<'de> for Node {
     fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
         deserializer.deserialize_any(NodeVisitor)
