Drive the operators' client against a scripted router

The stand-in is a plain TCP server in the test process that answers from a script, records requests and can lose a response after the request arrived.

--- /dev/null
+++ b/crates/client/tests/client/main.rs
@@ -0,0 +1,5 @@
+//! Drives the real client against a scripted stand-in of a router.
+
+mod changes;
+mod support;
+mod views;
