Escalate to any other candidate after a failure

Cause: the order held only candidates with a higher expected quality, so a failed request had nowhere to go when both models had the same estimate. The test's two models were alike in price and quality, so which came first was chance; they now differ as a cheap and a strong model do.

A fleet without a rating service takes the declared quality as known; taken as a prior of 2 ratings it sent all requests to the strong model for ever.

--- a/crates/core/src/cascade.rs
+++ b/crates/core/src/cascade.rs
@@ -45,8 +45,8 @@
     shares
 }
 
-/// The candidates in the order in which to try them: first the one that `draw` (uniform from 0 to 1)
-/// falls on, then those with higher expected quality, the cheaper ones first, to escalate to.
+/// All candidates in the order in which to try them: first the one that `draw` (uniform from 0 to 1)
+/// falls on, then those with higher expected quality, the cheaper ones first, then the others.
 pub fn order(candidates: &[Candidate], target: f64, draw: f64) -> Vec<usize> {
     let mut sum = 0.0;
     let first = shares(candidates, target).iter().position(|share| {
@@ -55,15 +55,21 @@
     });
     let Some(first) = first.or_else(|| candidates.len().checked_sub(1)) else { return Vec::new() };
     let quality = candidates[first].quality.mean();
-    let mut order: Vec<usize> =
-        (0..candidates.len()).filter(|&i| i != first && candidates[i].quality.mean() > quality).collect();
-    order.sort_by(|&a, &b| candidates[a].cost.total_cmp(&candidates[b].cost));
+    let mut order: Vec<usize> = (0..candidates.len()).filter(|&i| i != first).collect();
+    order.sort_by(|&a, &b| {
+        let weaker = |i: usize| candidates[i].quality.mean() < quality;
+        weaker(a).cmp(&weaker(b)).then(candidates[a].cost.total_cmp(&candidates[b].cost))
+    });
     order.insert(0, first);
     order
 }
 
+/// The candidate with the highest expected quality; the cheapest one of equals.
 fn strongest(candidates: &[Candidate]) -> Option<usize> {
-    (0..candidates.len()).max_by(|&a, &b| candidates[a].quality.mean().total_cmp(&candidates[b].quality.mean()))
+    (0..candidates.len()).max_by(|&a, &b| {
+        let (a, b) = (&candidates[a], &candidates[b]);
+        a.quality.mean().total_cmp(&b.quality.mean()).then(b.cost.total_cmp(&a.cost))
+    })
 }
 
 /// Whether the expected quality of a mix exceeds the target with confidence.
--- a/crates/core/src/quality.rs
+++ b/crates/core/src/quality.rs
@@ -4,6 +4,8 @@
 const HALF_LIFE_RATINGS: f64 = 20_000.0;
 /// Weight of the declared prior, in ratings. With 10, a prior of 0.5 kept a good model from ever being explored.
 const PRIOR_RATINGS: f64 = 2.0;
+/// Weight of a share that counts as known, in ratings.
+const DECLARED_RATINGS: f64 = 100_000.0;
 /// A model whose quality is known to this standard deviation is not explored.
 pub const KNOWN_DEVIATION: f64 = 0.006;
 
@@ -11,6 +13,7 @@
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Estimate {
     prior: f64,
+    prior_ratings: f64,
     good: f64,
     low: f64,
 }
@@ -18,7 +21,12 @@
 impl Estimate {
     /// Starts from a declared share of good answers, from 0 to 1.
     pub fn with_prior(prior: f64) -> Self {
-        Self { prior: prior.clamp(0.01, 0.99), good: 0.0, low: 0.0 }
+        Self { prior: prior.clamp(0.01, 0.99), prior_ratings: PRIOR_RATINGS, good: 0.0, low: 0.0 }
+    }
+
+    /// Takes a declared share as known, for a fleet without a rating service.
+    pub fn declared(share: f64) -> Self {
+        Self { prior_ratings: DECLARED_RATINGS, ..Self::with_prior(share) }
     }
 
     /// Takes in ratings.
@@ -55,6 +63,6 @@
     }
 
     fn parameters(&self) -> (f64, f64) {
-        (self.good + self.prior * PRIOR_RATINGS, self.low + (1.0 - self.prior) * PRIOR_RATINGS)
+        (self.good + self.prior * self.prior_ratings, self.low + (1.0 - self.prior) * self.prior_ratings)
     }
 }
--- a/crates/daemon/src/controller/quality.rs
+++ b/crates/daemon/src/controller/quality.rs
@@ -199,9 +199,12 @@
     }
 
     fn estimate(&self, config: &Config, model: &ModelName, version: &VersionName) -> Estimate {
+        let prior = config.manifest.models.get(model).map_or(0.5, |model| model.prior_quality);
+        if self.ratings.is_none() {
+            return Estimate::declared(prior);
+        }
         let known = self.lock().get(&(model.clone(), version.clone())).map(|known| known.estimate);
-        let prior = || config.manifest.models.get(model).map_or(0.5, |model| model.prior_quality);
-        known.unwrap_or_else(|| Estimate::with_prior(prior()))
+        known.unwrap_or_else(|| Estimate::with_prior(prior))
     }
 
     fn lock(&self) -> MutexGuard<'_, HashMap<(ModelName, VersionName), Known>> {
--- a/crates/daemon/tests/agent/rig.rs
+++ b/crates/daemon/tests/agent/rig.rs
@@ -283,6 +283,7 @@
         confirmed_ms_ago: 0,
         update,
         settled: settled.iter().map(ToString::to_string).collect(),
+        leaving: false,
     }
 }
 
--- a/crates/daemon/tests/fake/mod.rs
+++ b/crates/daemon/tests/fake/mod.rs
@@ -353,8 +353,14 @@
                 },
             },
             "models": {
-                "small": {"service": "engines", "current": "v1", "versions": {"v1": version, "v2": version}},
-                "large": {"service": "engines", "current": "v1", "versions": {"v1": version}},
+                "small": {
+                    "service": "engines", "current": "v1", "prior_quality": 0.9,
+                    "versions": {"v1": version, "v2": version},
+                },
+                "large": {
+                    "service": "engines", "current": "v1", "prior_quality": 0.95,
+                    "versions": {"v1": {"state": "open", "input_price": 10, "output_price": 20}},
+                },
             },
             "classes": {"easy": {"candidates": ["small", "large"]}},
             "customers": {"alma": {
--- a/crates/testbed/src/http.rs
+++ b/crates/testbed/src/http.rs
@@ -73,7 +73,7 @@
         path: &str,
         body: Bytes,
     ) -> Result<Response<Incoming>> {
-        let mut req = Request::builder().method(method).uri(format!("http://{address}{path}"));
+        let mut req = Request::builder().method(method).uri(format!("http://{address}{path}")).header("te", "trailers");
         for (name, value) in &self.headers {
             req = req.header(name, value);
         }
