Test sessions and version weights against a platform stand-in

Cause: the session rules of the design (pinned, closed, withdrawn, other customer) and the shared creation of keys had no tests. The decision by weight takes staleness as an argument, so that its test does not wait for ten seconds.

Ruled out: a test of a stale node through the endpoint, since a confirmation cannot be aged without waiting.

--- a/crates/daemon/src/filter/choose.rs
+++ b/crates/daemon/src/filter/choose.rs
@@ -109,17 +109,18 @@
 /// decides, so that all attempts of a request use the same version.
 fn pick_version(chain: &Chain, call: &Call, model: &ModelName) -> Option<VersionName> {
     let customer = call.config.manifest.customers.get(&call.customer)?;
-    // A stale node could not hear that a version in rollout was withdrawn.
-    let stale = chain.router.config.is_stale();
     let mut weights = call.config.weights(model);
-    weights.retain(|w| customer.allows(model, &w.version) && !(stale && w.in_rollout));
-    by_weight(&weights, stable_hash(&[&call.id.to_string()]))
+    weights.retain(|w| customer.allows(model, &w.version));
+    by_weight(&weights, chain.router.config.is_stale(), stable_hash(&[&call.id.to_string()]))
 }
 
-fn by_weight(weights: &[Weighted], hash: u64) -> Option<VersionName> {
-    let total: u64 = weights.iter().map(|w| u64::from(w.permille)).sum();
+/// Version by weight; `hash` decides. A stale node could not hear that a version in rollout was
+/// withdrawn, so it leaves such versions out.
+pub fn by_weight(weights: &[Weighted], stale: bool, hash: u64) -> Option<VersionName> {
+    let usable = || weights.iter().filter(|w| !(stale && w.in_rollout));
+    let total: u64 = usable().map(|w| u64::from(w.permille)).sum();
     let mut point = hash % total.max(1);
-    for weighted in weights {
+    for weighted in usable() {
         let weight = u64::from(weighted.permille);
         if point < weight {
             return Some(weighted.version.clone());
@@ -127,7 +128,7 @@
         point -= weight;
     }
     // All weights are zero: the only version left is the baseline of a rollout at full weight.
-    weights.first().map(|w| w.version.clone())
+    usable().next().map(|w| w.version.clone())
 }
 
 fn choice(config: &Config, target: &ModelCall, model: &ModelName, version: &VersionName) -> Option<Choice> {
--- a/crates/daemon/src/filter/mod.rs
+++ b/crates/daemon/src/filter/mod.rs
@@ -4,14 +4,14 @@
 mod authenticate;
 pub mod backends;
 mod budget;
-mod choose;
+pub mod choose;
 mod claim;
 mod endpoint;
 mod events;
 mod execute;
 mod failure;
-mod parse;
-mod session;
+pub mod parse;
+pub mod session;
 
 use std::sync::{Arc, Mutex};
 
--- a/crates/daemon/tests/fake/mod.rs
+++ b/crates/daemon/tests/fake/mod.rs
@@ -1,5 +1,7 @@
 //! A router whose agents are scripted tonic services in this process.
 
+pub mod platform;
+
 use std::{
     collections::VecDeque,
     fs,
@@ -214,19 +216,19 @@
         Self::open_with(agents, |_| {}).await
     }
 
+    /// Starts with an edited configuration.
     pub async fn open_with(agents: usize, edit: impl FnOnce(&mut Value)) -> Self {
         let dir = std::path::Path::new(env!("CARGO_TARGET_TMPDIR"));
         let credential = dir.join(format!("inner-{}", uuid::Uuid::new_v4()));
         fs::write(&credential, "inner-secret").unwrap();
         let present = Present::new(&read_secret(&credential).unwrap()).unwrap();
+        let platform = platform::FakePlatform::default();
+        let platform_address = platform.spawn().await;
         let metrics = PrometheusBuilder::new().build_recorder().handle();
-        let router = Router::open(settings(&credential), metrics).await.unwrap();
-        let mut config = config();
-        edit(&mut config);
-        let config: Config = serde_json::from_value(config).unwrap();
-        let revision = config.revision;
-        assert!(router.config.adopt(config));
-        router.config.confirm(revision, Millis(0));
+        let router = Router::open(settings(&credential, platform_address), metrics).await.unwrap();
+        adopt(&router, REVISION, edit);
+        router.sessions.spawn();
+        router.sessions.ready().await;
         let mut bench = Vec::new();
         let fakes = Arc::new(Fakes::default());
         for n in 0..agents {
@@ -252,6 +254,11 @@
         Self { router, fakes, agents: bench, address, stop: Some(stop), served, client }
     }
 
+    /// Puts an edited configuration in force, under the next revision.
+    pub fn reconfigure(&self, edit: impl FnOnce(&mut Value)) {
+        adopt(&self.router, Revision(self.router.config.revision().0 + 1), edit);
+    }
+
     /// Adds a candidate at an address where nothing listens.
     pub async fn add_dead_agent(&self, id: &str) {
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
@@ -311,7 +318,7 @@
     Candidate { view, incarnation: Incarnation(7), client, link: None }
 }
 
-fn settings(credential: &std::path::Path) -> RouterSettings {
+fn settings(credential: &std::path::Path, platform: SocketAddr) -> RouterSettings {
     let any = "127.0.0.1:0".parse().unwrap();
     RouterSettings {
         host: HostSettings {
@@ -326,19 +333,27 @@
         callers: any,
         operators: any,
         operator_credential: credential.to_owned(),
-        platform: any,
+        platform,
         ratings: None,
         seeds: Vec::new(),
         limits: CallerLimits { max_body: eelgrasswell_core::unit::Bytes(4_096), ..CallerLimits::default() },
     }
 }
 
+fn adopt(router: &Router, revision: Revision, edit: impl FnOnce(&mut Value)) {
+    let mut config = config();
+    edit(&mut config);
+    let config: Config = serde_json::from_value(config).unwrap();
+    assert!(router.config.adopt(Config { revision, ..config }));
+    router.config.confirm(revision, Millis(0));
+}
+
 fn config() -> Value {
     let version = json!({"state": "open", "input_price": 1, "output_price": 2});
     let key = eelgrasswell_core::hash::sha256(&[KEY.as_bytes()]);
     let key: String = key.iter().map(|byte| format!("{byte:02x}")).collect();
     json!({
-        "revision": 3,
+        "revision": 0,
         "manifest_revision": 2,
         "manifest": {
             "domains": {"north": {"region": "r", "in_service": true}},
--- a/crates/daemon/tests/filters.rs
+++ b/crates/daemon/tests/filters.rs
@@ -9,7 +9,11 @@
 use test_case::test_case;
 
 use eelgrasswell_core::id::{Fence, Incarnation};
-use eelgrasswell_daemon::controller::shards::{ClaimEnd, ClaimResult};
+use eelgrasswell_daemon::{
+    controller::shards::{ClaimEnd, ClaimResult},
+    filter::choose,
+};
+use eelgrasswell_manifest::config::Weighted;
 use eelgrasswell_proto::v1::resolve_reply::Fate;
 
 use fake::{Bench, Script, data, failed, finished, head, refused};
@@ -282,3 +286,73 @@
     assert_eq!(reply.body, Bytes::from("ok"));
     assert_eq!(bench.agents[0].resumed.lock().unwrap().len(), 1);
 }
+
+fn start_rollout(config: &mut serde_json::Value) {
+    config["manifest"]["models"]["small"]["rollout"] = json!({"version": "v2"});
+    let status = json!({"baseline": "v1", "step": 4, "permille": 1000, "phase": "running"});
+    config["rollouts"]["small/v2"] = status;
+}
+
+/// The reply to a request with this session header, by an agent that answers everything.
+async fn chat_in(bench: &Bench, session: &str) -> fake::Reply {
+    push(bench, 0, Script::End(vec![head(), data(0, "ok"), finished(2)]));
+    let req = bench.request("POST", "/v1/chat/completions").header("x-session", session);
+    bench.fetch(req.body(json!({"model": "small"}).to_string().into()).unwrap()).await
+}
+
+/// Guards against a session that changes its version with the weights (P3).
+#[tokio::test]
+async fn session_keeps_version() {
+    let bench = Bench::open(1).await;
+    let first = chat_in(&bench, "new").await;
+    assert_eq!(first.header("x-version"), "v1");
+    bench.reconfigure(start_rollout);
+    let pinned = chat_in(&bench, first.header("x-session")).await;
+    let fresh = chat_in(&bench, "new").await;
+    assert_eq!((pinned.header("x-version"), fresh.header("x-version")), ("v1", "v2"));
+    assert!(bench.executed()[1].pinned);
+}
+
+/// Guards against sessions on closed versions that end, and on withdrawn ones that go on or switch (P2, P3).
+#[test_case("closed", 200, ""; "closed version continues")]
+#[test_case("withdrawn", 410, "version_withdrawn"; "withdrawn version is refused")]
+#[tokio::test]
+async fn session_follows_version_state(state: &str, status: u16, reason: &str) {
+    let bench = Bench::open(1).await;
+    let first = chat_in(&bench, "new").await;
+    bench.reconfigure(|config| config["manifest"]["models"]["small"]["versions"]["v1"]["state"] = json!(state));
+    let reply = chat_in(&bench, first.header("x-session")).await;
+    assert_eq!(reply.status.as_u16(), status);
+    if !reason.is_empty() {
+        let error = &reply.json()["error"];
+        assert_eq!((&error["reason"], &error["outcome"]), (&json!(reason), &json!("not_run")));
+    }
+}
+
+/// Guards against session ids that another customer issued, that were altered, or for another model.
+#[tokio::test]
+async fn session_of_other_customer_is_refused() {
+    let bench = Bench::open(1).await;
+    let (model, version) = ("small".into(), "v1".into());
+    let other = bench.router.sessions.issue(&"berta".into(), &model, &version).unwrap();
+    let large = bench.router.sessions.issue(&"alma".into(), &"large".into(), &version).unwrap();
+    let own = bench.router.sessions.issue(&"alma".into(), &model, &version).unwrap();
+    for session in [other, large, format!("{own}A"), "v1.x".into()] {
+        let reply = chat_in(&bench, &session).await;
+        assert_eq!((reply.status.as_u16(), &reply.json()["error"]["reason"]), (403, &json!("session_invalid")));
+    }
+    assert!(bench.executed().is_empty());
+}
+
+/// Guards against new work for a version in rollout on a node that could not hear of its withdrawal
+/// (P2), and against shares that do not follow the weights.
+#[test_case(250, false, 250; "rollout weight")]
+#[test_case(250, true, 0; "stale node")]
+#[test_case(1000, true, 0; "stale node at full weight")]
+#[test_case(1000, false, 1000; "full weight")]
+fn version_by_weight(permille: u32, stale: bool, expected: u64) {
+    let weights = [("v2", permille, true), ("v1", 1000 - permille, false)];
+    let weights = weights.map(|(v, permille, in_rollout)| Weighted { version: v.into(), permille, in_rollout });
+    let chosen = (0..1000).map(|hash| choose::by_weight(&weights, stale, hash).unwrap());
+    assert_eq!(chosen.filter(|version| version.as_str() == "v2").count() as u64, expected);
+}
