--- a/crates/client/tests/client/main.rs
+++ b/crates/client/tests/client/main.rs
@@ -1,5 +1,6 @@
 //! Drives the real client against a scripted stand-in of a router.
 
 mod changes;
+mod pages;
 mod support;
 mod views;
