--- a/crates/core/src/admission.rs
+++ b/crates/core/src/admission.rs
@@ -22,8 +22,10 @@
 /// Measured time over expected time above which a sample is slow. Cold engines are slower by more;
 /// ordinary noise between tokens stays under 2.
 const SLOW_FACTOR: f64 = 3.0;
-/// Share of a new sample in the expected time of a warm engine.
-const EXPECTED_GAIN: f64 = 1.0 / 32.0;
+/// Share of a new sample in the expected time of a warm engine, when it is above and below. The
+/// expected time rises faster than it falls, because samples of short bursts of concurrency are
+/// shorter than those of long ones.
+const EXPECTED_GAIN: (f64, f64) = (1.0 / 8.0, 1.0 / 64.0);
 /// Rise of the expected time per warm interval with slow samples. A lasting change of speed is
 /// accepted after about ten intervals in place of keeping the server at its cold limit for ever.
 const EXPECTED_DRIFT: f64 = 1.125;
@@ -68,6 +70,8 @@
     pub priority: u32,
     /// Prompt plus allowed output.
     pub tokens: Tokens,
+    /// Allowed output; zero for a plain service.
+    pub output: Tokens,
     /// Time by which the answer is of use.
     pub deadline: Option<Millis>,
 }
@@ -115,11 +119,21 @@
     announced_cold: bool,
     /// Moving mean of the time that requests run, in milliseconds; zero until one has ended.
     service_ms: f64,
+    /// Moving mean of that time per allowed token of output.
+    output_ms: f64,
 }
 
 #[derive(Clone, Debug)]
 struct Running {
-    tokens: Tokens,
+    job: Job,
+    since: Millis,
+    /// Most running requests since the last sample of this one.
+    peak: u32,
+}
+
+#[derive(Clone, Debug)]
+struct Waiting {
+    job: Job,
     since: Millis,
 }
 
@@ -147,6 +161,7 @@
             start_id: None,
             announced_cold: false,
             service_ms: 0.0,
+            output_ms: 0.0,
         };
         admission.cold_start(now);
         admission
@@ -167,13 +182,13 @@
             self.shed.push_back((job.ticket, refusal));
             return;
         }
-        self.queue.push(job);
+        self.queue.push(Waiting { job, since: now });
         // The job at the head runs at once when there is room, so it takes no place in the queue.
         let waiting = self.queue.len() - u32::from(self.has_room());
         if waiting > self.limits.max_queued {
             let refusal = Refusal::not_run(self.bottleneck()).retry_after(self.retry_after());
             let victim = self.queue.pop_victim();
-            self.shed.extend(victim.map(|job| (job.ticket, refusal)));
+            self.shed.extend(victim.map(|waiting| (waiting.job.ticket, refusal)));
         }
     }
 
@@ -183,16 +198,22 @@
             return Some(Verdict::Refuse(ticket, refusal));
         }
         self.advance_ramp(now);
+        let head = self.queue.peek()?;
+        if head.since < now && !self.in_time(&head.job, now + self.expected_service(&head.job)) {
+            let ticket = head.job.ticket;
+            self.queue.remove(ticket);
+            return Some(Verdict::Refuse(ticket, Refusal::not_run(Reason::Deadline)));
+        }
         if !self.has_room() {
             return None;
         }
-        let job = self.queue.pop()?;
-        if job.deadline.is_some_and(|deadline| now + self.typical_service() > deadline) {
-            return Some(Verdict::Refuse(job.ticket, Refusal::not_run(Reason::Deadline)));
-        }
+        let Waiting { job, .. } = self.queue.pop()?;
+        let ticket = job.ticket;
         self.tokens_held += job.tokens;
-        self.running.insert(job.ticket, Running { tokens: job.tokens, since: now });
-        Some(Verdict::Run(job.ticket))
+        let peak = self.running.len() as u32 + 1;
+        self.running.values_mut().for_each(|run| run.peak = run.peak.max(peak));
+        self.running.insert(ticket, Running { job, since: now, peak });
+        Some(Verdict::Run(ticket))
     }
 
     /// Takes a waiting request out, because nobody waits for its answer any more.
@@ -204,11 +225,13 @@
     /// Takes note that a running request has ended.
     pub fn finish(&mut self, ticket: Ticket, ending: Ending, now: Millis) {
         let Some(run) = self.running.remove(&ticket) else { return };
-        self.tokens_held = self.tokens_held - run.tokens;
+        self.tokens_held = self.tokens_held - run.job.tokens;
         if ending == Ending::Success {
             let took = (now - run.since).0 as f64;
-            let gain = if self.service_ms == 0.0 { 1.0 } else { SERVICE_GAIN };
-            self.service_ms += gain * (took - self.service_ms);
+            approach(&mut self.service_ms, took, SERVICE_GAIN);
+            if run.job.output > Tokens::ZERO {
+                approach(&mut self.output_ms, took / run.job.output.0 as f64, SERVICE_GAIN);
+            }
         }
         if let Some(ramp) = &mut self.ramp {
             match ending {
@@ -220,11 +243,15 @@
         self.advance_ramp(now);
     }
 
-    /// Takes in a measured service time and begins a cold start when it is far over the expected.
-    pub fn observe(&mut self, sample: Sample, micros: u64, now: Millis) {
-        let level = (u32::BITS - (self.running.len() as u32).leading_zeros()) as usize;
+    /// Takes in a measured service time of a running request and begins a cold start when it is far
+    /// over the expected.
+    pub fn observe(&mut self, ticket: Ticket, sample: Sample, micros: u64, now: Millis) {
+        let running = self.running.len() as u32;
+        let Some(run) = self.running.get_mut(&ticket) else { return };
+        let level = run.peak.ilog2() as usize;
+        run.peak = running;
         let speed = &mut self.speeds[sample as usize];
-        let slow = speed.observe(level.saturating_sub(1), micros);
+        let slow = speed.observe(level, micros);
         let needed = if sample == Sample::Token { SLOW_TOKENS } else { SLOW_CALLS };
         let confirmed = speed.slow_in_a_row >= needed;
         match &mut self.ramp {
@@ -279,17 +306,19 @@
         if memory > Tokens::ZERO && job.tokens > memory {
             return Err(Refusal::not_run(Reason::MemoryFull));
         }
-        let Some(deadline) = job.deadline else { return Ok(()) };
-        let wait = if self.running.len() as u32 >= self.limit() {
+        let expected = self.expected_service(job);
+        let waits = self.running.len() as u32 >= self.limit() || self.queue.len() > 0;
+        let done = if waits {
             let ahead = f64::from(self.queue.ahead_of(job) + 1);
-            Millis((self.service_ms * ahead / f64::from(self.limit().max(1))) as u64)
+            now + Millis((self.service_ms * ahead / f64::from(self.limit().max(1))) as u64) + expected
         } else {
-            Millis::ZERO
+            // One that can run at once is only refused when twice the usual speed would not do.
+            now + Millis(expected.0 / 2)
         };
-        if now + wait + self.typical_service() > deadline {
-            return Err(Refusal::not_run(Reason::Deadline).retry_after(self.retry_after()));
+        if self.in_time(job, done) {
+            return Ok(());
         }
-        Ok(())
+        Err(Refusal::not_run(Reason::Deadline).retry_after(self.retry_after()))
     }
 
     /// Whether the request at the head of the queue may run. A large one at the head keeps smaller
@@ -297,7 +326,7 @@
     fn has_room(&self) -> bool {
         let Some(head) = self.queue.peek() else { return false };
         let memory = self.limits.tokens_limit;
-        let fits = memory == Tokens::ZERO || self.tokens_held + head.tokens <= memory;
+        let fits = memory == Tokens::ZERO || self.tokens_held + head.job.tokens <= memory;
         fits && (self.running.len() as u32) < self.limit()
     }
 
@@ -308,8 +337,16 @@
         if self.ramp.is_some() { Reason::Cold } else { Reason::Overloaded }
     }
 
-    fn typical_service(&self) -> Millis {
-        Millis(self.service_ms as u64)
+    fn in_time(&self, job: &Job, done: Millis) -> bool {
+        job.deadline.is_none_or(|deadline| done <= deadline)
+    }
+
+    /// Time that a request is likely to run.
+    fn expected_service(&self, job: &Job) -> Millis {
+        if job.output == Tokens::ZERO {
+            return Millis(self.service_ms as u64);
+        }
+        Millis((self.output_ms * job.output.0 as f64) as u64)
     }
 
     fn retry_after(&self) -> Millis {
@@ -334,6 +371,12 @@
     }
 }
 
+/// Moves `mean` towards `sample`; the first sample is taken over.
+fn approach(mean: &mut f64, sample: f64, gain: f64) {
+    let gain = if *mean == 0.0 { 1.0 } else { gain };
+    *mean += gain * (sample - *mean);
+}
+
 /// Expected service time by concurrency, learned while the engine is warm.
 #[derive(Clone, Debug, Default)]
 struct Speed {
@@ -353,8 +396,8 @@
             return true;
         }
         self.slow_in_a_row = 0;
-        let own = &mut self.expected[level];
-        *own = if *own == 0.0 { sample } else { *own + EXPECTED_GAIN * (sample - *own) };
+        let gain = if sample > self.expected[level] { EXPECTED_GAIN.0 } else { EXPECTED_GAIN.1 };
+        approach(&mut self.expected[level], sample, gain);
         false
     }
 
@@ -378,7 +421,7 @@
 /// Waiting requests: by priority, and within a priority by weighted fair shares.
 #[derive(Clone, Debug, Default)]
 struct Queue {
-    classes: BTreeMap<u32, BTreeMap<CustomerId, VecDeque<Job>>>,
+    classes: BTreeMap<u32, BTreeMap<CustomerId, VecDeque<Waiting>>>,
     /// Virtual time up to which a customer was served.
     served: HashMap<CustomerId, u64>,
     /// Virtual time of the request that ran last.
@@ -391,11 +434,12 @@
         self.len
     }
 
-    fn push(&mut self, job: Job) {
+    fn push(&mut self, waiting: Waiting) {
+        let job = &waiting.job;
         // A customer that was idle gets no credit for that time.
         let served = self.served.entry(job.customer.clone()).or_default();
         *served = (*served).max(self.virtual_now);
-        self.classes.entry(job.priority).or_default().entry(job.customer.clone()).or_default().push_back(job);
+        self.classes.entry(job.priority).or_default().entry(job.customer.clone()).or_default().push_back(waiting);
         self.len += 1;
     }
 
@@ -405,14 +449,15 @@
         Some((priority, customer.clone()))
     }
 
-    fn peek(&self) -> Option<&Job> {
+    fn peek(&self) -> Option<&Waiting> {
         let (priority, customer) = self.next_customer()?;
         self.classes[&priority][&customer].front()
     }
 
-    fn pop(&mut self) -> Option<Job> {
+    fn pop(&mut self) -> Option<Waiting> {
         let (priority, customer) = self.next_customer()?;
-        let job = self.take(priority, &customer, VecDeque::pop_front)?;
+        let waiting = self.take(priority, &customer, VecDeque::pop_front)?;
+        let job = &waiting.job;
         let work = job.tokens.0.max(1).saturating_mul(VIRTUAL_UNIT) / u64::from(job.weight.max(1));
         let served = self.served.entry(customer).or_default();
         self.virtual_now = self.virtual_now.max(*served);
@@ -421,15 +466,15 @@
             let virtual_now = self.virtual_now;
             self.served.retain(|_, served| *served > virtual_now);
         }
-        Some(job)
+        Some(waiting)
     }
 
     /// Takes out the newest request of the customer with the longest queue for its weight, in the
     /// least urgent class. This is the one that arrived last when only one customer waits.
-    fn pop_victim(&mut self) -> Option<Job> {
+    fn pop_victim(&mut self) -> Option<Waiting> {
         let (&priority, class) = self.classes.last_key_value()?;
-        let length = |jobs: &VecDeque<Job>| {
-            let weight = jobs.back().map_or(1, |job| u64::from(job.weight.max(1)));
+        let length = |jobs: &VecDeque<Waiting>| {
+            let weight = jobs.back().map_or(1, |waiting| u64::from(waiting.job.weight.max(1)));
             jobs.len() as u64 * VIRTUAL_UNIT / weight
         };
         let customer = class.iter().max_by_key(|(_, jobs)| length(jobs)).map(|(customer, _)| customer.clone())?;
@@ -439,7 +484,7 @@
     fn remove(&mut self, ticket: Ticket) {
         let found = self.classes.iter().find_map(|(&priority, class)| {
             class.iter().find_map(|(customer, jobs)| {
-                let index = jobs.iter().position(|job| job.ticket == ticket)?;
+                let index = jobs.iter().position(|waiting| waiting.job.ticket == ticket)?;
                 Some((priority, customer.clone(), index))
             })
         });
@@ -457,7 +502,8 @@
         let all: usize = class.values().map(VecDeque::len).sum();
         let own = class.get(&job.customer).map_or(0, VecDeque::len);
         let others = class.iter().filter(|(customer, _)| **customer != job.customer);
-        let weights: u64 = others.filter_map(|(_, jobs)| jobs.front()).map(|job| u64::from(job.weight.max(1))).sum();
+        let weights: u64 =
+            others.filter_map(|(_, jobs)| jobs.front()).map(|waiting| u64::from(waiting.job.weight.max(1))).sum();
         let weight = u64::from(job.weight.max(1));
         let fair = own as u64 + (own as u64 + 1) * weights / weight;
         (urgent as u64 + fair.min(all as u64)) as u32
@@ -467,18 +513,18 @@
         &mut self,
         priority: u32,
         customer: &CustomerId,
-        pick: impl FnOnce(&mut VecDeque<Job>) -> Option<Job>,
-    ) -> Option<Job> {
+        pick: impl FnOnce(&mut VecDeque<Waiting>) -> Option<Waiting>,
+    ) -> Option<Waiting> {
         let class = self.classes.get_mut(&priority)?;
         let jobs = class.get_mut(customer)?;
-        let job = pick(jobs);
+        let waiting = pick(jobs);
         if jobs.is_empty() {
             class.remove(customer);
         }
         if class.is_empty() {
             self.classes.remove(&priority);
         }
-        self.len -= u32::from(job.is_some());
-        job
+        self.len -= u32::from(waiting.is_some());
+        waiting
     }
 }
--- a/crates/daemon/src/agent/gate.rs
+++ b/crates/daemon/src/agent/gate.rs
@@ -52,6 +52,8 @@
     pub priority: u32,
     /// Prompt plus allowed output.
     pub tokens: Tokens,
+    /// Allowed output; zero for a plain service.
+    pub output: Tokens,
     /// Time by which the answer is of use.
     pub deadline: Option<Millis>,
 }
@@ -76,8 +78,8 @@
         let mut permit = Permit { gate: self.clone(), ticket, ending: Ending::Cut, entered: false };
         self.change(|inner, now| {
             inner.waiters.insert(ticket, tx);
-            let Demand { customer, weight, priority, tokens, deadline } = demand;
-            inner.admission.arrive(Job { ticket, customer, weight, priority, tokens, deadline }, now);
+            let Demand { customer, weight, priority, tokens, output, deadline } = demand;
+            inner.admission.arrive(Job { ticket, customer, weight, priority, tokens, output, deadline }, now);
         });
         rx.await.unwrap_or(Err(Refusal::not_run(Reason::Internal)))?;
         permit.entered = true;
@@ -89,11 +91,6 @@
         self.change(|inner, now| inner.admission.engine_report(start_id, cold, now));
     }
 
-    /// Takes in a measured service time.
-    pub fn observe(&self, sample: Sample, micros: u64) {
-        self.change(|inner, now| inner.admission.observe(sample, micros, now));
-    }
-
     /// Load for heartbeats.
     pub fn report(&self) -> LoadReport {
         self.change(|inner, _| inner.admission.report())
@@ -177,14 +174,15 @@
 pub struct Permit {
     gate: Gate,
     ticket: Ticket,
-    ending: Ending,
+    /// How the request ended; it counts as cut until this is set.
+    pub ending: Ending,
     entered: bool,
 }
 
 impl Permit {
-    /// Notes how the request ended; without a note it counts as cut.
-    pub fn end(mut self, ending: Ending) {
-        self.ending = ending;
+    /// Takes in a measured service time of the request.
+    pub fn observe(&self, sample: Sample, micros: u64) {
+        self.gate.change(|inner, now| inner.admission.observe(self.ticket, sample, micros, now));
     }
 }
 
--- a/crates/daemon/src/agent/run.rs
+++ b/crates/daemon/src/agent/run.rs
@@ -45,9 +45,10 @@
         Err(refusal) => return refuse(&agent, &id, answer, &refusal),
     };
     answer.start(checked.once);
-    let mut course = Course { agent: &agent, req: &req, checked: &checked, answer, meter: Meter::new(req.stream) };
+    let meter = Meter::new(req.stream);
+    let mut course = Course { agent: &agent, req: &req, checked: &checked, permit, answer, meter };
     let ended = course.call(deadline).await;
-    course.conclude(&id, permit, ended).await;
+    course.conclude(&id, ended).await;
 }
 
 /// Counts and logs a refusal.
@@ -69,6 +70,7 @@
         weight: checked.weight,
         priority: req.priority,
         tokens: Tokens(req.prompt_tokens.saturating_add(req.max_output_tokens)),
+        output: Tokens(req.max_output_tokens),
         deadline,
     };
     let mut leaving = agent.leaving.subscribe();
@@ -111,6 +113,7 @@
     agent: &'a Agent,
     req: &'a ExecuteRequest,
     checked: &'a Checked,
+    permit: Permit,
     answer: Answer,
     meter: Meter,
 }
@@ -163,7 +166,7 @@
         }
         if !self.req.stream {
             let units = if self.is_model() { self.meter.delivered().0.max(1) } else { 1 };
-            self.agent.gate.observe(Sample::Call, micros(started) / units);
+            self.permit.observe(Sample::Call, micros(started) / units);
         }
         Ok(status)
     }
@@ -199,38 +202,35 @@
             // The first token takes longer, in proportion to the prompt.
             (*since, *tokens) = (Instant::now(), delivered);
         } else if delivered >= *tokens + SAMPLE_TOKENS {
-            self.agent.gate.observe(Sample::Token, micros(*since) / (delivered - *tokens));
+            self.permit.observe(Sample::Token, micros(*since) / (delivered - *tokens));
             (*since, *tokens) = (Instant::now(), delivered);
         }
     }
 
-    async fn conclude(self, id: &RequestId, permit: Permit, ended: Result<u16, Broken>) {
-        let broken = match ended {
+    async fn conclude(mut self, id: &RequestId, ended: Result<u16, Broken>) {
+        match ended {
             Ok(status) => {
-                permit.end(if status < 500 { Ending::Success } else { Ending::Failure });
-                return self.finish(id, status);
+                self.permit.ending = if status < 500 { Ending::Success } else { Ending::Failure };
+                self.finish(id, status);
             }
-            Err(broken) => broken,
-        };
-        let reason = match broken {
-            Broken::NotSent(reason) => {
-                permit.end(Ending::Failure);
-                invariant::check(Promise::NotRun, self.answer.length() == 0, || format!("request {id} has an answer"));
-                return refuse(self.agent, id, self.answer, &Refusal::not_run(reason));
+            Err(Broken::NotSent(reason)) => {
+                self.permit.ending = Ending::Failure;
+                let empty = self.answer.length() == 0;
+                invariant::check(Promise::NotRun, empty, || format!("request {id} has an answer"));
+                refuse(self.agent, id, self.answer, &Refusal::not_run(reason));
             }
-            Broken::Backend(reason) => {
-                permit.end(Ending::Failure);
-                reason
+            Err(Broken::Backend(reason)) => {
+                self.permit.ending = Ending::Failure;
+                self.fail(id, reason);
             }
-            Broken::Cut(reason) => {
+            Err(Broken::Cut(reason)) => {
+                // The place is given back once the engine has stopped, as it may still be working.
                 if self.is_model() {
                     self.agent.backend.cancel(id.as_str()).await;
                 }
-                drop(permit);
-                reason
+                self.fail(id, reason);
             }
-        };
-        self.fail(id, reason);
+        }
     }
 
     fn finish(self, id: &RequestId, status: u16) {
