Test membership at full size and deltas by property

The oldest heartbeat of a live router among 350, two exchanges a second each, stays under DEAD_AFTER in a simulation with a fixed seed.

--- a/crates/core/src/membership.rs
+++ b/crates/core/src/membership.rs
@@ -70,28 +70,32 @@
 /// The links that `own` should keep, in order of the agents. `routers` must contain `own`.
 pub fn plan_links(own: &HostId, routers: &[Node], agents: &[Node]) -> Vec<PlannedLink> {
     let Some(own_index) = routers.iter().position(|r| r.id == *own) else { return Vec::new() };
-    let own_hash = node_hash(own);
     let groups = Groups::new(routers);
-    let mut links: Vec<PlannedLink> = Vec::new();
-    let mut pools: BTreeMap<&ServiceName, Vec<usize>> = BTreeMap::new();
+    let mut links: BTreeMap<usize, PlannedLink> =
+        pool_agents(own, agents).into_iter().map(|agent| (agent, PlannedLink { agent, rank: None })).collect();
     for (agent, node) in agents.iter().enumerate() {
-        pools.entry(&node.pool).or_default().push(agent);
-        let rank = groups.pick(node_hash(&node.id), ROUTERS_PER_AGENT).iter().position(|&i| i == own_index);
+        let routers = groups.pick(node_hash(&node.id), ROUTERS_PER_AGENT);
+        let rank = routers.into_iter().position(|i| i == own_index);
         if rank.is_some() {
-            links.push(PlannedLink { agent, rank });
+            links.insert(agent, PlannedLink { agent, rank });
         }
     }
-    for members in pools.values() {
-        let nodes: Vec<&Node> = members.iter().map(|&i| &agents[i]).collect();
-        for picked in Groups::from_refs(&nodes).pick(own_hash, AGENTS_PER_POOL) {
-            let agent = members[picked];
-            if links.iter().all(|link| link.agent != agent) {
-                links.push(PlannedLink { agent, rank: None });
-            }
-        }
+    links.into_values().collect()
+}
+
+/// Agents that `own` links to whatever their rank, as indices: the first of each pool.
+pub fn pool_agents(own: &HostId, agents: &[Node]) -> Vec<usize> {
+    let own = node_hash(own);
+    let mut pools: BTreeMap<&ServiceName, Vec<usize>> = BTreeMap::new();
+    for (agent, node) in agents.iter().enumerate() {
+        pools.entry(&node.pool).or_default().push(agent);
     }
-    links.sort_by_key(|link| link.agent);
-    links
+    let picks = pools.into_values().flat_map(|members| {
+        let nodes: Vec<&Node> = members.iter().map(|&agent| &agents[agent]).collect();
+        let picked = Groups::from_refs(&nodes).pick(own, AGENTS_PER_POOL);
+        picked.into_iter().map(move |i| members[i]).collect::<Vec<_>>()
+    });
+    picks.collect()
 }
 
 /// Routers that should link to `agent`, as indices in order of rank.
@@ -122,7 +126,6 @@
     fn pick(&self, key: u64, count: usize) -> Vec<usize> {
         let mut ranked: Vec<(usize, Reverse<u64>, usize)> = Vec::with_capacity(self.domains.len() * 2);
         let mut best: Vec<(Reverse<u64>, usize)> = Vec::with_capacity(count + 1);
-        // No domain can supply more than what is left when each other domain supplies one per round.
         for domain in &self.domains {
             best.clear();
             let depth = count.min(domain.len());
--- /dev/null
+++ b/crates/core/tests/membership.rs
@@ -0,0 +1,227 @@
+//! Subsets, election and failure detection at the size of the largest deployment.
+
+use std::{collections::BTreeSet, time::Instant};
+
+use eelgrasswell_core::{
+    id::{DomainId, HostId, Incarnation, ServiceName},
+    membership::{
+        AGENTS_PER_POOL, DEAD_AFTER, Heard, Heartbeats, Node, ROUTERS_PER_AGENT, WATCHERS_PER_DOMAIN, is_watcher,
+        plan_links, pool_agents, rank, routers_of, watcher_count,
+    },
+    unit::Millis,
+};
+use rand::{RngExt, SeedableRng, seq::index};
+use rand_chacha::ChaCha8Rng;
+
+const ROUTERS: usize = 350;
+const AGENTS: usize = 7_000;
+const DOMAINS: usize = 15;
+const POOLS: usize = 6;
+
+fn nodes(prefix: &str, count: usize, domains: usize, pools: usize) -> Vec<Node> {
+    (0..count)
+        .map(|i| Node {
+            id: format!("{prefix}-{i}").as_str().into(),
+            domain: format!("domain-{}", i % domains).as_str().into(),
+            // Pools of unequal size: the last one has a single agent in a thousand.
+            pool: if pools == 0 {
+                Default::default()
+            } else if i % 1000 == 0 {
+                "pool-small".into()
+            } else {
+                format!("pool-{}", i % (pools - 1)).as_str().into()
+            },
+        })
+        .collect()
+}
+
+/// Guards against agents that too few routers reach, and links that gather on few routers or in
+/// few failure domains.
+#[test]
+fn links_spread_over_largest_fleet() {
+    let routers = nodes("router", ROUTERS, DOMAINS, 0);
+    let agents = nodes("agent", AGENTS, DOMAINS, POOLS);
+    let mut per_router = vec![0; ROUTERS];
+    for agent in &agents {
+        let picked = routers_of(&agent.id, &routers);
+        let domains: BTreeSet<&DomainId> = picked.iter().map(|&i| &routers[i].domain).collect();
+        assert_eq!((picked.len(), domains.len()), (ROUTERS_PER_AGENT, ROUTERS_PER_AGENT), "routers of {}", agent.id);
+        picked.into_iter().for_each(|i| per_router[i] += 1);
+    }
+    let (min, max) = (per_router.iter().min().unwrap(), per_router.iter().max().unwrap());
+    let mean = AGENTS * ROUTERS_PER_AGENT / ROUTERS;
+    println!("links by rank per router: {min} to {max}, mean {mean}");
+    assert!(*max <= 2 * mean, "one router has {max} links");
+}
+
+/// Guards against routers that lack agents of a pool, be it a small one.
+#[test]
+fn links_reach_all_pools() {
+    let agents = nodes("agent", AGENTS, DOMAINS, POOLS);
+    let pools: BTreeSet<&ServiceName> = agents.iter().map(|agent| &agent.pool).collect();
+    assert_eq!(pools.len(), POOLS);
+    for router in nodes("router", ROUTERS, DOMAINS, 0) {
+        let picked = pool_agents(&router.id, &agents);
+        for pool in &pools {
+            let linked = picked.iter().filter(|&&i| agents[i].pool == **pool).count();
+            assert_eq!(linked, AGENTS_PER_POOL, "{} and {pool}", router.id);
+        }
+    }
+}
+
+/// Guards against a router whose plan leaves out agents that count on it.
+#[test]
+fn plan_links_matches_ranks() {
+    let routers = nodes("router", ROUTERS, DOMAINS, 0);
+    let agents = nodes("agent", AGENTS, DOMAINS, POOLS);
+    let own = &routers[42].id;
+    let start = Instant::now();
+    let plan = plan_links(own, &routers, &agents);
+    println!("one plan of {ROUTERS} x {AGENTS}: {} links in {:?}", plan.len(), start.elapsed());
+    let planned = |i: usize| plan.iter().find(|link| link.agent == i);
+    for (i, agent) in agents.iter().enumerate() {
+        let rank = routers_of(&agent.id, &routers).into_iter().position(|i| routers[i].id == *own);
+        assert_eq!(planned(i).and_then(|link| link.rank), rank, "rank of {own} for {}", agent.id);
+    }
+    assert!(pool_agents(own, &agents).into_iter().all(|i| planned(i).is_some()));
+}
+
+/// Guards against fewer than K links where there are fewer failure domains than K.
+#[test]
+fn routers_of_few_domains() {
+    let routers = nodes("router", 24, 4, 0);
+    let picked = routers_of(&"agent-1".into(), &routers);
+    let mut domains: Vec<&DomainId> = picked.iter().map(|&i| &routers[i].domain).collect();
+    assert_eq!(picked.len(), ROUTERS_PER_AGENT);
+    assert_eq!(domains[..4].iter().collect::<BTreeSet<_>>().len(), 4, "the first round takes one of each domain");
+    domains.sort();
+    assert!(domains.chunks(2).all(|pair| pair[0] == pair[1]), "two of each of four domains: {domains:?}");
+}
+
+/// Guards against a plan that leaves out routers when fewer than K exist.
+#[test]
+fn routers_of_small_fleet() {
+    let routers = nodes("router", 3, 3, 0);
+    assert_eq!(routers_of(&"agent-1".into(), &routers).len(), 3);
+}
+
+/// Guards against a redial of most links whenever a router or an agent leaves.
+#[test]
+fn links_move_little() {
+    let routers = nodes("router", ROUTERS, DOMAINS, 0);
+    let agents = nodes("agent", AGENTS, DOMAINS, POOLS);
+    let ranked = |routers: &[Node]| -> BTreeSet<(HostId, HostId)> {
+        let links = agents.iter().flat_map(|agent| {
+            routers_of(&agent.id, routers).into_iter().map(|i| (agent.id.clone(), routers[i].id.clone()))
+        });
+        links.collect()
+    };
+    let before = ranked(&routers);
+    let gone = routers[17].id.clone();
+    let after = ranked(&routers.iter().filter(|r| r.id != gone).cloned().collect::<Vec<_>>());
+    let moved = before.difference(&after).count();
+    let share = moved as f64 / before.len() as f64;
+    println!("links moved when 1 of {ROUTERS} routers leaves: {moved} of {}, share {share:.5}", before.len());
+    // 1/n of the links are those of the router itself; a domain's second choice may trade places.
+    assert!(share < 2.0 / ROUTERS as f64, "moved {share}");
+
+    let own = &routers[3].id;
+    let planned = |agents: &[Node]| -> BTreeSet<HostId> {
+        plan_links(own, &routers, agents).iter().map(|link| agents[link.agent].id.clone()).collect()
+    };
+    let before = planned(&agents);
+    let after = planned(&agents[1..]);
+    let moved = before.symmetric_difference(&after).count();
+    println!("links of one router changed when 1 of {AGENTS} agents leaves: {moved} of {}", before.len());
+    assert!(moved <= 2, "moved {moved} links");
+}
+
+/// Guards against watches that grow with the fleet: two per failure domain at any size.
+#[test]
+fn watchers_do_not_grow_with_fleet() {
+    for count in [DOMAINS, 2 * DOMAINS, 150, ROUTERS, 3_500] {
+        let routers = nodes("router", count, DOMAINS, 0);
+        let elected = routers.iter().filter(|r| is_watcher(&r.id, &r.domain, &routers)).count();
+        assert_eq!(elected, DOMAINS * WATCHERS_PER_DOMAIN.min(count / DOMAINS), "with {count} routers");
+        assert_eq!(elected, watcher_count(&routers));
+    }
+}
+
+/// Guards against a router that hears of no peers and so reads nothing.
+#[test]
+fn is_watcher_alone() {
+    assert!(is_watcher(&"router-1".into(), &"domain-1".into(), &[]));
+}
+
+/// Guards against shards that all move when one router leaves.
+#[test]
+fn rank_keeps_order_of_others() {
+    let ids: Vec<HostId> = (0..20).map(|i| format!("router-{i}").as_str().into()).collect();
+    let all: Vec<&HostId> = ids.iter().collect();
+    let mut before: Vec<&HostId> = rank("shard-3", &all).into_iter().map(|i| all[i]).collect();
+    let gone = before.remove(4);
+    let rest: Vec<&HostId> = all.into_iter().filter(|id| *id != gone).collect();
+    let after: Vec<&HostId> = rank("shard-3", &rest).into_iter().map(|i| rest[i]).collect();
+    assert_eq!(before, after);
+}
+
+fn beat(incarnation: u64, at: u64) -> Heard<()> {
+    Heard { incarnation: Incarnation(incarnation), at: Millis(at), leaving: false, info: () }
+}
+
+/// Guards against a dead router that stays alive because old heartbeats are passed on.
+#[test]
+fn heartbeats_expire() {
+    let id = HostId::from("router-1");
+    let mut beats = Heartbeats::default();
+    beats.note(&id, beat(1, 5_000));
+    beats.note(&id, beat(1, 3_000));
+    assert_eq!(beats.live(Millis(5_000) + DEAD_AFTER - Millis(1)).len(), 1);
+    assert!(beats.live(Millis(5_000) + DEAD_AFTER).is_empty());
+}
+
+/// Guards against news of an incarnation that has ended hiding the one that replaced it, and
+/// against a leaving router that late news brings back.
+#[test]
+fn heartbeats_of_restarted_router() {
+    let id = HostId::from("router-1");
+    let mut beats = Heartbeats::default();
+    beats.note(&id, Heard { leaving: true, ..beat(1, 5_000) });
+    beats.note(&id, beat(1, 6_000));
+    assert!(beats.get(&id).unwrap().leaving);
+    beats.note(&id, beat(2, 7_000));
+    beats.note(&id, beat(1, 6_500));
+    let heard = beats.get(&id).unwrap();
+    assert_eq!((heard.incarnation, heard.leaving), (Incarnation(2), false));
+}
+
+/// Guards against live routers of a large fleet taken for dead: with two exchanges a second per
+/// router the oldest heartbeat of any of 350 must stay well under `DEAD_AFTER`.
+#[test]
+fn heartbeats_reach_largest_fleet() {
+    const SEED: u64 = 7;
+    const ROUNDS: u64 = 20;
+    println!("seed {SEED}");
+    let mut rng = ChaCha8Rng::seed_from_u64(SEED);
+    // heard[i][j]: time of j's newest heartbeat that i knows. The rule is that of `Heartbeats::note`.
+    let mut heard = vec![vec![1_000u64; ROUTERS]; ROUTERS];
+    let mut oldest = 0;
+    for round in 1..=ROUNDS {
+        let mut exchanges: Vec<(u64, usize, usize)> = Vec::new();
+        for i in 0..ROUTERS {
+            let at = round * 1_000 + rng.random_range(0..1_000);
+            exchanges.extend(index::sample(&mut rng, ROUTERS, 2).into_iter().map(|j| (at, i, j)));
+        }
+        exchanges.sort_unstable();
+        for (now, i, j) in exchanges.into_iter().filter(|(_, i, j)| i != j) {
+            heard[i][i] = now;
+            heard[j][j] = now;
+            let newest: Vec<u64> = heard[i].iter().zip(&heard[j]).map(|(a, b)| *a.max(b)).collect();
+            heard[i].clone_from(&newest);
+            heard[j] = newest;
+            oldest = oldest.max(now - heard[i].iter().min().unwrap());
+        }
+    }
+    println!("oldest heartbeat of a live router among {ROUTERS}: {oldest} ms");
+    assert!(Millis(oldest) < DEAD_AFTER);
+}
