Choose agents by own work, lagging load, memory, penalties and cached prefixes

Cause: the choice added own outstanding work and the reported load at equal weight.

Own outstanding work now has weight 4, the report 0.25.

A prefix's holder is chosen while its occupancy exceeds the other choice's by less than 0.25 times the probability that the prefix is cached, which halves every 60 s. Cold agents get one in 50 choices, and more when the warm ones are full: without any request they could not show that they are warm.

--- /dev/null
+++ b/crates/core/tests/route.rs
@@ -0,0 +1,217 @@
+//! Choice of an agent.
+
+use eelgrasswell_core::{
+    route::{AgentView, LoadReport, Memory, Need, choose, choose_for},
+    unit::{Millis, Tokens},
+};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use test_case::test_case;
+
+const SEED: u64 = 42;
+const NOW: Millis = Millis(100_000);
+
+fn agent(n: usize, running: u32) -> AgentView {
+    AgentView {
+        id: format!("host-{n}").as_str().into(),
+        domain: "north".into(),
+        outstanding: 0,
+        load: LoadReport { running, limit: 10, ..LoadReport::default() },
+        loaded: Vec::new(),
+        leaving: false,
+    }
+}
+
+fn rng() -> ChaCha8Rng {
+    ChaCha8Rng::seed_from_u64(SEED)
+}
+
+/// How often each of the agents is chosen in 1,000 choices.
+fn counts(agents: &[AgentView], need: &Need, memory: &Memory, now: Millis) -> Vec<u32> {
+    let mut rng = rng();
+    let mut counts = vec![0; agents.len()];
+    for _ in 0..1_000 {
+        counts[choose_for(agents, need, memory, now, &mut rng).unwrap()] += 1;
+    }
+    counts
+}
+
+/// Guards against a choice from nothing, and against pools of two that ignore the load.
+#[test_case(&[], None; "no agent")]
+#[test_case(&[9], Some(0); "one agent")]
+#[test_case(&[5, 4], Some(1); "less loaded")]
+fn choose_small_pool(running: &[u32], expected: Option<usize>) {
+    let agents: Vec<_> = running.iter().enumerate().map(|(n, &running)| agent(n, running)).collect();
+    assert_eq!(choose(&agents, &mut rng()), expected);
+}
+
+/// Guards against a score that ignores one of its parts.
+#[test_case(|busy| busy.outstanding = 3; "own outstanding work")]
+#[test_case(|busy| busy.load.queued = 3; "queue")]
+#[test_case(|busy| (busy.load.tokens_held, busy.load.tokens_limit) = (Tokens(900), Tokens(1_000)); "token memory")]
+#[test_case(|busy| busy.load.cold = true; "cold start")]
+fn choose_avoids(edit: fn(&mut AgentView)) {
+    let mut agents = vec![agent(0, 0), agent(1, 1)];
+    edit(&mut agents[0]);
+    let counts = counts(&agents, &Need { tokens: Tokens(50), prefix: 0 }, &Memory::default(), NOW);
+    assert!(counts[1] >= 950, "{counts:?}");
+}
+
+/// Guards against cold agents that are avoided when there is no other choice, or that are never
+/// asked again and so never become warm.
+#[test_case(&[(0, true), (0, true)], 400..600; "all cold")]
+#[test_case(&[(10, false), (0, true)], 1_000..1_001; "warm one full")]
+#[test_case(&[(10, false), (10, true)], 0..1; "all full")]
+#[test_case(&[(0, false), (0, true)], 1..50; "probe")]
+fn choose_cold(states: &[(u32, bool)], expected: std::ops::Range<u32>) {
+    let mut agents: Vec<_> = states.iter().enumerate().map(|(n, &(running, _))| agent(n, running)).collect();
+    for (agent, (_, cold)) in agents.iter_mut().zip(states) {
+        agent.load.cold = *cold;
+    }
+    let counts = counts(&agents, &Need::default(), &Memory::default(), NOW);
+    assert!(expected.contains(&counts[1]), "{counts:?}");
+}
+
+/// Guards against a refusal that is forgotten at once or never.
+#[test_case(0, true; "at once")]
+#[test_case(10_000, false; "after ten seconds")]
+fn choose_after_refusal(later: u64, avoided: bool) {
+    let agents = [agent(0, 0), agent(1, 1)];
+    let mut memory = Memory::default();
+    memory.note_refusal(&agents[0].id, NOW);
+    let counts = counts(&agents, &Need::default(), &memory, NOW + Millis(later));
+    assert_eq!(counts[0] == 0, avoided, "{counts:?}");
+}
+
+/// Guards against prefix affinity that is lost, that survives an eviction or its time, or that
+/// fills the agent.
+#[test_case(0, 0, false, 1_000; "cached")]
+#[test_case(0, 0, true, 0; "evicted")]
+#[test_case(600_000, 0, false, 0; "long ago, eviction lost")]
+#[test_case(0, 4, false, 0; "busy")]
+fn choose_by_prefix(later: u64, running: u32, evicted: bool, expected: u32) {
+    let agents = [agent(0, 0), agent(1, running + 1)];
+    let mut memory = Memory::default();
+    memory.note_cached(&agents[1].id, 7, NOW);
+    if evicted {
+        memory.note_evicted(&agents[1].id, 7);
+    }
+    let counts = counts(&agents, &Need { tokens: Tokens(0), prefix: 7 }, &memory, NOW + Millis(later));
+    assert_eq!(counts[1], expected);
+}
+
+/// Guards against memory that grows with the number of prefixes, and against the loss of recent ones.
+#[test]
+fn memory_keeps_recent_prefixes() {
+    let agents: Vec<_> = (0..50).map(|n| agent(n, 0)).collect();
+    let mut memory = Memory::default();
+    for prefix in 1..=20_000 {
+        memory.note_cached(&agents[9].id, prefix, NOW);
+    }
+    let chosen = |prefix| counts(&agents, &Need { tokens: Tokens(0), prefix }, &memory, NOW)[9];
+    assert_eq!(chosen(20_000), 1_000);
+    assert!(chosen(1) < 100);
+}
+
+/// Routers that choose among agents whose load they learn with a lag.
+struct Pool {
+    /// Mean time that a request runs.
+    service: u64,
+    agents: usize,
+    routers: usize,
+    /// End times of the requests that run at each agent, with the router of each.
+    running: Vec<Vec<(u64, usize)>>,
+    /// What each router last heard from each agent.
+    heard: Vec<Vec<u32>>,
+}
+
+const TICKS: u64 = 6_000;
+const BEAT_TICKS: u64 = 200;
+const LIMIT: u32 = 20;
+/// Agent that has just joined and looks idle.
+const IDLE: usize = 0;
+
+impl Pool {
+    /// Runs the pool at two thirds of its capacity; returns the peak of the agent that looks idle
+    /// within one heartbeat, and the 99th percentile of running requests of all agents afterwards.
+    fn run(service: u64, mut choose: impl FnMut(&[AgentView], &mut ChaCha8Rng) -> usize) -> (usize, usize) {
+        let (agents, routers) = (20, 40);
+        let running = vec![Vec::new(); agents];
+        let mut pool = Self { service, agents, routers, running, heard: vec![vec![13; agents]; routers] };
+        let mut rng = rng();
+        for agent in 1..pool.agents {
+            pool.running[agent] = (0..13).map(|n| (n * service / 13, pool.routers)).collect();
+        }
+        for router in &mut pool.heard {
+            router[IDLE] = 0;
+        }
+        let (mut peak, mut samples) = (0, Vec::new());
+        for tick in 0..TICKS {
+            pool.step(tick, &mut choose, &mut rng);
+            if tick < BEAT_TICKS {
+                peak = peak.max(pool.running[IDLE].len());
+            } else {
+                samples.extend(pool.running.iter().map(Vec::len));
+            }
+        }
+        samples.sort_unstable();
+        (peak, samples[samples.len() * 99 / 100])
+    }
+
+    fn step(
+        &mut self,
+        tick: u64,
+        choose: &mut impl FnMut(&[AgentView], &mut ChaCha8Rng) -> usize,
+        rng: &mut ChaCha8Rng,
+    ) {
+        for (agent, running) in self.running.iter_mut().enumerate() {
+            running.retain(|(end, _)| *end > tick);
+            for router in 0..self.routers {
+                if tick > 0 && (tick + (router * 7 + agent * 13) as u64).is_multiple_of(BEAT_TICKS) {
+                    self.heard[router][agent] = running.len() as u32;
+                }
+            }
+        }
+        for router in 0..self.routers {
+            // Arrivals that keep 13 requests running at each agent.
+            let arrives = rng.random_ratio(13 * self.agents as u32, self.service as u32 * self.routers as u32);
+            if !arrives {
+                continue;
+            }
+            let views = self.views(router);
+            let chosen = choose(&views, rng);
+            let service = rng.random_range(self.service / 2..=self.service * 3 / 2);
+            self.running[chosen].push((tick + service, router));
+        }
+    }
+
+    fn views(&self, router: usize) -> Vec<AgentView> {
+        let views = (0..self.agents).map(|n| {
+            let mut view = agent(n, self.heard[router][n]);
+            view.load.limit = LIMIT;
+            view.outstanding = self.running[n].iter().filter(|(_, from)| *from == router).count() as u32;
+            view
+        });
+        views.collect()
+    }
+}
+
+/// Guards against herding: many routers with lagging load reports must not fill an agent that looks
+/// idle, and must still balance better than chance.
+#[test_case(100; "requests shorter than the lag")]
+#[test_case(300; "requests longer than the lag")]
+fn choose_without_herding(service: u64) {
+    let ours = Pool::run(service, |agents, rng| choose(agents, rng).unwrap());
+    let least = Pool::run(service, |agents, rng| {
+        let work = |a: &AgentView| a.outstanding + a.load.running;
+        let least = agents.iter().map(work).min().unwrap();
+        let ties: Vec<_> = (0..agents.len()).filter(|&n| work(&agents[n]) == least).collect();
+        ties[rng.random_range(0..ties.len())]
+    });
+    let random = Pool::run(service, |agents, rng| rng.random_range(0..agents.len()));
+    println!("seed {SEED}: (peak of the idle agent, p99) ours {ours:?}, least loaded {least:?}, random {random:?}");
+    assert!(ours.0 <= LIMIT as usize * 3 / 2, "peak {}", ours.0);
+    assert!(ours.0 * 2 < least.0, "peak {} against {}", ours.0, least.0);
+    assert!(ours.1 < least.1, "p99 {} against {}", ours.1, least.1);
+    assert!(ours.1 < random.1, "p99 {} against {}", ours.1, random.1);
+}
--- a/crates/daemon/src/filter/choose.rs
+++ b/crates/daemon/src/filter/choose.rs
@@ -4,7 +4,7 @@
     hash::stable_hash,
     id::{ClassName, DomainId, HostId, ModelName, RequestId, ServiceName, VersionName},
     refusal::Reason,
-    route,
+    route::{self, Need},
     unit::Cost,
 };
 use eelgrasswell_manifest::config::{Config, Weighted};
@@ -148,7 +148,12 @@
             && has_version(&view.loaded, choice)
     });
     let views: Vec<_> = candidates.iter().map(|candidate| candidate.view.clone()).collect();
-    let chosen = route::choose(&views, &mut rand::rng())?;
+    let need = match &call.target {
+        Target::Model(target) => Need { tokens: target.prompt + target.max_output, prefix: target.prefix },
+        Target::Plain(_) => Need::default(),
+    };
+    let now = chain.router.clock.now();
+    let chosen = route::choose_for(&views, &need, &chain.memory(), now, &mut rand::rng())?;
     Some(candidates.swap_remove(chosen))
 }
 
--- a/crates/daemon/src/filter/execute.rs
+++ b/crates/daemon/src/filter/execute.rs
@@ -1,9 +1,6 @@
 //! Runs a request on an agent, and elsewhere only when that can do no harm.
 
-use std::{
-    sync::{Arc, PoisonError},
-    time::Duration,
-};
+use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use eelgrasswell_core::{
@@ -88,7 +85,7 @@
     held: Held,
     claim: Option<Box<Claim>>,
 ) -> Result<Run, Failure> {
-    chain.retries.lock().unwrap_or_else(PoisonError::into_inner).note_request();
+    chain.retries().note_request();
     let mut execution = Execution {
         chain,
         call,
@@ -289,6 +286,9 @@
     fn answered(&mut self, agent: Candidate, request_id: RequestId, begun: Begun) -> Run {
         let Begun { head, body, finished, events, first_token, outstanding } = begun;
         let choice = self.choice().clone();
+        if let Target::Model(target) = &self.call.target {
+            self.chain.memory().note_cached(&agent.view.id, target.prefix, self.chain.router.clock.now());
+        }
         let session = match &self.call.session {
             SessionWish::None => None,
             SessionWish::New => self.chain.router.sessions.issue(&self.call.customer, &choice.model, &choice.version),
@@ -321,8 +321,9 @@
     ) -> Result<(), Failure> {
         let reason = refusal.reason;
         let failure = Failure::from(refusal).at(id);
+        self.chain.memory().note_refusal(&agent.view.id, self.chain.router.clock.now());
         self.tried.push(agent.view.id.clone());
-        let again = goes_elsewhere(reason) && self.take_retry(reason);
+        let again = goes_elsewhere(reason) && self.chain.take_retry(reason);
         if let Some(claim) = self.claim.take() {
             self.reclaim(claim, sent, again, failure).await?;
             return Ok(());
@@ -412,7 +413,7 @@
         }
         self.may_have_run = true;
         let failure = Failure::unknown(reason, message).at(id);
-        if reason == Reason::Deadline || !self.take_retry(reason) {
+        if reason == Reason::Deadline || !self.chain.take_retry(reason) {
             return Err(failure);
         }
         self.tried.push(agent.view.id.clone());
@@ -444,15 +445,6 @@
         Ok(())
     }
 
-    fn take_retry(&self, reason: Reason) -> bool {
-        let now = self.chain.router.clock.now();
-        let taken = self.chain.retries.lock().unwrap_or_else(PoisonError::into_inner).take(now);
-        if taken {
-            metrics::counter!(telemetry::RETRIES, "reason" => reason.as_str()).increment(1);
-        }
-        taken
-    }
-
     /// Settles the budget of a request that ends without an answer, and corrects the outcome when an
     /// earlier attempt may have run.
     fn close(&mut self, mut failure: Failure) -> Failure {
--- a/crates/daemon/src/filter/mod.rs
+++ b/crates/daemon/src/filter/mod.rs
@@ -13,10 +13,10 @@
 pub mod parse;
 pub mod session;
 
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use bytes::Bytes;
-use eelgrasswell_core::retry::RetryBudget;
+use eelgrasswell_core::{refusal::Reason, retry::RetryBudget, route};
 use eyre::Result;
 use http_body_util::combinators::UnsyncBoxBody;
 use hyper::{Request, Response, body::Incoming};
@@ -29,10 +29,13 @@
     failure::Failure,
     parse::Parsed,
 };
-use crate::{router::Router, shutdown::Shutdown};
+use crate::{router::Router, shutdown::Shutdown, telemetry};
 
 pub use self::endpoint::run;
 
+/// Retries that the retry budget has denied, by `reason`.
+const RETRIES_DENIED: &str = "eelgrasswell_retries_denied_total";
+
 /// Body of an answer to a caller.
 type Body = UnsyncBoxBody<Bytes, eyre::Report>;
 
@@ -49,13 +52,14 @@
     router: Router,
     backends: Arc<dyn Backends>,
     retries: Arc<Mutex<RetryBudget>>,
+    memory: Arc<Mutex<route::Memory>>,
 }
 
 impl Chain {
-    /// Starts with a fresh retry budget.
+    /// Starts with a fresh retry budget, and without memory of refusals and cached prefixes.
     pub fn new(router: Router, backends: Arc<dyn Backends>) -> Self {
         let retries = RetryBudget::new(router.clock.now());
-        Self { router, backends, retries: Arc::new(Mutex::new(retries)) }
+        Self { router, backends, retries: Arc::new(Mutex::new(retries)), memory: Arc::default() }
     }
 
     /// Answers one request of a caller.
@@ -64,6 +68,23 @@
         self.filter(id, req).await.unwrap_or_else(|failure| failure.into_response(id))
     }
 
+    /// Choice memory. The state stays usable when a holder of the lock has panicked.
+    fn memory(&self) -> MutexGuard<'_, route::Memory> {
+        self.memory.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn retries(&self) -> MutexGuard<'_, RetryBudget> {
+        self.retries.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Takes a retry from the budget; counts it under the reason for it.
+    fn take_retry(&self, reason: Reason) -> bool {
+        let taken = self.retries().take(self.router.clock.now());
+        let name = if taken { telemetry::RETRIES } else { RETRIES_DENIED };
+        metrics::counter!(name, "reason" => reason.as_str()).increment(1);
+        taken
+    }
+
     async fn filter(&self, id: Uuid, req: Request<Incoming>) -> Result<Response<Body>, Failure> {
         let caller = authenticate::check(self, req.headers())?;
         let call = match parse::read(self, id, caller, req).await? {
