--- a/crates/testbed/src/lib.rs
+++ b/crates/testbed/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod fault_link;
 pub mod fleet;
 pub mod http;
+pub mod load;
 pub mod plan;
 pub mod platform;
 pub mod process;
--- /dev/null
+++ b/crates/testbed/src/load/audit.rs
@@ -0,0 +1,165 @@
+//! Compares the callers' records with the backend servers' own records and with the bills.
+
+use std::{
+    collections::{BTreeMap, HashMap, HashSet},
+    time::Duration,
+};
+
+use eyre::Result;
+use tokio::time::{Instant, sleep};
+
+use super::caller::{CallKind, Record, Verdict};
+use crate::fleet::Fleet;
+
+/// Longest time that bills may take to become durable after a run.
+const BILLS_TIMEOUT: Duration = Duration::from_secs(30);
+/// Time between two looks at the bills.
+const POLL: Duration = Duration::from_millis(250);
+
+/// What was found.
+#[derive(Clone, Debug, Default)]
+pub struct Audit {
+    /// Requests by how they ended.
+    pub ends: BTreeMap<&'static str, u64>,
+    /// Requests that reached a backend server.
+    pub runs: usize,
+    /// Bills of all customers.
+    pub bills: usize,
+    /// Attempts beyond the first.
+    pub retries: u64,
+    /// Broken promises, each with the request concerned.
+    pub broken: Vec<String>,
+    /// Requests that ran and have no bill.
+    pub unbilled: Vec<String>,
+    /// Requests whose caller got nothing definite or an unknown outcome.
+    pub unanswered: Vec<String>,
+}
+
+struct Bill {
+    customer: &'static str,
+    cost: u64,
+}
+
+/// Compares `records` with what the backend servers and the ledger hold. `router` is asked for bills.
+pub async fn audit(fleet: &Fleet, router: usize, records: &[Record]) -> Result<Audit> {
+    let mut audit = Audit::default();
+    let mut runs_by_key: HashMap<String, usize> = HashMap::new();
+    let mut ran: HashSet<String> = HashSet::new();
+    for agent in 0..fleet.agents.len() {
+        for run in fleet.runs(agent).await? {
+            audit.runs += 1;
+            ran.insert(run["request_id"].as_str().unwrap_or_default().to_owned());
+            let key = run["idempotency_key"].as_str().unwrap_or_default();
+            if !key.is_empty() {
+                *runs_by_key.entry(key.to_owned()).or_default() += 1;
+            }
+        }
+    }
+    let bills = settled_bills(fleet, router, &ran).await?;
+    audit.bills = bills.values().map(Vec::len).sum();
+    for record in records {
+        audit.count(record);
+        audit.check_answer(record, &bills);
+        audit.check_not_run(record, &ran);
+        if record.kind == CallKind::Booking {
+            audit.check_booking(record, runs_by_key.get(&record.key).copied().unwrap_or(0));
+        }
+    }
+    for (id, bills) in &bills {
+        if bills.len() > 1 {
+            audit.broken.push(format!("{id} is billed {} times", bills.len()));
+        }
+        if !ran.contains(id) {
+            audit.broken.push(format!("{id} is billed but did not run"));
+        }
+    }
+    audit.unbilled = ran.iter().filter(|id| !bills.contains_key(*id)).cloned().collect();
+    Ok(audit)
+}
+
+/// Reads the bills until each run has one or the time is over.
+async fn settled_bills(fleet: &Fleet, router: usize, ran: &HashSet<String>) -> Result<HashMap<String, Vec<Bill>>> {
+    let started = Instant::now();
+    loop {
+        let mut bills: HashMap<String, Vec<Bill>> = HashMap::new();
+        let mut readable = true;
+        for customer in ["savusavu", "labasa"] {
+            let Ok(reply) = fleet.bills(router, customer).await else {
+                readable = false;
+                continue;
+            };
+            for bill in reply["bills"].as_array().into_iter().flatten() {
+                let id = bill["request_id"].as_str().unwrap_or_default().to_owned();
+                let cost = bill["cost_micros"].as_u64().unwrap_or_default();
+                bills.entry(id).or_default().push(Bill { customer, cost });
+            }
+        }
+        let missing = ran.iter().any(|id| !bills.contains_key(id));
+        let late = started.elapsed() > BILLS_TIMEOUT;
+        if late || (readable && !missing) {
+            eyre::ensure!(readable, "could not read the bills within {BILLS_TIMEOUT:?}");
+            return Ok(bills);
+        }
+        sleep(POLL).await;
+    }
+}
+
+impl Audit {
+    fn count(&mut self, record: &Record) {
+        let end = match &record.verdict {
+            Verdict::Right => "right",
+            Verdict::Wrong(_) => "wrong",
+            Verdict::NotRun(_) => "not_run",
+            Verdict::Unknown(_) => "unknown",
+            Verdict::Silence(_) => "silence",
+        };
+        *self.ends.entry(end).or_default() += 1;
+        self.retries += u64::from(record.attempts.saturating_sub(1));
+        if !matches!(record.verdict, Verdict::Right) {
+            self.unanswered.push(format!("{:?} {} {:?}", record.kind, record.key, record.verdict));
+        }
+    }
+
+    fn check_answer(&mut self, record: &Record, bills: &HashMap<String, Vec<Bill>>) {
+        match &record.verdict {
+            Verdict::Wrong(text) => self.broken.push(format!("{} got another answer: {text}", record.answered)),
+            Verdict::Right => match bills.get(&record.answered).map(Vec::as_slice) {
+                // A replayed booking has the id of the attempt that ran, which has its own check.
+                None => self.broken.push(format!("{} was answered and is not billed", record.answered)),
+                Some(bills) => {
+                    let right = bills.iter().all(|bill| {
+                        bill.customer == record.customer && record.cost.is_none_or(|cost| cost == bill.cost)
+                    });
+                    if !right {
+                        self.broken.push(format!("{} is billed to another customer or cost", record.answered));
+                    }
+                }
+            },
+            Verdict::NotRun(_) | Verdict::Unknown(_) | Verdict::Silence(_) => {}
+        }
+    }
+
+    /// A request that ended as not run, with no attempt of unknown end, must not have run.
+    fn check_not_run(&mut self, record: &Record, ran: &HashSet<String>) {
+        if !matches!(record.verdict, Verdict::NotRun(_)) || record.kind == CallKind::Booking {
+            return;
+        }
+        let uuid = |id: &str| id.split('.').next().unwrap_or_default().to_owned();
+        let Some(last) = record.request_ids.last().map(|id| uuid(id)) else { return };
+        if ran.iter().any(|id| uuid(id) == last) {
+            self.broken.push(format!("{last} was refused as not run, and ran"));
+        }
+    }
+
+    fn check_booking(&mut self, record: &Record, runs: usize) {
+        if runs > 1 {
+            self.broken.push(format!("booking {} ran {runs} times", record.key));
+        }
+        match &record.verdict {
+            Verdict::Right if runs != 1 => {
+                self.broken.push(format!("booking {} was answered, {runs} runs", record.key))
+            }
+            _ => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/testbed/src/load/mod.rs
@@ -0,0 +1,7 @@
+//! Seeded callers against a fleet, and the check of what they and the backend servers saw.
+
+mod audit;
+mod caller;
+
+pub use audit::{Audit, audit};
+pub use caller::{CallKind, Load, LoadPlan, Record, Verdict};
