--- a/crates/testbed/src/load/caller.rs
+++ b/crates/testbed/src/load/caller.rs
@@ -92,6 +92,8 @@
     pub cost: Option<u64>,
     /// Attempts at routers.
     pub attempts: u32,
+    /// Whether each attempt was refused as not run.
+    pub always_not_run: bool,
     /// How it ended.
     pub verdict: Verdict,
 }
@@ -183,18 +185,19 @@
             answered: String::new(),
             cost: None,
             attempts: 0,
+            always_not_run: true,
             verdict: Verdict::Silence("not sent".to_owned()),
         };
         let started = Instant::now();
         while started.elapsed() < GIVE_UP {
             record.attempts += 1;
             let router = self.routers[self.rng.random_range(0..self.routers.len())];
-            match self.attempt(&call, router, &mut record).await {
-                Attempt::Done(verdict) => {
-                    record.verdict = verdict;
-                    break;
-                }
-                Attempt::Again(verdict) => record.verdict = verdict,
+            let attempt = self.attempt(&call, router, &mut record).await;
+            let (Attempt::Done(verdict) | Attempt::Again(verdict)) = &attempt;
+            record.always_not_run &= matches!(verdict, Verdict::NotRun(_));
+            record.verdict = verdict.clone();
+            if let Attempt::Done(_) = attempt {
+                break;
             }
             sleep(PAUSE).await;
         }
