--- a/crates/testbed/src/load/audit.rs
+++ b/crates/testbed/src/load/audit.rs
@@ -157,7 +157,10 @@
         }
         match &record.verdict {
             Verdict::Right if runs != 1 => {
-                self.broken.push(format!("booking {} was answered, {runs} runs", record.key))
+                self.broken.push(format!("booking {} was answered, {runs} runs", record.key));
+            }
+            Verdict::NotRun(reason) if record.always_not_run && runs != 0 => {
+                self.broken.push(format!("booking {} was refused as not run ({reason}), {runs} runs", record.key));
             }
             _ => {}
         }
