Keep claims, bills and budgets in leased shards

Each shard has a keeper of its lease and, while owned, a writer that decides on commands in memory and replies once their batch is durable. A batch starts at most every 100 ms; bills wait up to 300 ms for company, since no caller waits for them and each log entry costs a write and a deletion.

A lost answer is settled by reading the entry back and comparing fence and batch id. A write that succeeds only on a repeated attempt is confirmed by the lease, since a successor may have read and deleted the first one.

Ruled out: a look at the lease for each batch (160 reads/s at any size), which kept takeover entries make needless; trusting the owner's clock for the lease, which a suspended process breaks.

An observer starts again after a gap in its sightings, so that an outage of the platform is not followed by takeovers of all leases.

Draws are repeated with their id until they are answered. A draw given up would leak its share, and a return taken back would be spent twice.

Shards::open takes the configuration, for caps and periods. The router hands unspent shares back when it stops.

--- /dev/null
+++ b/crates/daemon/src/controller/budgets/mod.rs
@@ -0,0 +1,203 @@
+//! Shares of the customers' spend caps that this router holds.
+
+mod account;
+
+use std::{
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
+
+use compact_str::CompactString;
+use eelgrasswell_core::{
+    hash::HashMap,
+    id::{CustomerId, HostId, Incarnation},
+    refusal::{Reason, Refusal},
+    unit::{Cost, Millis},
+};
+use futures::future;
+use tokio::{
+    sync::{Notify, watch},
+    time::{Instant, sleep, timeout, timeout_at},
+};
+
+use super::shards::Shards;
+use crate::{clock::Clock, config::ConfigHandle, event};
+
+pub use account::{Account, OpenDraw, Reserve, SHARE_LIFETIME};
+
+/// Longest time that a request waits for a share.
+const WAIT_LIMIT: Duration = Duration::from_secs(2);
+/// Interval at which accounts are looked at for shares to draw or to hand back.
+const UPKEEP_INTERVAL: Duration = Duration::from_secs(5);
+/// Pause after a failed draw.
+const RETRY_PAUSE: Duration = Duration::from_millis(250);
+/// Time after which a refused caller may try again.
+const RETRY_AFTER: Millis = Millis(1_000);
+
+/// Shared handle on the budgets.
+#[derive(Clone)]
+pub struct Budgets {
+    inner: Arc<Inner>,
+}
+
+struct Inner {
+    clock: Clock,
+    config: ConfigHandle,
+    shards: Shards,
+    purses: Mutex<HashMap<CustomerId, Arc<Purse>>>,
+}
+
+/// An account with the signals around it.
+struct Purse {
+    customer: CustomerId,
+    account: Mutex<Account>,
+    /// Asks for a draw.
+    wake: Notify,
+    /// Counts the answers and failures of draws.
+    rounds: watch::Sender<u64>,
+}
+
+/// Money reserved for one request. Dropping it without `settle` keeps the whole amount as spent,
+/// since the request may have run.
+pub struct Reservation {
+    amount: Cost,
+    /// Account with its period; none when the customer has no budget.
+    from: Option<(Arc<Purse>, CompactString)>,
+}
+
+impl Budgets {
+    /// Starts without shares.
+    pub fn open(_id: HostId, _incarnation: Incarnation, config: ConfigHandle, shards: Shards) -> Self {
+        let inner = Inner { clock: Clock::start(), config, shards, purses: Mutex::default() };
+        Self { inner: Arc::new(inner) }
+    }
+
+    /// Starts drawing shares ahead of need and returning what is not needed.
+    pub fn spawn(&self) {
+        let inner = Arc::clone(&self.inner);
+        tokio::spawn(async move {
+            loop {
+                sleep(UPKEEP_INTERVAL).await;
+                for purse in lock(&inner.purses).values() {
+                    purse.wake.notify_one();
+                }
+            }
+        });
+    }
+
+    /// Reserves the highest cost that a request may have.
+    pub async fn reserve(&self, customer: &CustomerId, amount: Cost) -> Result<Reservation, Refusal> {
+        let until = Instant::now() + WAIT_LIMIT;
+        loop {
+            let config = self.inner.config.current();
+            let budget = config.manifest.customers.get(customer).and_then(|customer| customer.budget.as_ref());
+            let Some(budget) = budget else { return Ok(Reservation { amount, from: None }) };
+            let purse = self.purse(customer);
+            let mut rounds = purse.rounds.subscribe();
+            let (result, low) = {
+                let mut account = lock(&purse.account);
+                account.set_budget(&budget.period, budget.cap);
+                let now = self.inner.clock.now();
+                (account.reserve(amount, now), account.is_low(now))
+            };
+            if low {
+                purse.wake.notify_one();
+            }
+            match result {
+                Reserve::Done => return Ok(Reservation { amount, from: Some((purse, budget.period.clone())) }),
+                Reserve::Exhausted => return Err(Refusal::not_run(Reason::BudgetExhausted)),
+                Reserve::Unavailable => return Err(unavailable()),
+                Reserve::Draw => {}
+            }
+            if timeout_at(until, rounds.changed()).await.is_err() {
+                return Err(unavailable());
+            }
+        }
+    }
+
+    /// Hands all unspent shares back for a graceful shutdown, within `limit`.
+    pub async fn release(&self, limit: Millis) {
+        let purses: Vec<_> = lock(&self.inner.purses).values().cloned().collect();
+        let returns = purses.iter().map(|purse| self.inner.give_back(purse));
+        if timeout(limit.into(), future::join_all(returns)).await.is_err() {
+            event!(Warn, "shares_not_returned", limit = limit);
+        }
+    }
+
+    fn purse(&self, customer: &CustomerId) -> Arc<Purse> {
+        let mut purses = lock(&self.inner.purses);
+        if let Some(purse) = purses.get(customer) {
+            return Arc::clone(purse);
+        }
+        let purse = Arc::new(Purse {
+            customer: customer.clone(),
+            account: Mutex::default(),
+            wake: Notify::new(),
+            rounds: watch::Sender::new(0),
+        });
+        purses.insert(customer.clone(), Arc::clone(&purse));
+        tokio::spawn(keep_filled(Arc::clone(&self.inner), Arc::clone(&purse)));
+        purse
+    }
+}
+
+impl Inner {
+    /// Sends a draw and takes in its answer; false when the owner did not answer.
+    async fn send(&self, purse: &Purse, draw: &OpenDraw) -> bool {
+        let OpenDraw { id, period, amount, returned, .. } = draw;
+        let grant = self.shards.draw_as(id, &purse.customer, period, *amount, *returned).await;
+        {
+            let mut account = lock(&purse.account);
+            match &grant {
+                Some(grant) => account.granted(draw, grant.granted, self.clock.now()),
+                None => account.failed(draw),
+            }
+        }
+        purse.rounds.send_modify(|rounds| *rounds += 1);
+        grant.is_some()
+    }
+
+    async fn give_back(&self, purse: &Purse) {
+        loop {
+            let draw = lock(&purse.account).give_back(|| self.shards.draw_id(), self.clock.now());
+            let Some(draw) = draw else { return };
+            if !self.send(purse, &draw).await {
+                sleep(RETRY_PAUSE).await;
+            }
+        }
+    }
+}
+
+/// Makes the draws of one customer, one at a time.
+async fn keep_filled(inner: Arc<Inner>, purse: Arc<Purse>) {
+    loop {
+        purse.wake.notified().await;
+        loop {
+            let draw = lock(&purse.account).next_draw(|| inner.shards.draw_id(), inner.clock.now());
+            let Some(draw) = draw else { break };
+            if !inner.send(&purse, &draw).await {
+                sleep(RETRY_PAUSE).await;
+            } else if draw.amount > Cost::ZERO {
+                // Waiting requests take their part before the account is looked at again.
+                break;
+            }
+        }
+    }
+}
+
+impl Reservation {
+    /// Gives back what was not spent.
+    pub fn settle(self, spent: Cost) {
+        if let Some((purse, period)) = &self.from {
+            lock(&purse.account).settle(period, self.amount, spent);
+        }
+    }
+}
+
+fn unavailable() -> Refusal {
+    Refusal::not_run(Reason::BudgetUnavailable).retry_after(RETRY_AFTER)
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/crates/daemon/src/controller/shards/convert.rs
@@ -0,0 +1,85 @@
+//! Conversions between messages and the types of core.
+
+use eelgrasswell_core::{
+    claim::{Answer, Attempt, ClaimAsk, ClaimDecision, ClaimKey, Fingerprint},
+    id::{Fence, Incarnation},
+    ledger::Bill,
+    unit::{Cost, Tokens},
+};
+use eelgrasswell_proto::v1::{self, BillRecord, claim_reply};
+
+/// Time after which a caller may try again when nothing can be made durable, in milliseconds.
+const RETRY_AFTER_MS: u64 = 1_000;
+
+/// A request for a claim; none when its digest has the wrong length.
+pub fn claim_ask(req: &v1::ClaimRequest) -> Option<ClaimAsk> {
+    let digest: &[u8; 32] = (&*req.digest).try_into().ok()?;
+    Some(ClaimAsk {
+        key: ClaimKey::new(&req.customer.as_str().into(), &req.key),
+        digest: Fingerprint::new(digest),
+        attempt: Attempt {
+            request: req.request_id.as_str().into(),
+            agent: req.agent.as_str().into(),
+            agent_incarnation: Incarnation(req.agent_incarnation),
+        },
+        barred: (!req.barred_request_id.is_empty()).then(|| req.barred_request_id.as_str().into()),
+    })
+}
+
+/// The answer to a claim; `fence` is that of the owner.
+pub fn claim_reply(decision: ClaimDecision, fence: Fence) -> v1::ClaimReply {
+    let result = match decision {
+        ClaimDecision::Grant(_) => claim_reply::Result::Granted(v1::ClaimGranted { fence: fence.0 }),
+        ClaimDecision::Repeat(fence) => claim_reply::Result::Granted(v1::ClaimGranted { fence: fence.0 }),
+        ClaimDecision::Pending(attempt) => claim_reply::Result::Pending(v1::ClaimPending {
+            request_id: attempt.request.to_string(),
+            agent: attempt.agent.to_string(),
+            agent_incarnation: attempt.agent_incarnation.0,
+        }),
+        ClaimDecision::Done(request, Answer { status, body }) => claim_reply::Result::Done(v1::ClaimDone {
+            request_id: request.to_string(),
+            status: status.into(),
+            body_kept: body.is_some(),
+            body: body.map(|body| body.0.into()).unwrap_or_default(),
+        }),
+        ClaimDecision::KeyReused => claim_reply::Result::KeyReused(v1::ClaimKeyReused {}),
+        ClaimDecision::Full => return unavailable_claim(),
+    };
+    v1::ClaimReply { result: Some(result) }
+}
+
+/// The answer to a claim that cannot be made durable.
+pub fn unavailable_claim() -> v1::ClaimReply {
+    let unavailable = v1::ShardUnavailable { retry_after_ms: RETRY_AFTER_MS };
+    v1::ClaimReply { result: Some(claim_reply::Result::Unavailable(unavailable)) }
+}
+
+/// A bill from its message.
+pub fn bill(record: &BillRecord) -> Bill {
+    Bill {
+        request: record.request_id.as_str().into(),
+        customer: record.customer.as_str().into(),
+        model: record.model.as_str().into(),
+        version: record.version.as_str().into(),
+        service: record.service.as_str().into(),
+        prompt_tokens: Tokens(record.prompt_tokens),
+        output_tokens: Tokens(record.output_tokens),
+        cost: Cost(record.cost_micros),
+        router: Incarnation(record.router_incarnation),
+    }
+}
+
+/// A bill as a message.
+pub fn bill_record(bill: &Bill) -> BillRecord {
+    BillRecord {
+        request_id: bill.request.to_string(),
+        customer: bill.customer.to_string(),
+        model: bill.model.to_string(),
+        version: bill.version.to_string(),
+        service: bill.service.to_string(),
+        prompt_tokens: bill.prompt_tokens.0,
+        output_tokens: bill.output_tokens.0,
+        cost_micros: bill.cost.0,
+        router_incarnation: bill.router.0,
+    }
+}
--- a/crates/daemon/src/router.rs
+++ b/crates/daemon/src/router.rs
@@ -69,7 +69,8 @@
         let config = ConfigHandle::open(clock);
         let platform = Platform::open(settings.platform);
         let members = Members::open(Arc::clone(&settings), incarnation, clock, present.clone());
-        let shards = Shards::open(Arc::clone(&settings), incarnation, clock, platform.clone(), members.clone());
+        let shards =
+            Shards::open(Arc::clone(&settings), incarnation, clock, platform.clone(), members.clone(), config.clone());
         let bills = Bills::open(shards.clone());
         let links =
             Links::open(Arc::clone(&settings), incarnation, clock, config.clone(), members.clone(), bills.clone());
@@ -118,6 +119,7 @@
         self.members.announce_leaving();
         callers.await.wrap_err("could not finish the callers' endpoint")??;
         self.bills.flush(self.settings.host.drain).await;
+        self.budgets.release(self.settings.host.drain).await;
         self.shards.release(self.settings.host.drain).await;
         operators.abort();
         event!(Info, "router_stopped", id = self.settings.host.id);
--- a/crates/daemon/src/telemetry.rs
+++ b/crates/daemon/src/telemetry.rs
@@ -13,6 +13,8 @@
 pub const ANSWERS: &str = "eelgrasswell_answers_total";
 /// Calls to the platform, by `kind` and `result`.
 pub const PLATFORM_CALLS: &str = "eelgrasswell_platform_calls_total";
+/// Spend warnings given, by `customer` and `percent` of the cap.
+pub const BUDGET_WARNINGS: &str = "eelgrasswell_budget_warnings_total";
 
 /// Installs the recorder for the process.
 pub fn install() -> Result<PrometheusHandle> {
