--- a/crates/testbed/src/fleet.rs
+++ b/crates/testbed/src/fleet.rs
@@ -304,6 +304,27 @@
         Ok(())
     }
 
+    /// Waits until all started routers have a link to the agent in its present incarnation.
+    pub async fn linked(&self, agent: usize) -> Result<()> {
+        let id = self.agents[agent].id.as_str();
+        self.until("the agent answers", async |fleet| {
+            let reply = fleet.http.get(fleet.agents[agent].operators, "/readyz").await;
+            reply.is_ok_and(|reply| reply.status == StatusCode::OK)
+        })
+        .await?;
+        for router in (0..self.routers.len()).filter(|&router| self.routers[router].process.is_some()) {
+            self.until("the agent is linked", async |fleet| {
+                let status = fleet.get_operators(router, "/v1/status").await.and_then(|reply| reply.json());
+                status.is_ok_and(|status| {
+                    let links = status["links"].as_array().into_iter().flatten();
+                    links.into_iter().any(|link| link["id"] == id || link["agent"] == id || link["host"] == id)
+                })
+            })
+            .await?;
+        }
+        Ok(())
+    }
+
     /// Polls until `holds` is true; `what` names the condition in the error.
     pub async fn until(&self, what: &str, holds: impl AsyncFn(&Self) -> bool) -> Result<()> {
         let start = Instant::now();
