Bound the memory of held answers and test links, orders and cold starts

Readers that stall used up the whole bound, and new requests of all customers were refused. A quarter of the total is now reserved for new answers and for those without unread bytes: with 1,000 stalled readers a reader that keeps up is never held up, and the total stays within its bound.

A cold start ended too early when a slow request ended in an interval of its own: its last tokens had no sample, so the interval looked clean. A request with any slow sample no longer counts as a success.

The kernel took in megabytes from an engine whose reader had stalled; the receive buffer is now 64 KB.

An ended request frees its id only after its answer has its end, since the same id may come again at once.

--- a/crates/core/src/admission.rs
+++ b/crates/core/src/admission.rs
@@ -129,6 +129,8 @@
     since: Millis,
     /// Most running requests since the last sample of this one.
     peak: u32,
+    /// Whether any sample of it was slow.
+    slow: bool,
 }
 
 #[derive(Clone, Debug)]
@@ -212,7 +214,7 @@
         self.tokens_held += job.tokens;
         let peak = self.running.len() as u32 + 1;
         self.running.values_mut().for_each(|run| run.peak = run.peak.max(peak));
-        self.running.insert(ticket, Running { job, since: now, peak });
+        self.running.insert(ticket, Running { job, since: now, peak, slow: false });
         Some(Verdict::Run(ticket))
     }
 
@@ -235,6 +237,8 @@
         }
         if let Some(ramp) = &mut self.ramp {
             match ending {
+                // Its last tokens may have no sample, and its end falls into a later interval.
+                Ending::Success if run.slow => ramp.slow += 1,
                 Ending::Success => ramp.successes += 1,
                 Ending::Failure => ramp.failures += 1,
                 Ending::Cut => {}
@@ -252,6 +256,7 @@
         run.peak = running;
         let speed = &mut self.speeds[sample as usize];
         let slow = speed.observe(level, micros);
+        run.slow |= slow;
         let needed = if sample == Sample::Token { SLOW_TOKENS } else { SLOW_CALLS };
         let confirmed = speed.slow_in_a_row >= needed;
         match &mut self.ramp {
@@ -278,11 +283,6 @@
         self.speeds.iter_mut().for_each(|speed| speed.slow_in_a_row = 0);
     }
 
-    /// Time at which `poll` may have a verdict although nothing else has happened.
-    pub fn next_change(&self) -> Option<Millis> {
-        self.ramp.filter(|_| self.queue.len() > 0).map(|ramp| ramp.since + self.limits.warm_interval)
-    }
-
     /// Most requests that may run now.
     pub fn limit(&self) -> u32 {
         self.ramp.map_or(self.limits.max_running, |ramp| ramp.limit)
--- a/crates/daemon/src/agent/answers.rs
+++ b/crates/daemon/src/agent/answers.rs
@@ -3,7 +3,8 @@
 //! Bytes that no reader has taken yet hold up the engine when a bound is reached. Bytes that were
 //! read, and finished answers, are held only as long as there is room. An answer without unread
 //! bytes may always take one more piece, so that slow readers never hold up a reader that keeps
-//! up; the total therefore exceeds its bound by at most one piece for each running request.
+//! up. A quarter of the total is reserved for such pieces and for new answers; it covers one piece
+//! for each of 256 running requests at the default limits.
 
 use std::{
     collections::BTreeMap,
@@ -36,6 +37,8 @@
 
 /// Largest piece that is stored or sent at a time.
 pub const PIECE: usize = 16 << 10;
+/// Part of the total that is reserved for answers without unread bytes.
+const RESERVE: u64 = 4;
 /// Memory of an answer besides its body.
 const OVERHEAD: u64 = 512;
 /// Time between two events while the answer makes no bytes; readers count three misses as silence.
@@ -149,7 +152,9 @@
     ) -> Result<(Answer, Reader), Refusal> {
         let now = self.clock.now();
         let mut table = self.lock();
-        if !table.make_room(&self.limits, customer, OVERHEAD, now) {
+        if !table.make_room(&self.limits, customer, OVERHEAD, now)
+            && !table.usage.fits_reserve(&self.limits, customer, OVERHEAD)
+        {
             return Err(Refusal::not_run(Reason::SlowReader));
         }
         table.remove(id);
@@ -466,10 +471,10 @@
 }
 
 impl Table {
-    /// Whether `size` more bytes fit the bounds, after dropping what may be dropped.
+    /// Whether `size` more bytes fit the bounds without the reserve, after dropping what may be dropped.
     fn make_room(&mut self, limits: &AnswerLimits, customer: &CustomerId, size: u64, now: Millis) -> bool {
         loop {
-            let total_fits = self.usage.total + size <= limits.total.0;
+            let total_fits = self.usage.total + size <= limits.total.0 - limits.total.0 / RESERVE;
             let customer_fits = self.usage.of(customer) + size <= limits.per_customer.0;
             if total_fits && customer_fits {
                 return true;
@@ -520,6 +525,11 @@
 }
 
 impl Usage {
+    /// Whether `size` more bytes fit when the reserve is used.
+    fn fits_reserve(&self, limits: &AnswerLimits, customer: &CustomerId, size: u64) -> bool {
+        self.total + size <= limits.total.0 && self.of(customer) + size <= limits.per_customer.0
+    }
+
     fn of(&self, customer: &CustomerId) -> u64 {
         self.per_customer.get(customer).copied().unwrap_or_default()
     }
--- a/crates/daemon/src/agent/backend.rs
+++ b/crates/daemon/src/agent/backend.rs
@@ -24,6 +24,9 @@
 /// Idle connections are closed before common servers close them, because a request on a connection
 /// that the server is closing fails with an unknown outcome.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(4);
+/// Bytes of an unread answer that the kernel takes from the backend server. By itself it takes
+/// several megabytes for each connection, so that an engine would run far ahead of a slow reader.
+const RECV_BUFFER: usize = 64 << 10;
 /// Largest answer to a control call.
 const MAX_CONTROL_BODY: usize = 64 << 10;
 
@@ -58,8 +61,6 @@
 pub struct EngineLoad {
     /// Changes when the engine restarts.
     pub start_id: u64,
-    /// Running requests.
-    pub running: u32,
     /// Whether the engine says that it is cold.
     pub cold: bool,
 }
@@ -92,6 +93,7 @@
         let mut connector = HttpConnector::new();
         connector.set_nodelay(true);
         connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
+        connector.set_recv_buffer_size(Some(RECV_BUFFER));
         let client = Client::builder(TokioExecutor::new())
             .pool_idle_timeout(IDLE_TIMEOUT)
             .pool_timer(TokioTimer::new())
--- a/crates/daemon/src/agent/mod.rs
+++ b/crates/daemon/src/agent/mod.rs
@@ -42,6 +42,9 @@
 
 /// Largest message that the inner endpoint takes: the largest request body plus its headers.
 const MAX_MESSAGE: usize = 8 << 20;
+/// Time between pings and for their answers; a connection that goes silent must not hold its
+/// readers' answers for longer than twice this.
+const KEEPALIVE: Duration = Duration::from_secs(5);
 /// Time for the last events of finished streams to leave the process.
 const FLUSH: Duration = Duration::from_secs(2);
 
@@ -114,6 +117,8 @@
             .max_encoding_message_size(MAX_MESSAGE);
         let mut closing = self.closing.subscribe();
         let server = Server::builder()
+            .http2_keepalive_interval(Some(KEEPALIVE))
+            .http2_keepalive_timeout(Some(KEEPALIVE))
             .add_service(InterceptedService::new(service, Require::new(self.secret.clone())))
             .serve_with_incoming_shutdown(TcpIncoming::from(inner).with_nodelay(Some(true)), async move {
                 let _ = closing.wait_for(|closing| *closing).await;
@@ -152,10 +157,11 @@
         self.bills.hurry();
         let id = &self.settings.host.id;
         event!(Info, "agent_leaving", id = id, running = self.answers.unfinished());
-        let idle = timeout(limit, self.answers.idle()).await.is_ok();
-        invariant::check(Promise::Graceful, idle, || {
-            format!("{} requests still run after {} ms", self.answers.unfinished(), limit.as_millis())
-        });
+        if timeout(limit, self.answers.idle()).await.is_err() {
+            event!(Warn, "readers_left", id = id, after_ms = limit.as_millis());
+        }
+        let cut = self.answers.unfinished();
+        invariant::check(Promise::Graceful, cut == 0, || format!("{cut} requests cut after {} ms", limit.as_millis()));
         if timeout(limit, self.bills.settled_all()).await.is_err() {
             event!(Error, "bills_not_handed_over", id = id, bills = self.bills.len());
         }
--- a/crates/daemon/src/agent/operators.rs
+++ b/crates/daemon/src/agent/operators.rs
@@ -12,6 +12,16 @@
 use super::Agent;
 use crate::event;
 
+/// Requests that run at the backend server.
+const RUNNING: &str = "eelgrasswell_agent_running";
+/// Requests that wait for their turn.
+const QUEUED: &str = "eelgrasswell_agent_queued";
+/// Most requests that may run now.
+const LIMIT: &str = "eelgrasswell_agent_limit";
+/// Bytes of answers in memory.
+const HELD_BYTES: &str = "eelgrasswell_agent_held_bytes";
+/// Bill records that no router has reported as durable.
+const UNSETTLED_BILLS: &str = "eelgrasswell_agent_unsettled_bills";
 /// Time for a client to send its headers.
 const HEADER_TIMEOUT: Duration = Duration::from_secs(5);
 
@@ -50,11 +60,22 @@
             text(StatusCode::SERVICE_UNAVAILABLE, "no configuration\n")
         }
         "/readyz" => text(StatusCode::OK, "ready\n"),
-        "/metrics" => text(StatusCode::OK, agent.metrics.render()),
+        "/metrics" => text(StatusCode::OK, render(agent)),
         _ => text(StatusCode::NOT_FOUND, "not found\n"),
     }
 }
 
+/// Metrics with the present values of the gauges.
+fn render(agent: &Agent) -> String {
+    let load = agent.gate.report();
+    metrics::gauge!(RUNNING).set(load.running);
+    metrics::gauge!(QUEUED).set(load.queued);
+    metrics::gauge!(LIMIT).set(load.limit);
+    metrics::gauge!(HELD_BYTES).set(agent.answers.held() as f64);
+    metrics::gauge!(UNSETTLED_BILLS).set(agent.bills.len() as f64);
+    agent.metrics.render()
+}
+
 fn text(status: StatusCode, body: impl Into<Bytes>) -> Response<Full<Bytes>> {
     let response = Response::builder().status(status).header("content-type", "text/plain; charset=utf-8");
     response.body(Full::new(body.into())).expect("status and content type are valid")
--- a/crates/daemon/src/agent/run.rs
+++ b/crates/daemon/src/agent/run.rs
@@ -84,9 +84,10 @@
 }
 
 fn refuse(agent: &Agent, id: &RequestId, answer: Answer, refusal: &Refusal) {
-    agent.fences.release(id);
     note_refusal(id.as_str(), refusal);
     answer.end(answers::refused(refusal, agent.config.revision().0));
+    // Last, because the id may come again from now on.
+    agent.fences.release(id);
 }
 
 async fn until(agent: &Agent, deadline: Option<Millis>) {
@@ -237,10 +238,10 @@
         let bill = self.bill(status < 500);
         let length = self.answer.length();
         self.agent.bills.record(&bill);
-        self.agent.fences.end(id);
         let kind = if self.is_model() { "model" } else { "service" };
         metrics::counter!(telemetry::ANSWERS, "kind" => kind).increment(1);
         self.answer.end(Event::Finished(Finished { bill: Some(bill), length }));
+        self.agent.fences.end(id);
     }
 
     fn fail(self, id: &RequestId, reason: Reason) {
@@ -250,11 +251,11 @@
         if let Some(bill) = &bill {
             self.agent.bills.record(bill);
         }
-        self.agent.fences.end(id);
         event!(Info, "request_failed", request_id = id, reason = reason);
         let labels = [("reason", reason.to_string()), ("outcome", Outcome::Unknown.to_string())];
         metrics::counter!(telemetry::REFUSALS, &labels).increment(1);
         self.answer.end(Event::Failed(Failed { reason: reason.to_string(), bill }));
+        self.agent.fences.end(id);
     }
 
     /// The record of this request; `charged` tells whether this attempt costs anything.
--- /dev/null
+++ b/crates/daemon/tests/agent/link.rs
@@ -0,0 +1,163 @@
+//! Heartbeats, bills that no router settles, orders and cold starts.
+
+use eelgrasswell_proto::v1::{OrderReply, OrderRequest, order_request::Action};
+use eelgrasswell_testbed::engine::FaultsUpdate;
+use test_case::test_case;
+
+use crate::rig::{Rig, changed, config, eventually, model_request, page};
+
+const MODELS: &str = "loan-models";
+
+/// Guards against a bill that is lost with its router, and against one that is offered for ever.
+#[tokio::test]
+async fn bill_unsettled_goes_to_another_router() {
+    let (rig, mut first) = Rig::configured(MODELS, "", &config(1)).await;
+    let mut second = rig.link(&config(1)).await;
+    let bill = rig.run(model_request("r1", false, 4)).await.bill().clone();
+    rig.run(model_request("r2", false, 4)).await.finished();
+    first.settle(&["r2"]).await;
+    let offered = tokio::select! {
+        beat = first.until(|beat| !beat.unsettled.is_empty()) => beat,
+        beat = second.until(|beat| !beat.unsettled.is_empty()) => beat,
+    };
+    assert_eq!(offered.unsettled, [bill]);
+    second.settle(&["r1"]).await;
+    second.until(|_| true).await;
+    let (_, metrics) = page(rig.operators, "/metrics").await;
+    assert!(metrics.contains("eelgrasswell_agent_unsettled_bills 0"), "{metrics}");
+}
+
+/// Guards against a router that learns of no change between its own heartbeats.
+#[tokio::test]
+async fn beat_without_router_beat_comes_by_itself() {
+    let (_rig, mut link) = Rig::configured(MODELS, "", &config(1)).await;
+    let beat = link.until(|_| true).await;
+    assert_eq!((beat.agent.as_str(), beat.domain.as_str(), beat.service.as_str()), ("worker-1", "nadi", MODELS));
+    assert_eq!((beat.revision, beat.loaded.len()), (1, 2));
+}
+
+/// Guards against a link that stays open after its router has gone silent.
+#[tokio::test]
+async fn link_silent_is_closed() {
+    let (_rig, mut link) = Rig::configured(MODELS, "", &config(1)).await;
+    while link.beats.message().await.unwrap().is_some() {}
+}
+
+/// Guards against an older configuration that replaces a newer one.
+#[tokio::test]
+async fn beat_with_older_config_changes_nothing() {
+    let (rig, mut link) = Rig::configured(MODELS, "", &config(5)).await;
+    link.tx.send(crate::rig::beat(Some(&config(4)), &[])).await.unwrap();
+    assert_eq!(link.until(|_| true).await.revision, 5);
+    rig.run(model_request("r1", false, 1)).await.finished();
+}
+
+async fn order(rig: &Rig, action: Action, version: &str, fence: u64) -> OrderReply {
+    let mut order =
+        OrderRequest { model: "loan-desk".to_owned(), version: version.to_owned(), fence, ..OrderRequest::default() };
+    order.set_action(action);
+    rig.client.clone().order(order).await.unwrap().into_inner()
+}
+
+/// Guards against orders of a replaced controller, at engines that check fences and at those that
+/// do not.
+#[test_case(false ; "engine checks fences")]
+#[test_case(true ; "engine ignores fences")]
+#[tokio::test]
+async fn order_with_old_fence_is_refused(ignore_fences: bool) {
+    let (rig, mut link) = Rig::configured(MODELS, "", &config(1)).await;
+    rig.engine.fault(&FaultsUpdate { ignore_fences: Some(ignore_fences), ..FaultsUpdate::default() }).await;
+    assert!(order(&rig, Action::Load, "v3", 5).await.accepted);
+    link.until(|beat| beat.loaded.iter().any(|loaded| loaded.version == "v3")).await;
+    let refused = order(&rig, Action::Unload, "v1", 4).await;
+    assert_eq!((refused.accepted, refused.fence), (false, 5));
+    rig.run(model_request("r1", false, 1)).await.finished();
+    assert!(order(&rig, Action::Unload, "v1", 6).await.accepted);
+    assert_eq!(rig.run(model_request("r2", false, 1)).await.refusal(), ("not_loaded", true));
+}
+
+/// Guards against a fence that only the engine knows, for example from before the agent restarted.
+#[tokio::test]
+async fn order_refused_by_engine_is_reported() {
+    let (rig, _link) = Rig::configured(MODELS, "", &config(1)).await;
+    assert!(order(&rig, Action::Load, "v3", 5).await.accepted);
+    let restarted = crate::rig::Rig::beside(&rig).await;
+    assert!(!order(&restarted, Action::Unload, "v3", 4).await.accepted);
+}
+
+fn announced() -> FaultsUpdate {
+    FaultsUpdate { cold: Some(true), cold_announced: Some(true), ..FaultsUpdate::default() }
+}
+
+fn restarted() -> FaultsUpdate {
+    FaultsUpdate { restarted: true, ..FaultsUpdate::default() }
+}
+
+/// Guards against full load on an engine that its load report shows to be cold.
+#[test_case(announced() ; "announced")]
+#[test_case(restarted() ; "restarted")]
+#[tokio::test]
+async fn cold_engine_lowers_limit(fault: FaultsUpdate) {
+    let (rig, mut link) = Rig::configured(MODELS, "", &config(1)).await;
+    warm(&rig).await;
+    link.configure(&changed(&config(1), |_| ())).await;
+    rig.engine.fault(&fault).await;
+    let beat = link.until(|beat| beat.load.is_some_and(|load| load.cold)).await;
+    assert_eq!(beat.load.unwrap().limit, 4);
+}
+
+/// Guards against load on a cold engine that says nothing, beyond what it can bear.
+#[tokio::test]
+async fn cold_engine_unannounced_lowers_limit() {
+    let (rig, _link) = Rig::configured(MODELS, "", &config(1)).await;
+    warm(&rig).await;
+    // Ten times slower than warm; the first answers after the change show it.
+    let cold = FaultsUpdate { cold: Some(true), cold_factor: Some(10.0), ..FaultsUpdate::default() };
+    rig.engine.fault(&cold).await;
+    let requests = (0..3).map(|number| rig.run(model_request(&format!("cold-{number}"), true, 40)));
+    futures::future::join_all(requests).await;
+    assert_eq!(limit(&rig).await, 4);
+}
+
+/// Guards against a domain that gets its full load at once when it returns.
+#[tokio::test]
+async fn domain_return_starts_cold() {
+    let (rig, mut link) = Rig::configured(MODELS, "", &config(1)).await;
+    warm(&rig).await;
+    let out = changed(&config(1), |config| config.manifest.domains.get_mut("nadi").unwrap().in_service = false);
+    link.configure(&out).await;
+    let back = changed(&out, |config| config.manifest.domains.get_mut("nadi").unwrap().in_service = true);
+    link.configure(&back).await;
+    assert_eq!(limit(&rig).await, 4);
+}
+
+/// Guards against requests that pile up at the backend server, and against requests lost in the queue.
+#[tokio::test]
+async fn overload_runs_up_to_limit() {
+    let (rig, _link) = Rig::configured(MODELS, "", &config(1)).await;
+    warm(&rig).await;
+    let requests = (0..40).map(|number| rig.run(model_request(&format!("r{number}"), true, 30)));
+    let replies = futures::future::join_all(requests).await;
+    let refused: Vec<_> = replies.iter().filter(|reply| reply.bill_or_none().is_none()).map(|r| r.refusal()).collect();
+    assert_eq!(refused.len(), 40 - 8 - 16);
+    assert!(refused.iter().all(|refusal| *refusal == ("overloaded", true)), "{refused:?}");
+    let peak = rig.engine.runs().iter().map(|run| run.running).max();
+    assert_eq!(peak, Some(8));
+}
+
+/// Runs requests until the cold start is over.
+async fn warm(rig: &Rig) {
+    let mut number = 0;
+    while limit(rig).await < 8 {
+        number += 1;
+        rig.run(model_request(&format!("warm-{number}"), true, 30)).await.finished();
+    }
+    eventually(|| (rig.engine.runs().len() == number).then_some(())).await;
+}
+
+/// The agent's present limit of running requests.
+async fn limit(rig: &Rig) -> u32 {
+    let (_, metrics) = page(rig.operators, "/metrics").await;
+    let line = metrics.lines().find_map(|line| line.strip_prefix("eelgrasswell_agent_limit "));
+    line.unwrap().parse().unwrap()
+}
--- a/crates/daemon/tests/agent/main.rs
+++ b/crates/daemon/tests/agent/main.rs
@@ -1,5 +1,7 @@
 //! Drives the real agent process against the engine stand-in.
 
+mod answers;
 mod execute;
+mod link;
 mod refuse;
 mod rig;
--- a/crates/daemon/tests/agent/rig.rs
+++ b/crates/daemon/tests/agent/rig.rs
@@ -22,7 +22,7 @@
 use serde_json::{Value, json};
 use tokio::{
     sync::mpsc,
-    time::{sleep, timeout},
+    time::{interval, sleep, timeout},
 };
 use tokio_stream::wrappers::ReceiverStream;
 use tonic::{
@@ -33,6 +33,8 @@
 
 /// Limit on each wait; far above what any step takes.
 const LIMIT: Duration = Duration::from_secs(20);
+/// Bytes of an unread answer that the connection takes in.
+const WINDOW: u32 = 64 << 10;
 static NEXT_DIR: AtomicU64 = AtomicU64::new(0);
 
 pub type Client = AgentClient<InterceptedService<Channel, Present>>;
@@ -68,7 +70,15 @@
     }
 
     pub async fn start_with(service: &str, extra: &str, options: Options) -> Self {
-        let engine = Engine::spawn("127.0.0.1:0".parse().unwrap(), options).await.unwrap();
+        Self::start_at(Engine::spawn("127.0.0.1:0".parse().unwrap(), options).await.unwrap(), service, extra).await
+    }
+
+    /// Starts a second agent in front of the same engine, as after a restart.
+    pub async fn beside(other: &Self) -> Self {
+        Self::start_at(other.engine.clone(), "loan-models", "").await
+    }
+
+    async fn start_at(engine: Engine, service: &str, extra: &str) -> Self {
         let number = NEXT_DIR.fetch_add(1, Ordering::Relaxed);
         let dir = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("agent-{}-{number}", std::process::id()));
         fs::create_dir_all(&dir).unwrap();
@@ -155,13 +165,20 @@
 }
 
 impl Link {
-    /// Reads heartbeats until one satisfies `f`.
+    /// Reads heartbeats until one satisfies `f`, and sends some meanwhile as a router does.
     pub async fn until(&mut self, f: impl Fn(&AgentBeat) -> bool) -> AgentBeat {
+        let tx = self.tx.clone();
+        let mut ticks = interval(Duration::from_secs(1));
         let search = async {
             loop {
-                let beat = self.beats.message().await.unwrap().expect("the link ended");
-                if f(&beat) {
-                    return beat;
+                tokio::select! {
+                    next = self.beats.message() => {
+                        let beat = next.unwrap().expect("the link ended");
+                        if f(&beat) {
+                            return beat;
+                        }
+                    }
+                    _ = ticks.tick() => tx.send(beat(None, &[])).await.unwrap(),
                 }
             }
         };
@@ -188,6 +205,14 @@
         }
     }
 
+    /// The bill of a finished answer.
+    pub fn bill_or_none(&self) -> Option<&BillRecord> {
+        match &self.end {
+            Some(Event::Finished(finished)) => finished.bill.as_ref(),
+            _ => None,
+        }
+    }
+
     pub fn bill(&self) -> &BillRecord {
         self.finished().bill.as_ref().unwrap()
     }
@@ -221,7 +246,9 @@
 
 pub async fn connect(inner: SocketAddr, dir: &std::path::Path) -> Client {
     let present = Present::new(&settings::read_secret(&dir.join("secret")).unwrap()).unwrap();
-    let channel = Endpoint::from_shared(format!("http://{inner}")).unwrap().connect().await.unwrap();
+    let endpoint = Endpoint::from_shared(format!("http://{inner}")).unwrap();
+    // The default of 2 MB takes in whole answers that nobody reads.
+    let channel = endpoint.initial_stream_window_size(WINDOW).connect().await.unwrap();
     AgentClient::with_interceptor(channel, present)
 }
 
@@ -267,7 +294,8 @@
     timeout(LIMIT, search).await.expect("it did not come about in time")
 }
 
-fn beat(config: Option<&Config>, settled: &[&str]) -> RouterBeat {
+/// A router's heartbeat.
+pub fn beat(config: Option<&Config>, settled: &[&str]) -> RouterBeat {
     let update = config.map(|config| ConfigUpdate {
         deltas: Vec::new(),
         snapshot: Some(ConfigSnapshot {
