--- /dev/null
+++ b/crates/core/tests/budget.rs
@@ -0,0 +1,108 @@
+//! Spend shares.
+
+use eelgrasswell_core::{
+    budget::{BudgetOp, Budgets, DrawAsk, DrawDecision},
+    id::Incarnation,
+    unit::Cost,
+};
+use test_case::test_case;
+
+const CAP: Cost = Cost(100);
+const PERIOD: &str = "2026-12";
+
+fn ask(id: &str, router: u64, amount: u64, returned: u64) -> DrawAsk {
+    DrawAsk {
+        customer: "c".into(),
+        period: PERIOD.into(),
+        id: id.into(),
+        router: router.to_string().as_str().into(),
+        incarnation: Incarnation(router),
+        amount: Cost(amount),
+        returned: Cost(returned),
+    }
+}
+
+fn draw(budgets: &mut Budgets, ask: &DrawAsk) -> DrawDecision {
+    let decision = budgets.decide(ask, CAP);
+    if let DrawDecision::Draw(op) = &decision {
+        budgets.apply(op);
+    }
+    decision
+}
+
+fn granted(budgets: &mut Budgets, ask: &DrawAsk) -> u64 {
+    match draw(budgets, ask) {
+        DrawDecision::Draw(BudgetOp::Draw { granted, .. }) | DrawDecision::Repeat(granted) => granted.0,
+        other => panic!("{other:?}"),
+    }
+}
+
+fn reconcile(budgets: &mut Budgets, router: u64, spent: u64) {
+    let (customer, period) = ("c".into(), PERIOD.into());
+    let incarnation = Incarnation(router);
+    budgets.apply(&BudgetOp::Reconcile { customer, period, incarnation, spent: Cost(spent) });
+}
+
+/// Guards against shares above the cap, and against returned money that is lost.
+#[test_case(&[(1, 60, 0), (2, 60, 0)], &[60, 40], 100; "cut to the rest")]
+#[test_case(&[(1, 100, 0), (2, 1, 0)], &[100, 0], 100; "used up")]
+#[test_case(&[(1, 100, 0), (1, 0, 30), (2, 50, 0)], &[100, 0, 30], 100; "returned and drawn")]
+#[test_case(&[(1, 10, 0), (1, 0, 50), (2, 100, 0)], &[10, 0, 100], 100; "more returned than held")]
+#[test_case(&[(1, 50, 0), (2, 50, 0), (1, 20, 50)], &[50, 50, 20], 70; "returned with a draw")]
+fn draw_within_cap(draws: &[(u64, u64, u64)], expected: &[u64], committed: u64) {
+    let mut budgets = Budgets::default();
+    let grants = draws.iter().enumerate().map(|(n, (router, amount, returned))| {
+        granted(&mut budgets, &ask(&n.to_string(), *router, *amount, *returned))
+    });
+    assert_eq!(grants.collect::<Vec<_>>(), expected);
+    assert_eq!(budgets.committed(&"c".into(), PERIOD), Cost(committed));
+}
+
+/// Guards against a repeated draw that takes a second share or returns money twice.
+#[test]
+fn draw_repeated() {
+    let mut budgets = Budgets::default();
+    assert_eq!(granted(&mut budgets, &ask("a", 1, 60, 0)), 60);
+    assert_eq!(granted(&mut budgets, &ask("b", 1, 10, 30)), 10);
+    assert_eq!(granted(&mut budgets, &ask("b", 1, 10, 30)), 10);
+    assert_eq!(granted(&mut budgets, &ask("a", 1, 60, 0)), 60);
+    assert_eq!(budgets.committed(&"c".into(), PERIOD), Cost(40));
+}
+
+/// Guards against a share of one period that counts in another.
+#[test]
+fn draw_in_new_period() {
+    let mut budgets = Budgets::default();
+    granted(&mut budgets, &ask("a", 1, 100, 0));
+    let next = DrawAsk { period: "2027-01".into(), ..ask("b", 1, 100, 100) };
+    assert_eq!(granted(&mut budgets, &next), 100);
+    assert_eq!(budgets.committed(&"c".into(), PERIOD), Cost(100));
+}
+
+/// Guards against the money of dead routers that stays blocked, and against a router that was taken
+/// for dead and draws on.
+#[test_case(30, 30; "partly spent")]
+#[test_case(0, 0; "nothing spent")]
+#[test_case(90, 60; "bills of another period")]
+fn reconcile_dead_router(spent: u64, committed: u64) {
+    let mut budgets = Budgets::default();
+    granted(&mut budgets, &ask("a", 1, 60, 0));
+    assert_eq!(budgets.open_shares().len(), 1);
+    reconcile(&mut budgets, 1, spent);
+    assert_eq!(budgets.committed(&"c".into(), PERIOD), Cost(committed));
+    assert!(budgets.open_shares().is_empty());
+    assert_eq!(draw(&mut budgets, &ask("b", 1, 10, 0)), DrawDecision::Closed);
+    assert_eq!(granted(&mut budgets, &ask("c", 2, 100, 0)), 100 - committed);
+}
+
+/// Guards against a warning that is missed, or given again and again.
+#[test]
+fn warnings_once() {
+    let mut budgets = Budgets::default();
+    let mut warnings = Vec::new();
+    for (n, amount) in [49, 1, 20, 20, 5, 5].into_iter().enumerate() {
+        granted(&mut budgets, &ask(&n.to_string(), 1, amount, 0));
+        warnings.push(budgets.take_warning(&"c".into(), PERIOD, CAP));
+    }
+    assert_eq!(warnings, [None, Some(50), None, Some(80), Some(95), None]);
+}
