Track reported revisions; stop a version that has become the current one

status could not name who lags: nothing noted the revisions in heartbeats. The periodic exchange reaches two routers a second, so with 350 routers a submit would wait minutes for all of them to be heard; a status therefore asks up to 64 routers that are behind or unheard, within 500 ms.

A stop of the current version was refused, because it seemed to leave the model without a version.

--- a/crates/daemon/src/controller/peers/exchange.rs
+++ b/crates/daemon/src/controller/peers/exchange.rs
@@ -100,6 +100,9 @@
 /// Takes in what another router says.
 pub fn receive(router: &Router, message: &Incoming<'_>) {
     router.members.receive(message.from, message.gossip, message.delay);
+    if let Some(from) = message.from {
+        router.config.reported.note(&from.id.as_str().into(), message.revision);
+    }
     router.shards.learn_owners(message.owners);
     if let Some(update) = message.update
         && let Err(err) = router.config.apply(update)
--- a/crates/daemon/src/controller/peers/mod.rs
+++ b/crates/daemon/src/controller/peers/mod.rs
@@ -64,6 +64,11 @@
     exchange_with(&router, peers, None).await;
 }
 
+/// Exchanges with each of `peers` now, to learn which revision they hold.
+pub async fn ask(router: &Router, peers: Vec<SocketAddr>) {
+    exchange_with(router, peers, None).await;
+}
+
 /// Exchanges with each of `peers`; they are sent what came after revision `since` at once.
 async fn exchange_with(router: &Router, peers: Vec<SocketAddr>, since: Option<Revision>) {
     let exchanges = peers.into_iter().map(|peer| async move {
--- a/crates/daemon/src/operator/commands.rs
+++ b/crates/daemon/src/operator/commands.rs
@@ -98,7 +98,7 @@
     }
 }
 
-/// Edits the state of a rollout.
+/// Edits the state of a rollout; an error changes nothing.
 pub fn edit_rollout(config: &mut Config, key: &RolloutKey, action: RolloutAction) -> Result<(), Failure> {
     match action {
         RolloutAction::Start => start(config, key),
@@ -148,17 +148,19 @@
 }
 
 fn stop(config: &mut Config, key: &RolloutKey) -> Result<(), Failure> {
-    if config.manifest.models.get(&key.model).is_some_and(|model| model.current == key.version) {
-        let message = format!("could not stop rollout {key}: the version is the current one of the model");
-        return Err(Failure::wrong_state(message));
-    }
-    let status = begun(config, key, "stop")?;
+    let mut stopped = config.clone();
+    let status = begun(&mut stopped, key, "stop")?;
     if status.phase == RolloutPhase::Stopped {
         return Err(Failure::wrong_state(format!("could not stop rollout {key}: it is already stopped")));
     }
     status.permille = 0;
     status.phase = RolloutPhase::Stopped;
     status.reason = "stopped by an operator".into();
+    if stopped.weights(&key.model).is_empty() && !config.weights(&key.model).is_empty() {
+        let message = format!("could not stop rollout {key}: the model has no other open version");
+        return Err(Failure::wrong_state(message));
+    }
+    *config = stopped;
     Ok(())
 }
 
--- a/crates/daemon/src/operator/manifest.rs
+++ b/crates/daemon/src/operator/manifest.rs
@@ -16,7 +16,7 @@
 };
 use crate::router::Router;
 
-/// The manifest in force with its revisions.
+/// The manifest in force with its revisions and the state of the rollouts.
 pub(super) fn show(router: &Router) -> Reply {
     let config = router.config.current();
     reply::json(
@@ -25,6 +25,7 @@
             "revision": config.revision,
             "manifest_revision": config.manifest_revision,
             "manifest": config.manifest,
+            "rollouts": config.rollouts,
         }),
     )
 }
@@ -42,14 +43,18 @@
     change.commit(router, &|config| put(config, &manifest)).await
 }
 
-/// Puts `manifest` into `config`, unless a current version was stopped in its rollout: every
-/// request for the model would be refused.
+/// Puts `manifest` into `config`, unless a stopped rollout leaves a model without a version: every
+/// request for the model would be refused. An error changes nothing.
 pub fn put(config: &mut Config, manifest: &Manifest) -> Result<(), Failure> {
-    let stopped = manifest.models.iter().filter(|(name, model)| {
-        let key = RolloutKey { model: (*name).clone(), version: model.current.clone() };
-        config.rollouts.get(&key).is_some_and(|status| status.phase == RolloutPhase::Stopped)
-    });
-    let problems: Vec<_> = stopped
+    let new = Config { manifest: manifest.clone(), ..config.clone() };
+    let problems: Vec<_> = manifest
+        .models
+        .iter()
+        .filter(|(name, model)| {
+            let key = RolloutKey { model: (*name).clone(), version: model.current.clone() };
+            let stopped = new.rollouts.get(&key).is_some_and(|status| status.phase == RolloutPhase::Stopped);
+            stopped && new.weights(name).is_empty()
+        })
         .map(|(name, model)| Problem {
             path: Path::of(&["models", name.as_str(), "current"]),
             line: 0,
@@ -59,6 +64,6 @@
     if !problems.is_empty() {
         return Err(Failure::invalid(problems));
     }
-    config.manifest = manifest.clone();
+    *config = new;
     Ok(())
 }
--- a/crates/daemon/src/operator/status.rs
+++ b/crates/daemon/src/operator/status.rs
@@ -1,6 +1,6 @@
 //! `GET /v1/status` and `GET /v1/hosts`: the view of this router.
 
-use std::time::Duration;
+use std::{net::SocketAddr, time::Duration};
 
 use eelgrasswell_core::{
     id::{CustomerId, HostId, Revision},
@@ -9,18 +9,22 @@
 use eelgrasswell_manifest::{config::Config, manifest::Budget};
 use futures::{StreamExt, stream};
 use hyper::StatusCode;
+use rand::seq::IndexedRandom;
 use serde::Serialize;
 use serde_json::{Value, json};
 use tokio::time::timeout;
 
 use super::reply::{self, Reply};
-use crate::router::Router;
+use crate::{controller::peers, router::Router};
 
 /// Shares of a spend cap in percent at which a warning is shown.
 const WARN_PERCENT: [u64; 3] = [95, 80, 50];
 
-/// Time to wait for the owner of a customer's shard; a status must come even while it is away.
-const BUDGET_TIMEOUT: Duration = Duration::from_millis(500);
+/// Most routers that are asked for their revision for one status.
+const MAX_ASKED: usize = 64;
+
+/// Time to wait for other routers; a status must come even while they are away.
+const OTHERS_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// Calls to shard owners at a time.
 const BUDGET_CALLS: usize = 16;
@@ -28,6 +32,9 @@
 /// What this router knows of the whole system.
 pub(super) async fn show(router: &Router) -> Reply {
     let config = router.config.current();
+    // The periodic exchange reaches two peers a second, too few to follow a change on 350 routers.
+    let behind = behind(router, &config);
+    let ((), budgets) = tokio::join!(ask(router, behind), budgets(router, &config));
     let routers = routers(router, &config);
     let links = links(router, &config);
     let lagging: Vec<_> = routers
@@ -49,7 +56,7 @@
         "rollouts": rollouts(&config),
         "domains": config.manifest.domains,
         "draining": config.manifest.draining.keys().collect::<Vec<_>>(),
-        "budgets": budgets(router, &config).await,
+        "budgets": budgets,
     });
     reply::json(StatusCode::OK, &status)
 }
@@ -121,6 +128,21 @@
         .collect()
 }
 
+/// Some of the routers that have not reported the revision in force, picked at random.
+fn behind(router: &Router, config: &Config) -> Vec<SocketAddr> {
+    let own = &router.settings.host.id;
+    let routers = router.members.routers().into_iter();
+    let behind: Vec<_> = routers
+        .filter(|live| live.id != *own && router.config.reported.get(&live.id).is_none_or(|r| r < config.revision))
+        .map(|live| live.address)
+        .collect();
+    behind.sample(&mut rand::rng(), MAX_ASKED).copied().collect()
+}
+
+async fn ask(router: &Router, routers: Vec<SocketAddr>) {
+    let _ = timeout(OTHERS_TIMEOUT, peers::ask(router, routers)).await;
+}
+
 fn links(router: &Router, config: &Config) -> Vec<Link> {
     let services = config.manifest.services.keys();
     let candidates = services.flat_map(|service| router.links.candidates(service));
@@ -196,7 +218,7 @@
 }
 
 async fn budget_json(router: Router, id: CustomerId, budget: Budget) -> Value {
-    let grant = timeout(BUDGET_TIMEOUT, router.shards.draw(&id, Cost::ZERO, Cost::ZERO)).await.ok().flatten();
+    let grant = timeout(OTHERS_TIMEOUT, router.shards.draw(&id, Cost::ZERO, Cost::ZERO)).await.ok().flatten();
     json!({
         "customer": id,
         "period": budget.period,
