Drive the operators' client against a fleet of processes

Covers what the scripted stand-in cannot: a change is in force on all seven hosts when the client returns, a lost race is a conflict, a repeated submission takes effect once, and a request that ran is on the bill.

--- /dev/null
+++ b/crates/testbed/tests/operators.rs
@@ -0,0 +1,91 @@
+//! Drives the real operators' client against a fleet of real processes.
+
+use std::{fs, path::PathBuf, process::Stdio};
+
+use eelgrasswell_testbed::{
+    fleet::Fleet,
+    plan::{FleetPlan, SAVUSAVU_KEY},
+};
+use serde_json::{Value, json};
+use tokio::process::Command;
+
+/// Runs the client against a router; returns its exit code and standard output.
+async fn client(fleet: &Fleet, router: usize, args: &[&str]) -> (i32, String) {
+    // Test binaries are one directory below the programs.
+    let mut path = PathBuf::from(std::env::current_exe().unwrap().parent().unwrap().parent().unwrap());
+    path.push("eelgrasswell");
+    let output = Command::new(&path)
+        .args(["--router", &fleet.routers[router].operators.to_string(), "--credential"])
+        .arg(fleet.operator_credential())
+        .args(args)
+        .stdin(Stdio::null())
+        .output()
+        .await
+        .unwrap_or_else(|err| panic!("could not run {}: {err}", path.display()));
+    let code = output.status.code().unwrap();
+    eprintln!("{args:?}: {code}\n{}", String::from_utf8_lossy(&output.stderr));
+    (code, String::from_utf8(output.stdout).unwrap())
+}
+
+async fn status(fleet: &Fleet, router: usize) -> Value {
+    fleet.get_operators(router, "/v1/status").await.unwrap().json().unwrap()
+}
+
+/// A client that reports success before all hosts obey lets operators cut power too early.
+#[tokio::test]
+async fn domain_out_is_in_force_on_all_hosts_when_the_client_returns() {
+    let fleet = Fleet::start(FleetPlan::small()).await.unwrap();
+    let (code, stdout) = client(&fleet, 0, &["--json", "domain", "out", "ba"]).await;
+    assert_eq!(code, 0, "{stdout}");
+    let changed: Value = serde_json::from_str(&stdout).unwrap();
+    assert_eq!(changed["hosts_in_force"], 7, "{changed}");
+    for router in 0..2 {
+        let status = status(&fleet, router).await;
+        assert_eq!(status["domains"]["ba"]["in_service"], false, "{status:#}");
+        assert_eq!(status["lagging"], json!([]), "{status:#}");
+    }
+}
+
+#[tokio::test]
+async fn manifest_goes_round_and_a_lost_race_is_a_conflict() {
+    let fleet = Fleet::start(FleetPlan::small()).await.unwrap();
+    let (code, yaml) = client(&fleet, 0, &["show"]).await;
+    assert_eq!(code, 0);
+    let file = fleet.log("manifest");
+    fs::write(&file, yaml.replacen("max_running: 16", "max_running: 17", 1)).unwrap();
+    let file = file.to_str().unwrap();
+    let (code, diff) = client(&fleet, 1, &["diff", file]).await;
+    assert_eq!((code, diff.lines().count()), (0, 2), "{diff}");
+    assert!(diff.contains("max_running: 16 -> 17"), "{diff}");
+    assert_eq!(client(&fleet, 1, &["submit", file, "--expected", "1"]).await.0, 0);
+    assert_eq!(client(&fleet, 0, &["submit", file, "--expected", "1"]).await.0, 3);
+    assert_eq!(client(&fleet, 0, &["diff", file]).await.1.lines().count(), 1);
+}
+
+#[tokio::test]
+async fn repeated_submission_takes_effect_once() {
+    let fleet = Fleet::start(FleetPlan::small()).await.unwrap();
+    let start = ["rollout", "start", "plan-small/v2", "--submission", "once"];
+    let first = client(&fleet, 0, &start).await;
+    assert_eq!(first.0, 0);
+    assert_eq!(client(&fleet, 1, &start).await, first);
+    let (code, _) = client(&fleet, 1, &["rollout", "start", "plan-small/v2"]).await;
+    assert_eq!(code, 1);
+    let (_, stopped) = client(&fleet, 1, &["rollout", "stop", "plan-small/v2"]).await;
+    assert!(stopped.contains("in force on 7 hosts"), "{stopped}");
+    let (_, list) = client(&fleet, 0, &["rollout", "list"]).await;
+    assert!(list.contains("stopped  0     0         stopped by an operator"), "{list}");
+}
+
+#[tokio::test]
+async fn bill_names_a_request_that_ran() {
+    let fleet = Fleet::start(FleetPlan::small()).await.unwrap();
+    let body = json!({"model": "plan-small", "max_tokens": 8, "messages": [{"role": "user", "content": "hello"}]});
+    let reply = fleet.customer(SAVUSAVU_KEY).post_json(fleet.routers[0].callers, "/v1/chat/completions", &body).await;
+    let id = reply.unwrap().header("x-request-id").to_owned();
+    let billed = async |fleet: &Fleet| {
+        let (code, stdout) = client(fleet, 1, &["bill", "savusavu", "--requests"]).await;
+        code == 0 && stdout.contains(&id)
+    };
+    fleet.until("the bill names the request", billed).await.unwrap();
+}
