Read committed budgets without a draw

status asked for the sum of shares by a draw of nothing. Such a draw is written to the shard log and remembered for repeats; an owner remembers eight per router, so a client that polls the status could push out a real draw whose answer was lost, and its repeat would be granted a second time. Treating zero amounts as a read was ruled out, because routers use them to confirm that their shares are still open. A draw with an empty id now only reads.

--- a/crates/daemon/src/controller/shards/mod.rs
+++ b/crates/daemon/src/controller/shards/mod.rs
@@ -272,6 +272,14 @@
         self.draw_as(&id, customer, &period, amount, returned).await
     }
 
+    /// Sum of the shares of the customer's cap that are granted; none when the owner cannot be reached.
+    pub async fn committed(&self, customer: &CustomerId) -> Option<Cost> {
+        let config = self.inner.config.current();
+        let period = config.manifest.customers.get(customer)?.budget.as_ref()?.period.clone();
+        let read = self.draw_as("", customer, &period, Cost::ZERO, Cost::ZERO).await?;
+        Some(read.committed)
+    }
+
     /// An id for a draw that no other draw has.
     pub(super) fn draw_id(&self) -> String {
         format!("{}-{}", self.inner.incarnation, self.inner.draws.fetch_add(1, Ordering::Relaxed))
--- a/crates/daemon/src/controller/shards/serve.rs
+++ b/crates/daemon/src/controller/shards/serve.rs
@@ -158,6 +158,10 @@
 /// Grant and sum of all shares after it; none when the router's shares are closed.
 fn decide_draw(state: &ShardState, ask: &DrawAsk, cap: Cost) -> (Vec<Op>, Option<(Cost, Cost)>) {
     let committed = state.budgets.committed(&ask.customer, &ask.period);
+    // A read must not push out the draws that are remembered for repeats.
+    if ask.id.is_empty() {
+        return (Vec::new(), Some((Cost::ZERO, committed)));
+    }
     match state.budgets.decide(ask, cap) {
         DrawDecision::Draw(op) => {
             let BudgetOp::Draw { granted, returned, .. } = op else { return (Vec::new(), None) };
--- a/crates/daemon/src/operator/status.rs
+++ b/crates/daemon/src/operator/status.rs
@@ -3,6 +3,7 @@
 use std::{net::SocketAddr, time::Duration};
 
 use eelgrasswell_core::{
+    budget::WARNINGS_PERCENT,
     id::{CustomerId, HostId, Revision},
     unit::Cost,
 };
@@ -17,9 +18,6 @@
 use super::reply::{self, Reply};
 use crate::{controller::peers, router::Router};
 
-/// Shares of a spend cap in percent at which a warning is shown.
-const WARN_PERCENT: [u64; 3] = [95, 80, 50];
-
 /// Most routers that are asked for their revision for one status.
 const MAX_ASKED: usize = 64;
 
@@ -205,8 +203,7 @@
         .collect()
 }
 
-/// Customers with a spend cap, in order of their ids. The owner of each is asked by a draw of
-/// nothing, which returns the present sum of shares.
+/// Customers with a spend cap, in order of their ids.
 async fn budgets(router: &Router, config: &Config) -> Vec<Value> {
     let mut calls = Vec::new();
     for (id, customer) in &config.manifest.customers {
@@ -218,18 +215,18 @@
 }
 
 async fn budget_json(router: Router, id: CustomerId, budget: Budget) -> Value {
-    let grant = timeout(OTHERS_TIMEOUT, router.shards.draw(&id, Cost::ZERO, Cost::ZERO)).await.ok().flatten();
+    let committed = timeout(OTHERS_TIMEOUT, router.shards.committed(&id)).await.ok().flatten();
     json!({
         "customer": id,
         "period": budget.period,
         "cap_micros": budget.cap,
-        "committed_micros": grant.map(|grant| grant.committed),
-        "warning_percent": grant.and_then(|grant| warning(grant.committed, budget.cap)),
+        "committed_micros": committed,
+        "warning_percent": committed.and_then(|committed| warning(committed, budget.cap)),
     })
 }
 
 /// The highest warning threshold in percent that `committed` has reached.
 pub fn warning(committed: Cost, cap: Cost) -> Option<u64> {
     let reached = |percent: &u64| u128::from(committed.0) * 100 >= u128::from(cap.0) * u128::from(*percent);
-    WARN_PERCENT.into_iter().find(reached)
+    WARNINGS_PERCENT.into_iter().rev().find(reached)
 }
--- a/crates/testbed/tests/operators.rs
+++ b/crates/testbed/tests/operators.rs
@@ -78,7 +78,7 @@
 }
 
 #[tokio::test]
-async fn bill_names_a_request_that_ran() {
+async fn bill_and_budget_show_a_request_that_ran() {
     let fleet = Fleet::start(FleetPlan::small()).await.unwrap();
     let body = json!({"model": "plan-small", "max_tokens": 8, "messages": [{"role": "user", "content": "hello"}]});
     let reply = fleet.customer(SAVUSAVU_KEY).post_json(fleet.routers[0].callers, "/v1/chat/completions", &body).await;
@@ -88,4 +88,9 @@
         code == 0 && stdout.contains(&id)
     };
     fleet.until("the bill names the request", billed).await.unwrap();
+    for router in 0..2 {
+        let budgets = status(&fleet, router).await["budgets"].take();
+        let committed = budgets[0]["committed_micros"].as_u64();
+        assert!(budgets[0]["customer"] == "savusavu" && committed.is_some_and(|sum| sum > 0), "{budgets}");
+    }
 }
