--- a/crates/testbed/src/fleet.rs
+++ b/crates/testbed/src/fleet.rs
@@ -38,6 +38,7 @@
 pub struct Fleet {
     dir: PathBuf,
     net: Net,
+    worker_threads: Option<u32>,
     /// The platform stand-in.
     pub platform: StandIn,
     /// Routers in the order of the plan.
@@ -162,8 +163,15 @@
             process: None,
             engine: StandIn { address: net.address(first_agent + i, STAND_IN_PORT), process: None },
         });
-        let mut fleet =
-            Self { dir, net, platform, routers: routers.collect(), agents: agents.collect(), http: Http::open() };
+        let mut fleet = Self {
+            dir,
+            net,
+            worker_threads: plan.worker_threads,
+            platform,
+            routers: routers.collect(),
+            agents: agents.collect(),
+            http: Http::open(),
+        };
         fs::write(fleet.dir.join("engine.args"), plan.engine_args.join("\n"))?;
         fleet.start_platform()?;
         let platform = fleet.platform.address;
@@ -366,6 +374,21 @@
         Ok(())
     }
 
+    /// Processor time used so far by all routers and all agents.
+    pub fn cpu_seconds(&self) -> Result<CpuSeconds> {
+        let sum = |processes: Vec<&Process>| processes.into_iter().map(Process::cpu_seconds).sum::<Result<f64>>();
+        Ok(CpuSeconds {
+            routers: sum(self.routers.iter().filter_map(|router| router.process.as_ref()).collect())?,
+            agents: sum(self.agents.iter().filter_map(|agent| agent.process.as_ref()).collect())?,
+        })
+    }
+
+    /// Resident memory of a router in megabytes.
+    pub fn router_memory_mb(&self, router: usize) -> Result<f64> {
+        let process = self.routers[router].process.as_ref();
+        process.ok_or_else(|| eyre::eyre!("the router is not running"))?.memory_mb()
+    }
+
     /// Copies the logs to a directory that outlives the fleet.
     pub fn keep_logs(&self) -> PathBuf {
         let kept = self.dir.with_extension("logs");
@@ -381,7 +404,9 @@
         let path = self.dir.join(format!("{id}.yaml"));
         fs::write(&path, settings.to_string()).wrap_err_with(|| format!("could not write {}", path.display()))?;
         let path = path.to_string_lossy().into_owned();
-        Process::spawn(id, "eelgrasswelld", &[role, "--settings", &path], &self.log(id))
+        let threads = self.worker_threads.map(|threads| ("TOKIO_WORKER_THREADS", threads.to_string()));
+        let variables: Vec<_> = threads.into_iter().collect();
+        Process::spawn_with(id, "eelgrasswelld", &[role, "--settings", &path], &self.log(id), &variables)
     }
 
     fn router_settings(&self, router: usize) -> Value {
@@ -417,6 +442,15 @@
     }
 }
 
+/// Processor time in seconds.
+#[derive(Clone, Copy, Debug)]
+pub struct CpuSeconds {
+    /// Of all routers together.
+    pub routers: f64,
+    /// Of all agents together.
+    pub agents: f64,
+}
+
 impl Drop for Fleet {
     fn drop(&mut self) {
         if std::thread::panicking() {
--- a/crates/testbed/src/plan.rs
+++ b/crates/testbed/src/plan.rs
@@ -11,6 +11,8 @@
     pub agents: Vec<AgentPlan>,
     /// Extra arguments of the engine stand-ins.
     pub engine_args: Vec<String>,
+    /// Worker threads of each router; the number of cores when not given.
+    pub worker_threads: Option<u32>,
     /// Manifest that is submitted at the start.
     pub manifest: Value,
 }
@@ -48,6 +50,7 @@
             routers: vec!["lautoka", "nadi"],
             agents: vec![engine("lautoka"), engine("nadi"), engine("ba"), plain("lautoka"), plain("sigatoka")],
             engine_args: Vec::new(),
+            worker_threads: None,
             manifest: manifest(),
         }
     }
--- a/crates/testbed/src/process.rs
+++ b/crates/testbed/src/process.rs
@@ -33,11 +33,23 @@
 impl Process {
     /// Starts `program` from the build directory; its standard error goes to `log`.
     pub fn spawn(name: &str, program: &str, args: &[&str], log: &Path) -> Result<Self> {
+        Self::spawn_with(name, program, args, log, &[])
+    }
+
+    /// Like `spawn`, with environment variables.
+    pub fn spawn_with(
+        name: &str,
+        program: &str,
+        args: &[&str],
+        log: &Path,
+        variables: &[(&str, String)],
+    ) -> Result<Self> {
         let path = build_dir()?.join(program);
         let log = fs::OpenOptions::new().create(true).append(true).open(log);
         let log = log.wrap_err_with(|| format!("could not open the log of {name}"))?;
         let child = Command::new(&path)
             .args(args)
+            .envs(variables.iter().cloned())
             .stdin(Stdio::null())
             .stdout(Stdio::null())
             .stderr(log)
@@ -78,6 +90,29 @@
         self.child.try_wait().ok().flatten()
     }
 
+    /// Processor time used so far, in seconds.
+    pub fn cpu_seconds(&self) -> Result<f64> {
+        const TICKS_PER_SECOND: f64 = 100.0;
+        let stat = self.proc("stat")?;
+        // The name in the second field may hold spaces; the fields after it do not.
+        let fields: Vec<&str> = stat.rsplit(')').next().unwrap_or_default().split_whitespace().collect();
+        let ticks = |index: usize| fields.get(index).and_then(|field| field.parse::<f64>().ok()).unwrap_or(0.0);
+        Ok((ticks(11) + ticks(12)) / TICKS_PER_SECOND)
+    }
+
+    /// Resident memory in megabytes.
+    pub fn memory_mb(&self) -> Result<f64> {
+        let status = self.proc("status")?;
+        let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:")).unwrap_or_default();
+        let kilobytes = line.split_whitespace().next().and_then(|kb| kb.parse::<f64>().ok()).unwrap_or(0.0);
+        Ok(kilobytes / 1024.0)
+    }
+
+    fn proc(&self, file: &str) -> Result<String> {
+        let path = format!("/proc/{}/{file}", self.child.id());
+        fs::read_to_string(&path).wrap_err_with(|| format!("could not read {path}"))
+    }
+
     /// Process id.
     pub fn id(&self) -> u32 {
         self.child.id()
