Stop a takeover when a later one has begun

A router that raised the fence, was paused, and read the log only after its own successor had written its takeover entry, wrote a takeover entry with a lower fence behind it. From then on no one could replay the log, and the shard was lost.

The router now compares the fence of the state that it has read with its own. Ruled out: passing over entries with a lower fence at replay, which would hide a real fault of the same shape.

The look at the lease after a repeated write is gone: the model holds without it. The entry at that number is either this owner's own or a takeover entry, which compaction keeps, so an answer is true either way.

The model checks after each step that a key has one live grant, that each acknowledged bill is in the ledger once, and that shares stay under the cap.

--- a/crates/daemon/src/controller/shards/log.rs
+++ b/crates/daemon/src/controller/shards/log.rs
@@ -38,8 +38,7 @@
 pub enum Append {
     /// The entry is durable.
     Durable,
-    /// Another entry has this sequence number; none when it cannot be read any more, or when the
-    /// lease has gone to another router.
+    /// Another entry has this sequence number; none when it was deleted since.
     Taken(Option<LogEntry>),
 }
 
@@ -48,15 +47,10 @@
     pub async fn append(&self, seq: u64, entry: &LogEntry) -> Append {
         let key = keys::log(self.shard, seq);
         let value = Bytes::from(serde_json::to_vec(entry).expect("a log entry serialises to JSON"));
-        let mut repeated = false;
         loop {
             let put = self.platform.put(&key, 0, value.clone()).await;
             match put {
-                Ok(Put::Done(_)) if !repeated => return Append::Durable,
-                // An earlier attempt may have taken effect, and a successor may have read the entry
-                // and deleted it since. The lease tells.
-                Ok(Put::Done(_)) if self.holds_lease().await => return Append::Durable,
-                Ok(Put::Done(_)) => return Append::Taken(None),
+                Ok(Put::Done(_)) => return Append::Durable,
                 Ok(Put::Conflict) => {}
                 Err(ref err) => {
                     event!(Warn, "log_write_unsettled", shard = self.shard, seq = seq, error = format!("{err:#}"));
@@ -69,7 +63,6 @@
                 Ok(None) => {}
                 Err(_) => sleep(RETRY_PAUSE).await,
             }
-            repeated = true;
         }
     }
 
--- a/crates/daemon/src/controller/shards/takeover.rs
+++ b/crates/daemon/src/controller/shards/takeover.rs
@@ -42,6 +42,10 @@
             }
         }
     };
+    // A later holder of the lease has begun. An entry after its entries would make the log unreadable.
+    if taken.state.fence > log.fence {
+        return None;
+    }
     let takeover = Op::Takeover { owner: owner.clone(), incarnation: log.incarnation };
     let entry = LogEntry { fence: log.fence, batch: rand::random(), ops: vec![takeover] };
     loop {
