Let a router that was cut off draw again

A router whose shares were reconciled while it was only cut off could never draw again in the period, and its requests waited 2 s for a draw that nobody made, since an expired share did not wake the drawing task. Both were found by a test of the account and by reading the code it called for.

An expired share is now handed back in the draw that replaces it. The owner ignores what a reconciled router returns, since it has taken that back, and opens the router's shares again.

--- a/crates/core/src/budget.rs
+++ b/crates/core/src/budget.rs
@@ -40,12 +40,17 @@
 /// What to answer to a draw.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum DrawDecision {
-    /// The share may be granted by this change, once it is durable.
-    Draw(BudgetOp),
+    /// The share may be granted, once the change is durable.
+    Draw {
+        /// The change.
+        op: BudgetOp,
+        /// Share granted.
+        granted: Cost,
+        /// Sum of all shares after the change.
+        committed: Cost,
+    },
     /// The draw was granted this share before.
     Repeat(Cost),
-    /// The router's shares were reconciled, since it was taken for dead.
-    Closed,
 }
 
 /// A change of a budget, as logged.
@@ -102,6 +107,8 @@
     router: HostId,
     /// Shares granted and not handed back; what was spent of them stays in here.
     held: Cost,
+    /// Whether the shares were reconciled, since the router was taken for dead. It begins anew with
+    /// its next draw when it was only cut off.
     closed: bool,
     draws: VecDeque<(CompactString, Cost)>,
 }
@@ -127,21 +134,21 @@
         if let Some((_, granted)) = holder.and_then(|holder| holder.draws.iter().find(|(id, _)| *id == ask.id)) {
             return DrawDecision::Repeat(*granted);
         }
-        if holder.is_some_and(|holder| holder.closed) {
-            return DrawDecision::Closed;
-        }
-        let held = holder.map_or(Cost::ZERO, |holder| holder.held);
+        // What a closed holder has left was taken back already, so that it has nothing to return.
+        let held = holder.filter(|holder| !holder.closed).map_or(Cost::ZERO, |holder| holder.held);
         let returned = ask.returned.min(held);
         let committed = budget.map_or(Cost::ZERO, Budget::committed) - returned;
-        DrawDecision::Draw(BudgetOp::Draw {
+        let granted = ask.amount.min(cap - committed);
+        let op = BudgetOp::Draw {
             customer: ask.customer.clone(),
             period: ask.period.clone(),
             id: ask.id.clone(),
             router: ask.router.clone(),
             incarnation: ask.incarnation,
-            granted: ask.amount.min(cap - committed),
+            granted,
             returned,
-        })
+        };
+        DrawDecision::Draw { op, granted, committed: committed + granted }
     }
 
     /// Makes a change that has been decided or read from the log.
@@ -151,6 +158,7 @@
                 let budget = self.use_budget(customer, period);
                 let holder = budget.holders.entry(*incarnation).or_default();
                 holder.router = router.clone();
+                holder.closed = false;
                 holder.held = holder.held - *returned + *granted;
                 holder.draws.push_back((id.clone(), *granted));
                 if holder.draws.len() > REMEMBERED_DRAWS {
--- a/crates/daemon/src/controller/budgets/account.rs
+++ b/crates/daemon/src/controller/budgets/account.rs
@@ -13,8 +13,8 @@
 const IDLE_AFTER: Millis = Millis(30_000);
 /// Time after which an unchanged share is confirmed with its owner.
 const CONFIRM_AFTER: Millis = Millis(30 * 60_000);
-/// Time after which an unconfirmed share is not spent any more. The owner takes the share of a
-/// router that it has not heard of for two hours back, and the two may be cut off from each other.
+/// Time after which an unconfirmed share is handed back in place of being spent. The owner takes the
+/// share of a router that it has not heard of for two hours back, and the two may only be cut off.
 pub const SHARE_LIFETIME: Millis = Millis(90 * 60_000);
 /// Time for which a refusal by the owner is taken as still valid.
 const EXHAUSTED_FOR: Millis = Millis(1_000);
@@ -88,8 +88,7 @@
 
     /// Reserves `amount` from the shares held.
     pub fn reserve(&mut self, amount: Cost, now: Millis) -> Reserve {
-        let confirmed = now.saturating_sub(self.confirmed) < SHARE_LIFETIME;
-        if self.available >= amount && (confirmed || amount == Cost::ZERO) {
+        if self.available >= amount && !self.is_expired(now) {
             self.available = self.available - amount;
             self.note_demand(amount, now);
             return Reserve::Done;
@@ -115,7 +114,7 @@
     /// Whether a draw should be made now, ahead of need or for a waiting request.
     pub fn is_low(&mut self, now: Millis) -> bool {
         self.roll(now);
-        self.available < self.wanted || self.available < Cost(self.target().0 / 2)
+        self.is_expired(now) || self.available < self.wanted || self.available < Cost(self.target().0 / 2)
     }
 
     /// The draw to make now, if any; `id` is used when it is a new one.
@@ -123,12 +122,13 @@
         if let Some(open) = &self.open {
             return Some(open.clone());
         }
+        let expired = self.is_expired(now);
         let low = self.is_low(now) && now >= self.exhausted_until;
         let share = self.target().max(Cost(self.cap.0 / LEAST_PART));
         let idle = now.saturating_sub(self.used) >= IDLE_AFTER;
-        let keep = if idle { Cost::ZERO } else { share + share };
-        let amount = if low { self.wanted + share - self.available } else { Cost::ZERO };
-        let returned = if low { Cost::ZERO } else { self.available - keep };
+        let keep = if idle || expired { Cost::ZERO } else { share + share };
+        let returned = if low && !expired { Cost::ZERO } else { self.available - keep };
+        let amount = if low { self.wanted + share - (self.available - returned) } else { Cost::ZERO };
         let confirm = self.available > Cost::ZERO && now.saturating_sub(self.confirmed) >= CONFIRM_AFTER;
         if amount == Cost::ZERO && returned == Cost::ZERO && !confirm {
             return None;
@@ -173,6 +173,11 @@
         self.open.is_some()
     }
 
+    /// Whether the owner may have taken the shares back.
+    fn is_expired(&self, now: Millis) -> bool {
+        self.available > Cost::ZERO && now.saturating_sub(self.confirmed) >= SHARE_LIFETIME
+    }
+
     fn open(&mut self, id: String, amount: Cost, returned: Cost, now: Millis) -> Option<OpenDraw> {
         self.open = Some(OpenDraw { id, period: self.period.clone(), amount, returned, sent: now });
         self.open.clone()
--- a/crates/daemon/src/controller/budgets/mod.rs
+++ b/crates/daemon/src/controller/budgets/mod.rs
@@ -100,7 +100,7 @@
                 let now = self.inner.clock.now();
                 (account.reserve(amount, now), account.is_low(now))
             };
-            if low {
+            if low || result == Reserve::Draw {
                 purse.wake.notify_one();
             }
             match result {
--- a/crates/daemon/src/controller/shards/serve.rs
+++ b/crates/daemon/src/controller/shards/serve.rs
@@ -1,7 +1,7 @@
 //! Answers of the owner of a shard, to callers in this process and in others.
 
 use eelgrasswell_core::{
-    budget::{BudgetOp, DrawAsk, DrawDecision},
+    budget::{DrawAsk, DrawDecision},
     claim::{Answer, ClaimDecision, ClaimKey, ClaimState},
     id::{Incarnation, ShardId},
     ledger::{BillOp, Ledger},
@@ -116,7 +116,7 @@
             returned: Cost(req.returned_micros),
         };
         let decide = move |state: &ShardState| decide_draw(state, &ask, cap);
-        let Some(Some((granted, committed))) = handle.submit(true, decide).await else { return unavailable };
+        let Some((granted, committed)) = handle.submit(true, decide).await else { return unavailable };
         v1::DrawReply {
             granted_micros: granted.0,
             cap_micros: cap.0,
@@ -155,15 +155,10 @@
     bills.into_iter().filter(|op| !ledger.contains(&op.bill.request)).map(Op::Bill).collect()
 }
 
-/// Grant and sum of all shares after it; none when the router's shares are closed.
-fn decide_draw(state: &ShardState, ask: &DrawAsk, cap: Cost) -> (Vec<Op>, Option<(Cost, Cost)>) {
-    let committed = state.budgets.committed(&ask.customer, &ask.period);
+/// The grant, and the sum of all shares after it.
+fn decide_draw(state: &ShardState, ask: &DrawAsk, cap: Cost) -> (Vec<Op>, (Cost, Cost)) {
     match state.budgets.decide(ask, cap) {
-        DrawDecision::Draw(op) => {
-            let BudgetOp::Draw { granted, returned, .. } = op else { return (Vec::new(), None) };
-            (vec![Op::Budget(op)], Some((granted, committed - returned + granted)))
-        }
-        DrawDecision::Repeat(granted) => (Vec::new(), Some((granted, committed))),
-        DrawDecision::Closed => (Vec::new(), None),
+        DrawDecision::Draw { op, granted, committed } => (vec![Op::Budget(op)], (granted, committed)),
+        DrawDecision::Repeat(granted) => (Vec::new(), (granted, state.budgets.committed(&ask.customer, &ask.period))),
     }
 }
