--- a/crates/client/src/wait.rs
+++ b/crates/client/src/wait.rs
@@ -54,32 +54,44 @@
 }
 
 /// Waits at most `limit`; tells the progress on standard error. A host that has not reported its
-/// revision counts as lagging.
+/// revision counts as lagging. The change is accepted, so a failed look at the status is not the
+/// end: the router may just have restarted.
 async fn in_force(api: &Api, revision: u64, limit: Duration) -> Result<usize, Error> {
     let deadline = Instant::now() + limit;
     let mut told = None;
     loop {
-        let status = api.get("/v1/status").await?;
-        let status: Status =
-            serde_json::from_value(status).wrap_err("could not understand the status of the router")?;
-        let hosts: Vec<_> = status.routers.into_iter().chain(status.links).collect();
-        let lagging: Vec<_> = hosts.iter().filter(|host| host.revision.is_none_or(|known| known < revision)).collect();
-        let done = hosts.len() - lagging.len();
-        if told != Some((done, hosts.len())) {
-            eprintln!("revision {revision} is in force on {done} of {} hosts", hosts.len());
-            told = Some((done, hosts.len()));
-        }
-        if lagging.is_empty() {
-            return Ok(done);
-        }
+        let obstacle = match hosts(api).await {
+            Ok(hosts) => {
+                let behind = |host: &&Host| host.revision.is_none_or(|known| known < revision);
+                let lagging: Vec<_> = hosts.iter().filter(behind).collect();
+                let done = hosts.len() - lagging.len();
+                if told != Some((done, hosts.len())) {
+                    eprintln!("revision {revision} is in force on {done} of {} hosts", hosts.len());
+                    told = Some((done, hosts.len()));
+                }
+                if lagging.is_empty() {
+                    return Ok(done);
+                }
+                names(&lagging)
+            }
+            Err(err) => err.to_string(),
+        };
         if Instant::now() >= deadline {
-            return Err(Error::Late(late(revision, limit, &lagging)));
+            let limit = limit.as_secs();
+            let what = format!("could not see revision {revision} in force on all hosts within {limit} s");
+            return Err(Error::Late(format!("{what}: {obstacle}")));
         }
         sleep(POLL_INTERVAL).await;
     }
 }
 
-fn late(revision: u64, limit: Duration, lagging: &[&Host]) -> String {
+async fn hosts(api: &Api) -> Result<Vec<Host>, Error> {
+    let status = api.get("/v1/status").await?;
+    let status: Status = serde_json::from_value(status).wrap_err("could not understand the status of the router")?;
+    Ok(status.routers.into_iter().chain(status.links).collect())
+}
+
+fn names(lagging: &[&Host]) -> String {
     let named = lagging.iter().take(MAX_NAMED).map(|host| match host.revision {
         Some(known) => format!("{} (revision {known})", host.id),
         None => format!("{} (revision unknown)", host.id),
@@ -88,5 +100,5 @@
     if lagging.len() > MAX_NAMED {
         names.push_str(&format!(" and {} more", lagging.len() - MAX_NAMED));
     }
-    format!("could not see revision {revision} in force on all hosts within {} s: {names}", limit.as_secs())
+    names
 }
--- a/crates/client/tests/client/changes.rs
+++ b/crates/client/tests/client/changes.rs
@@ -24,6 +24,9 @@
     let fake = Fake::start().reply("PUT /v1/manifest", 200, &changed()).on(
         "GET /v1/status",
         &[
+            // The router is away for a moment.
+            Answer::Lost,
+            reply(503, "{}".into()),
             reply(200, status(&[("r1", Some(12)), ("a1", Some(11)), ("a2", None)])),
             reply(200, status(&[("r1", Some(12)), ("a1", Some(12)), ("a2", None)])),
             reply(200, status(&[("r1", Some(12)), ("a1", Some(13)), ("a2", Some(12))])),
--- a/crates/daemon/src/operator/mod.rs
+++ b/crates/daemon/src/operator/mod.rs
@@ -23,12 +23,10 @@
     Method, Request, StatusCode,
     body::{Body, Incoming},
     header::AUTHORIZATION,
+    server::conn::http1,
     service::service_fn,
 };
-use hyper_util::{
-    rt::{TokioExecutor, TokioIo, TokioTimer},
-    server::conn::auto,
-};
+use hyper_util::rt::{TokioIo, TokioTimer};
 use serde_json::json;
 use tokio::{
     net::{TcpListener, TcpStream},
@@ -50,6 +48,9 @@
 /// Time for the headers, and again for the body, of a request.
 const READ_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// Longest life of a connection, so that a peer that stops reading cannot hold a slot for ever.
+const CONNECTION_LIMIT: Duration = Duration::from_secs(300);
+
 /// Time to wait after a failed accept, which is mostly a lack of file descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
 
@@ -68,25 +69,23 @@
         };
         let router = router.clone();
         tokio::spawn(async move {
-            if let Err(err) = serve_connection(router, stream).await {
-                event!(Debug, "operator_connection_failed", peer = peer, error = err);
+            match timeout(CONNECTION_LIMIT, serve_connection(router, stream)).await {
+                Ok(Ok(())) => {}
+                Ok(Err(err)) => event!(Debug, "operator_connection_failed", peer = peer, error = err),
+                Err(_) => event!(Debug, "operator_connection_expired", peer = peer),
             }
             drop(permit);
         });
     }
 }
 
-async fn serve_connection(
-    router: Router,
-    stream: TcpStream,
-) -> Result<(), Box<dyn std::error::Error + Send + Sync + 'static>> {
+async fn serve_connection(router: Router, stream: TcpStream) -> hyper::Result<()> {
     let service = service_fn(|req| {
         let router = router.clone();
         async move { Ok::<_, Infallible>(answer(&router, req).await) }
     });
-    let mut builder = auto::Builder::new(TokioExecutor::new());
-    builder.http1().timer(TokioTimer::new()).header_read_timeout(READ_TIMEOUT);
-    builder.http2().timer(TokioTimer::new());
+    let mut builder = http1::Builder::new();
+    builder.timer(TokioTimer::new()).header_read_timeout(READ_TIMEOUT);
     builder.serve_connection(TokioIo::new(stream), service).await
 }
 
