--- a/crates/daemon/src/operator/manifest.rs
+++ b/crates/daemon/src/operator/manifest.rs
@@ -9,6 +9,7 @@
 };
 use hyper::{Request, StatusCode, body::Incoming};
 use serde_json::json;
+use tokio::task;
 
 use super::{
     Change,
@@ -38,11 +39,20 @@
         return Err(Failure::bad_request(message));
     }
     let body = super::read_body(req).await?;
-    let text = str::from_utf8(&body).map_err(|err| Failure::bad_request(format!("could not read the body: {err}")))?;
-    let manifest = check::parse(text).map_err(|invalid| Failure::invalid(invalid.problems))?;
+    // A large manifest would hold up the requests of a worker thread.
+    let parsed = task::spawn_blocking(move || parse(&body)).await;
+    let manifest = parsed.map_err(|err| {
+        let message = format!("could not check the manifest: {err}");
+        Failure::new(StatusCode::INTERNAL_SERVER_ERROR, "internal", message)
+    })??;
     change.commit(router, &|config| put(config, &manifest)).await
 }
 
+fn parse(body: &[u8]) -> Result<Manifest, Failure> {
+    let text = str::from_utf8(body).map_err(|err| Failure::bad_request(format!("could not read the body: {err}")))?;
+    check::parse(text).map_err(|invalid| Failure::invalid(invalid.problems))
+}
+
 /// Puts `manifest` into `config`, unless a stopped rollout leaves a model without a version: every
 /// request for the model would be refused. An error changes nothing.
 pub fn put(config: &mut Config, manifest: &Manifest) -> Result<(), Failure> {
--- a/crates/manifest/src/tree.rs
+++ b/crates/manifest/src/tree.rs
@@ -8,7 +8,7 @@
 };
 use serde_saphyr::{DuplicateKeyPolicy, Location, NonFiniteFloatPolicy, Spanned};
 
-use crate::check::{Path, Problem};
+use crate::check::{MAX_BYTES, Path, Problem};
 
 /// A node of the document.
 #[derive(Debug)]
@@ -38,12 +38,15 @@
     }
 }
 
+/// Most bytes of text in a document, aliases expanded. A router checks manifests within its 32 MB.
+const MAX_TEXT: usize = 2 * MAX_BYTES;
+
 /// Parses one YAML document. The parser bounds nesting, nodes and the expansion of aliases.
 pub fn parse(text: &str) -> Result<Spanned<Node>, Problem> {
     let options = serde_saphyr::options! {
         duplicate_keys: DuplicateKeyPolicy::PassThrough,
         non_finite_float_policy: NonFiniteFloatPolicy::PassThrough,
-        budget: serde_saphyr::budget! { max_documents: 1, max_depth: 16 },
+        budget: serde_saphyr::budget! { max_documents: 1, max_depth: 16, max_total_scalar_bytes: MAX_TEXT },
     };
     serde_saphyr::from_str_with_options(text, options).map_err(|err| {
         let line = err.location().map_or(0, |location| location.line());
--- a/crates/manifest/tests/check.rs
+++ b/crates/manifest/tests/check.rs
@@ -134,6 +134,14 @@
     assert!(problem.expected.contains("at most 1048576 bytes"), "{problem}");
 }
 
+#[test]
+fn text_expansion_is_bounded() {
+    let models: Vec<_> = (0..1_000).map(|n| format!("m{n}: {{service: *a, current: v, versions: {{}}}}")).collect();
+    let text = format!("customers: {{a: &a {}}}\nmodels: {{{}}}\n", "x".repeat(MAX_BYTES / 2), models.join(", "));
+    let [problem] = problems(&text).try_into().unwrap();
+    assert!(problem.to_string().len() < 1_000, "{problem}");
+}
+
 /// Long keys times many problems would take gigabytes.
 #[test]
 fn report_size_is_bounded() {
