Ask the agent before a lost request runs elsewhere

Cause: after a lost connection an idempotent request ran at another agent although the first one might have been alive and have billed it, and the reservation of a failed request was given back or kept by its reason alone. Now Agent.Resolve comes first: a barred attempt is proven not run, a running or finished one is not repeated, and only an attempt that the agent does not know, or whose agent cannot be reached, runs elsewhere.

A claimed request goes on when its caller disconnects, since it cannot be repeated.

Ruled out: moving the claim of a lost request to another agent after it was barred. It would be safe, but the design lets non-idempotent requests end there; the claim is released and the refusal says not_run.

--- a/crates/daemon/src/filter/answer.rs
+++ b/crates/daemon/src/filter/answer.rs
@@ -22,9 +22,10 @@
 use super::{
     Body, Chain, claim,
     events::{self, Event, Events},
-    execute::{Run, Settlement},
+    execute::Run,
     failure::{Failure, full},
     parse::{Fetch, is_hop_by_hop},
+    settlement::Settlement,
 };
 use crate::{event, telemetry};
 
--- a/crates/daemon/src/filter/claim.rs
+++ b/crates/daemon/src/filter/claim.rs
@@ -149,7 +149,7 @@
     agent: &HostId,
     incarnation: Incarnation,
 ) -> Result<Option<Response<Body>>, Failure> {
-    let Some(reply) = resolve(chain, &call.customer, request_id, agent, incarnation).await else {
+    let Some(reply) = ask(chain, &call.customer, request_id, agent, incarnation).await else {
         return Err(pending(request_id, "the agent of the attempt that holds the key cannot be reached"));
     };
     match reply.fate() {
@@ -169,14 +169,24 @@
     }
 }
 
-/// Asks an agent about an attempt; the agent bars it when it has not run. None when the agent
-/// cannot be reached.
+/// What became of an attempt; the agent bars it when it has not run. None when the agent cannot be
+/// reached.
 pub async fn resolve(
     chain: &Chain,
     customer: &CustomerId,
     request_id: &RequestId,
     agent: &HostId,
     incarnation: Incarnation,
+) -> Option<Fate> {
+    ask(chain, customer, request_id, agent, incarnation).await.map(|reply| reply.fate())
+}
+
+async fn ask(
+    chain: &Chain,
+    customer: &CustomerId,
+    request_id: &RequestId,
+    agent: &HostId,
+    incarnation: Incarnation,
 ) -> Option<ResolveReply> {
     let mut client = chain.backends.client(agent)?;
     let req = ResolveRequest {
@@ -201,8 +211,8 @@
     /// Asks the agent to bar the attempt; true once it has promised never to run it.
     pub async fn bar(&self, chain: &Chain, customer: &CustomerId) -> bool {
         let agent = &self.agent;
-        let reply = resolve(chain, customer, &self.request_id, &agent.view.id, agent.incarnation).await;
-        reply.is_some_and(|reply| reply.fate() == Fate::Barred)
+        let fate = resolve(chain, customer, &self.request_id, &agent.view.id, agent.incarnation).await;
+        fate == Some(Fate::Barred)
     }
 
     /// Releases the claim of an attempt that did not run and never will.
--- a/crates/daemon/src/filter/execute.rs
+++ b/crates/daemon/src/filter/execute.rs
@@ -9,7 +9,7 @@
     unit::{Cost, Millis},
 };
 use eelgrasswell_manifest::manifest::VersionState;
-use eelgrasswell_proto::v1::{BillRecord, ExecuteRequest, Failed, Finished, Head, Refused};
+use eelgrasswell_proto::v1::{ExecuteRequest, Failed, Finished, Head, Refused, resolve_reply::Fate};
 use serde_json::Value;
 use tokio::time::{Instant, timeout, timeout_at};
 use uuid::Uuid;
@@ -22,8 +22,9 @@
     claim::{self, Claim, Claimed},
     events::{self, Event, Events, Lost},
     failure::Failure,
-    parse::{Call, SessionWish, Target},
+    parse::{Call, ModelCall, SessionWish, Target},
     session::Pin,
+    settlement::{SERVER_ERROR, Settlement},
 };
 use crate::{
     controller::{evidence::AnswerSample, links::Outstanding},
@@ -55,22 +56,6 @@
     pub session: Option<String>,
 }
 
-/// What is due when an answer ends: bill, budget, claim, evidence.
-pub struct Settlement {
-    chain: Chain,
-    /// Id of the attempt.
-    pub request_id: RequestId,
-    /// Where it runs.
-    pub choice: Choice,
-    plan: Plan,
-    agent: HostId,
-    customer: eelgrasswell_core::id::CustomerId,
-    held: Held,
-    claim: Option<Box<Claim>>,
-    first_token: Option<Millis>,
-    _outstanding: Option<Outstanding>,
-}
-
 /// Id of the attempt of request `id` at `agent`.
 pub fn attempt_id(id: Uuid, agent: &HostId) -> RequestId {
     RequestId::from(format!("{id}.{agent}").as_str())
@@ -234,7 +219,7 @@
                 req.stream = target.stream;
                 req.prefix_hash = target.prefix;
                 req.idempotent = true;
-                req.body = body_for(&call.body, target.name.as_str(), choice.model.as_str());
+                req.body = body_for(&call.body, target, choice.model.as_str());
             }
             Target::Plain(target) => {
                 req.service = target.service.to_string();
@@ -271,12 +256,22 @@
                     first_token.get_or_insert_with(|| Millis::from(sent_at.elapsed()));
                     length += chunk.len();
                     body.push(chunk);
-                    if streamed || length > MAX_WHOLE {
+                    let error = head.status >= u32::from(SERVER_ERROR);
+                    if (streamed && !error) || length > MAX_WHOLE {
                         break None;
                     }
                 }
+                Event::Finished(finished) if head.status >= u32::from(SERVER_ERROR) && self.can_escalate() => {
+                    let reason = Reason::BackendError.as_str().to_owned();
+                    return Err(Ended::Failed(Failed { reason, bill: finished.bill }));
+                }
                 Event::Finished(finished) => break Some(finished),
-                Event::Refused(refused) => return Err(refused.into()),
+                Event::Refused(refused) => {
+                    invariant::check(Promise::NotRun, !refused.not_run || body.is_empty(), || {
+                        format!("agent {} refused as not run after {length} bytes", agent.view.id)
+                    });
+                    return Err(refused.into());
+                }
                 Event::Failed(failed) => return Err(Ended::Failed(failed)),
             }
         };
@@ -294,12 +289,11 @@
             SessionWish::New => self.chain.router.sessions.issue(&self.call.customer, &choice.model, &choice.version),
             SessionWish::Id(id) => Some(id.clone()),
         };
-        let plan = Plan { class: self.plan.class.clone(), choices: Vec::new(), pinned: self.plan.pinned };
         let settlement = Settlement {
             chain: self.chain.clone(),
             request_id,
             choice,
-            plan,
+            class: self.plan.class.clone(),
             agent: agent.view.id,
             customer: self.call.customer.clone(),
             held: self.held.take().expect("money is held while the request runs"),
@@ -372,7 +366,7 @@
         self.plan = choose::plan(self.chain, &self.call, self.pin.as_ref())?;
         self.level = self.level.min(self.plan.choices.len() - 1);
         if self.choice().max_cost > old_cost {
-            self.hold_anew(Some(Cost::ZERO)).await?;
+            self.hold_anew().await?;
         }
         Ok(())
     }
@@ -399,46 +393,54 @@
         self.escalate(failure).await
     }
 
-    /// Goes on after the connection was lost for good: elsewhere under the retry budget when the
-    /// request is idempotent, since nothing of its answer was delivered.
+    /// Goes on after the connection was lost for good. The agent is asked on a new connection whether
+    /// it can still bar the request, which proves that it did not run. Otherwise the request runs
+    /// elsewhere only when it is idempotent and the agent knows nothing of it or cannot be reached,
+    /// under the retry budget; nothing of its answer was delivered.
     async fn after_loss(&mut self, agent: &Candidate, id: &RequestId, reason: Reason) -> Result<(), Failure> {
+        let customer = &self.call.customer;
+        let fate = claim::resolve(self.chain, customer, id, &agent.view.id, agent.incarnation).await;
         let message = format!("the connection to agent {} was lost: {reason}", agent.view.id);
-        if let Some(claim) = self.claim.take() {
-            if claim.bar(self.chain, &self.call.customer).await {
-                claim.release(self.chain, &self.call.customer).await;
+        if fate == Some(Fate::Barred) {
+            if let Some(claim) = self.claim.take() {
+                claim.release(self.chain, customer).await;
                 return Err(Failure::not_run(reason, message).at(id));
             }
-            self.may_have_run = true;
-            return Err(Failure::unknown(reason, message).at(id));
+            return self.after_refusal(agent, id, Refusal::not_run(reason), Revision(0), false).await;
         }
         self.may_have_run = true;
+        // The lost attempt may yet be billed, so its reservation stays spent.
+        self.held = None;
         let failure = Failure::unknown(reason, message).at(id);
-        if reason == Reason::Deadline || !self.chain.take_retry(reason) {
+        let known = matches!(fate, Some(Fate::Running | Fate::Finished));
+        if known || self.claim.is_some() || reason == Reason::Deadline || !self.chain.take_retry(reason) {
             return Err(failure);
         }
         self.tried.push(agent.view.id.clone());
         self.last = Some(failure);
-        // The lost attempt may yet be billed, so its reservation stays spent.
-        self.hold_anew(None).await
+        self.hold_anew().await
+    }
+
+    fn can_escalate(&self) -> bool {
+        self.claim.is_none() && self.level + 1 < self.plan.choices.len()
     }
 
     /// Goes on with the next choice, when there is one.
     async fn escalate(&mut self, failure: Failure) -> Result<(), Failure> {
-        if self.claim.is_some() || self.level + 1 >= self.plan.choices.len() {
+        if !self.can_escalate() {
             return Err(failure);
         }
         self.level += 1;
         self.tried.clear();
         self.last = Some(failure);
         metrics::counter!(telemetry::RETRIES, "reason" => "escalation").increment(1);
-        self.hold_anew(Some(Cost::ZERO)).await
+        self.hold_anew().await
     }
 
-    /// Replaces the reservation by one for the choice in use; `spent` of the old one is kept, all of
-    /// it when that is not known.
-    async fn hold_anew(&mut self, spent: Option<Cost>) -> Result<(), Failure> {
-        if let (Some(held), Some(spent)) = (self.held.take(), spent) {
-            held.settle(spent);
+    /// Replaces the reservation by one for the choice in use.
+    async fn hold_anew(&mut self) -> Result<(), Failure> {
+        if let Some(held) = self.held.take() {
+            held.settle_unspent();
         }
         let cost = self.choice().max_cost;
         self.held = Some(budget::amount(self.chain, &self.call, cost).await?);
@@ -451,10 +453,7 @@
         if self.may_have_run {
             failure.refusal.outcome = Outcome::Unknown;
         }
-        // A failed attempt without a bill costs nothing; a lost one may yet be billed, and keeps its
-        // reservation.
-        let lost = failure.refusal.outcome == Outcome::Unknown && failure.refusal.reason != Reason::BackendError;
-        if let Some(held) = self.held.take_if(|_| !lost) {
+        if let Some(held) = self.held.take() {
             held.settle_unspent();
         }
         failure
@@ -499,57 +498,18 @@
             | Reason::NotLoaded
             | Reason::NoBackend
             | Reason::StaleConfig
+            | Reason::ConnectionLost
             | Reason::VersionWithdrawn
     )
 }
 
 /// The body for the chosen model: unchanged, unless it names a class or asks for a session.
-fn body_for(body: &Bytes, name: &str, model: &str) -> Bytes {
-    const SESSION: &str = "session";
-    let Ok(Value::Object(mut fields)) = serde_json::from_slice(body) else { return body.clone() };
-    if name == model && !fields.contains_key(SESSION) {
+fn body_for(body: &Bytes, target: &ModelCall, model: &str) -> Bytes {
+    if target.name == model && !target.session_in_body {
         return body.clone();
     }
-    fields.remove(SESSION);
+    let Ok(Value::Object(mut fields)) = serde_json::from_slice(body) else { return body.clone() };
+    fields.remove("session");
     fields.insert("model".into(), model.into());
     Value::Object(fields).to_string().into()
 }
-
-impl Settlement {
-    /// Settles a complete answer; returns its cost. `body` is kept with the claim.
-    pub async fn finished(self, finished: Finished, status: u16, body: Option<Bytes>) -> Cost {
-        let router = &self.chain.router;
-        let Choice { model, version, .. } = &self.choice;
-        let mut cost = self.choice.max_cost;
-        if let Some(bill) = finished.bill {
-            cost = Cost(bill.cost_micros);
-            router.bills.push(&self.agent, bill);
-        }
-        self.held.settle(cost);
-        if !model.is_empty() {
-            let sample = AnswerSample { error: false, first_token: self.first_token };
-            router.evidence.record(model, version, sample);
-            router.quality.note_answer(&self.request_id, &self.plan.class, model, version);
-        }
-        if let Some(claim) = self.claim {
-            claim.complete(&self.chain, &self.customer, status, body).await;
-        }
-        let kind = if model.is_empty() { "plain" } else { "model" };
-        metrics::counter!(telemetry::ANSWERS, "kind" => kind).increment(1);
-        cost
-    }
-
-    /// Settles an answer that the backend server broke off. Without a bill the reservation stays
-    /// spent, since a bill may come from the agent.
-    pub fn failed(self, bill: Option<BillRecord>) {
-        let Choice { model, version, .. } = &self.choice;
-        if !model.is_empty() {
-            let sample = AnswerSample { error: true, first_token: self.first_token };
-            self.chain.router.evidence.record(model, version, sample);
-        }
-        if let Some(bill) = bill {
-            self.held.settle(Cost(bill.cost_micros));
-            self.chain.router.bills.push(&self.agent, bill);
-        }
-    }
-}
--- a/crates/daemon/src/filter/mod.rs
+++ b/crates/daemon/src/filter/mod.rs
@@ -12,6 +12,7 @@
 mod failure;
 pub mod parse;
 pub mod session;
+mod settlement;
 
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
@@ -105,7 +106,18 @@
                 return Err(failure);
             }
         };
-        let run = execute::start(self, call, pin, plan, held, claim).await?;
-        Ok(answer::send(run).await)
+        let claimed = claim.is_some();
+        let chain = self.clone();
+        let rest = async move {
+            let run = execute::start(&chain, call, pin, plan, held, claim).await?;
+            Ok(answer::send(run).await)
+        };
+        if !claimed {
+            return rest.await;
+        }
+        // A caller that goes away must not cut off a request that cannot be repeated.
+        tokio::spawn(rest).await.unwrap_or_else(|err| {
+            Err(Failure::unknown(Reason::Internal, format!("the request was cut off inside the router: {err}")))
+        })
     }
 }
--- a/crates/daemon/src/filter/parse.rs
+++ b/crates/daemon/src/filter/parse.rs
@@ -106,6 +106,8 @@
     pub max_output: Tokens,
     /// Hash of the prompt's leading messages, for the prefix cache.
     pub prefix: u64,
+    /// Whether the body has a field `session`, which engines do not know.
+    pub session_in_body: bool,
 }
 
 /// Plain-service part of a request.
@@ -226,6 +228,7 @@
         serde_json::from_slice(&body).map_err(|err| bad_request(format!("could not parse the body: {err}")))?;
     let max_output = chat.max_completion_tokens.or(chat.max_tokens).map_or(DEFAULT_MAX_OUTPUT, Tokens);
     let prefix = prefix_hash(&caller.customer, &chat.messages);
+    let session_in_body = chat.session.is_some();
     let wish = text(&head.headers, "x-session")?.map(str::to_owned).or(chat.session);
     let session = match wish {
         None => SessionWish::None,
@@ -238,6 +241,7 @@
         prompt: Tokens((body.len() as u64).div_ceil(BYTES_PER_TOKEN)),
         max_output,
         prefix,
+        session_in_body,
     });
     Ok(Call {
         id,
--- /dev/null
+++ b/crates/daemon/src/filter/settlement.rs
@@ -0,0 +1,84 @@
+//! What is due when an answer ends: bill, budget, claim and evidence.
+
+use bytes::Bytes;
+use eelgrasswell_core::{
+    id::{ClassName, CustomerId, HostId, RequestId},
+    unit::{Cost, Millis},
+};
+use eelgrasswell_proto::v1::{BillRecord, Finished};
+
+use super::{Chain, budget::Held, choose::Choice, claim::Claim};
+use crate::{
+    controller::{evidence::AnswerSample, links::Outstanding},
+    telemetry,
+};
+
+/// HTTP status from which on an answer counts as an error of the version.
+pub const SERVER_ERROR: u16 = 500;
+
+/// An answer whose end is still to be settled. Dropping it leaves the bill to the agent's
+/// heartbeat and counts the reservation as spent.
+pub struct Settlement {
+    /// What the filters share.
+    pub chain: Chain,
+    /// Id of the attempt.
+    pub request_id: RequestId,
+    /// Where it runs.
+    pub choice: Choice,
+    /// Class of the request; empty when it names a model.
+    pub class: ClassName,
+    /// Agent that runs it.
+    pub agent: HostId,
+    /// Customer of the request.
+    pub customer: CustomerId,
+    /// Money held for it.
+    pub held: Held,
+    /// Its claim, when it is not idempotent.
+    pub claim: Option<Box<Claim>>,
+    /// Time to the first byte of the answer.
+    pub first_token: Option<Millis>,
+    /// Counts it as outstanding at the agent.
+    pub _outstanding: Option<Outstanding>,
+}
+
+impl Settlement {
+    /// Settles a complete answer; returns its cost. `body` is kept with the claim.
+    pub async fn finished(self, finished: Finished, status: u16, body: Option<Bytes>) -> Cost {
+        self.record(status >= SERVER_ERROR);
+        let router = &self.chain.router;
+        let Choice { model, version, .. } = &self.choice;
+        let mut cost = self.choice.max_cost;
+        if let Some(bill) = finished.bill {
+            cost = Cost(bill.cost_micros);
+            router.bills.push(&self.agent, bill);
+        }
+        self.held.settle(cost);
+        if !model.is_empty() {
+            router.quality.note_answer(&self.request_id, &self.class, model, version);
+        }
+        if let Some(claim) = self.claim {
+            claim.complete(&self.chain, &self.customer, status, body).await;
+        }
+        let kind = if model.is_empty() { "plain" } else { "model" };
+        metrics::counter!(telemetry::ANSWERS, "kind" => kind).increment(1);
+        cost
+    }
+
+    /// Settles an answer that the backend server broke off. Without a bill the reservation stays
+    /// spent, since a bill may come from the agent.
+    pub fn failed(self, bill: Option<BillRecord>) {
+        self.record(true);
+        if let Some(bill) = bill {
+            self.held.settle(Cost(bill.cost_micros));
+            self.chain.router.bills.push(&self.agent, bill);
+        }
+    }
+
+    fn record(&self, error: bool) {
+        let Choice { model, version, .. } = &self.choice;
+        if !model.is_empty() {
+            let sample = AnswerSample { error, first_token: self.first_token };
+            self.chain.router.evidence.record(model, version, sample);
+        }
+    }
+}
