Leave the agent's stream of a stalled caller, and settle abandoned requests

Cause: while a caller did not read, its answer stayed in the HTTP/2 window of the connection to the agent, which all answers of that agent share; many stalled callers would have stopped the healthy ones. After 2 s without reading, the router now leaves the stream and joins the answer again at the next byte when the caller reads on. The agent holds the bytes meanwhile.

A caller that went away left its whole reservation as spent. Answers up to 128 KiB are now read to their end, so that the bill settles the budget; agents generate them anyway. A request that was abandoned before its answer is barred at the agent; when that succeeds, its reservation comes back.

Ruled out: a read past the end of the answer to learn its bill, since it might make the agent drop bytes that the caller could still fetch.

--- a/crates/daemon/src/filter/answer.rs
+++ b/crates/daemon/src/filter/answer.rs
@@ -1,6 +1,6 @@
 //! Sends answers to callers, and answers that agents hold to callers who fetch them again.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use eelgrasswell_core::{
@@ -16,7 +16,7 @@
     header::{HeaderName, HeaderValue, TRAILER},
     http::response::Builder,
 };
-use tokio::sync::mpsc;
+use tokio::{sync::mpsc, time::timeout};
 use tokio_stream::wrappers::ReceiverStream;
 
 use super::{
@@ -35,6 +35,14 @@
 /// next event is not read before the caller has taken the last.
 const FRAMES: usize = 1;
 
+/// Time after which a caller that does not read counts as stalled.
+const STALLED_AFTER: Duration = Duration::from_secs(2);
+/// Bytes up to which an answer is read to its end after its caller has gone away. It is less than
+/// what an agent holds of one answer, so that the caller can still fetch all of it.
+const MAX_UNREAD: u64 = 128 << 10;
+/// Callers that stopped reading, counted once for each stall.
+const STALLS: &str = "eelgrasswell_stalled_callers_total";
+
 type Sender = mpsc::Sender<eyre::Result<Frame<Bytes>>>;
 
 /// Sends an answer that has begun or is complete.
@@ -71,21 +79,15 @@
     })
 }
 
-/// Forwards the rest of an answer at the caller's pace.
+/// Forwards the rest of an answer at the caller's pace. When the caller goes away, short answers
+/// are read to their end, so that the bill settles the budget.
 async fn forward(mut events: Events, settlement: Settlement, status: u16, tx: Sender) {
     loop {
-        let next = tokio::select! {
-            next = events.next() => next,
-            () = tx.closed() => {
-                // The agent holds the answer and sends the bill; the caller may fetch it again.
-                metrics::counter!(telemetry::REFUSALS, "reason" => Reason::Cancelled.as_str(), "outcome" => "unknown")
-                    .increment(1);
-                return;
-            }
-        };
-        match next {
+        match events.next().await {
             Ok(Event::Data(chunk)) => {
-                let _ = tx.send(Ok(Frame::data(chunk))).await;
+                if !deliver(&mut events, chunk, &tx).await && events.offset() > MAX_UNREAD {
+                    return;
+                }
             }
             Ok(Event::Head(_)) => {}
             Ok(Event::Finished(finished)) => {
@@ -94,23 +96,42 @@
                 return;
             }
             Ok(Event::Failed(failed)) => {
-                let reason = events::reason(&failed.reason);
-                break_off(&settlement.request_id, reason, &tx).await;
+                break_off(&settlement.request_id, events::reason(&failed.reason), &tx).await;
                 settlement.failed(failed.bill);
                 return;
             }
             Ok(Event::Refused(refused)) => {
-                break_off(&settlement.request_id, events::reason(&refused.reason), &tx).await;
-                return;
-            }
-            Err(lost) => {
-                break_off(&settlement.request_id, lost.reason(), &tx).await;
-                return;
+                return break_off(&settlement.request_id, events::reason(&refused.reason), &tx).await;
             }
+            Err(lost) => return break_off(&settlement.request_id, lost.reason(), &tx).await,
         }
     }
 }
 
+/// Hands a chunk to the caller; false when the caller has gone away. While the caller does not read,
+/// the agent's stream is left, since its unread bytes would take up memory and the window of the
+/// connection that other answers share.
+async fn deliver(events: &mut Events, chunk: Bytes, tx: &Sender) -> bool {
+    if tx.is_closed() {
+        return false;
+    }
+    let slot = match timeout(STALLED_AFTER, tx.reserve()).await {
+        Ok(slot) => slot,
+        Err(_) => {
+            metrics::counter!(STALLS).increment(1);
+            events.leave();
+            tx.reserve().await
+        }
+    };
+    let Ok(slot) = slot else {
+        metrics::counter!(telemetry::REFUSALS, "reason" => Reason::Cancelled.as_str(), "outcome" => "unknown")
+            .increment(1);
+        return false;
+    };
+    slot.send(Ok(Frame::data(chunk)));
+    true
+}
+
 /// Ends an answer so that the caller sees that it is incomplete.
 async fn break_off(request_id: &RequestId, reason: Reason, tx: &Sender) {
     metrics::counter!(telemetry::REFUSALS, "reason" => reason.as_str(), "outcome" => "unknown").increment(1);
@@ -175,7 +196,9 @@
         };
         match next {
             Ok(Event::Data(chunk)) => {
-                let _ = tx.send(Ok(Frame::data(chunk))).await;
+                if !deliver(&mut events, chunk, &tx).await {
+                    return;
+                }
             }
             Ok(Event::Head(_)) => {}
             Ok(Event::Finished(finished)) => {
--- a/crates/daemon/src/filter/execute.rs
+++ b/crates/daemon/src/filter/execute.rs
@@ -4,14 +4,17 @@
 
 use bytes::Bytes;
 use eelgrasswell_core::{
-    id::{HostId, RequestId, Revision},
+    id::{HostId, Incarnation, RequestId, Revision},
     refusal::{Outcome, Reason, Refusal},
     unit::{Cost, Millis},
 };
 use eelgrasswell_manifest::manifest::VersionState;
 use eelgrasswell_proto::v1::{ExecuteRequest, Failed, Finished, Head, Refused, resolve_reply::Fate};
 use serde_json::Value;
-use tokio::time::{Instant, timeout, timeout_at};
+use tokio::{
+    runtime::Handle,
+    time::{Instant, timeout, timeout_at},
+};
 use uuid::Uuid;
 
 use super::{
@@ -79,6 +82,7 @@
         level: 0,
         held: Some(held),
         claim,
+        in_flight: None,
         tried: Vec::new(),
         may_have_run: false,
         last: None,
@@ -96,6 +100,8 @@
     level: usize,
     held: Option<Held>,
     claim: Option<Box<Claim>>,
+    /// Attempt that an agent may be working on.
+    in_flight: Option<InFlight>,
     /// Agents that have been asked for the choice in use.
     tried: Vec<HostId>,
     /// Whether an earlier attempt may have run.
@@ -103,6 +109,13 @@
     last: Option<Failure>,
 }
 
+/// Names an attempt at an agent.
+struct InFlight {
+    agent: HostId,
+    incarnation: Incarnation,
+    request_id: RequestId,
+}
+
 /// An attempt whose answer has begun.
 struct Begun {
     head: Head,
@@ -135,7 +148,9 @@
                 continue;
             };
             let id = attempt_id(self.call.id, &agent.view.id);
-            match self.attempt(&agent, &id).await {
+            let result = self.attempt(&agent, &id).await;
+            self.in_flight = None;
+            match result {
                 Ok(begun) => return Ok(self.answered(agent, id, begun)),
                 Err(Ended::NotRun { refusal, revision, sent }) => {
                     self.after_refusal(&agent, &id, refusal, revision, sent).await?;
@@ -157,7 +172,7 @@
         }
     }
 
-    async fn attempt(&self, agent: &Candidate, id: &RequestId) -> Result<Begun, Ended> {
+    async fn attempt(&mut self, agent: &Candidate, id: &RequestId) -> Result<Begun, Ended> {
         let remaining = self.call.deadline.saturating_duration_since(Instant::now());
         if remaining.is_zero() {
             let refusal = Refusal::not_run(Reason::Deadline);
@@ -165,6 +180,8 @@
         }
         self.check_promises();
         let req = self.request(agent, id, remaining);
+        self.in_flight =
+            Some(InFlight { agent: agent.view.id.clone(), incarnation: agent.incarnation, request_id: id.clone() });
         let limit = self.call.deadline + DEADLINE_GRACE;
         let begun = timeout_at(limit, self.begin(agent, req)).await;
         begun.unwrap_or(Err(Ended::Lost(Reason::Deadline)))
@@ -460,6 +477,28 @@
     }
 }
 
+impl Drop for Execution<'_> {
+    /// Runs early when the caller goes away before the answer. The agent is asked to bar the attempt,
+    /// so that a waiting request is not run for nobody; money comes back only for what did not run.
+    fn drop(&mut self) {
+        let Some(held) = self.held.take() else { return };
+        let Some(InFlight { agent, incarnation, request_id }) = self.in_flight.take() else {
+            return held.settle_unspent();
+        };
+        metrics::counter!(telemetry::REFUSALS, "reason" => Reason::Cancelled.as_str(), "outcome" => "unknown")
+            .increment(1);
+        let (chain, customer) = (self.chain.clone(), self.call.customer.clone());
+        // The runtime may be shutting down.
+        let Ok(runtime) = Handle::try_current() else { return };
+        runtime.spawn(async move {
+            let fate = claim::resolve(&chain, &customer, &request_id, &agent, incarnation).await;
+            if fate == Some(Fate::Barred) {
+                held.settle_unspent();
+            }
+        });
+    }
+}
+
 impl From<Refused> for Ended {
     fn from(refused: Refused) -> Self {
         if !refused.not_run {
--- a/crates/daemon/tests/fake/mod.rs
+++ b/crates/daemon/tests/fake/mod.rs
@@ -207,6 +207,8 @@
     }
 }
 
+/// Bytes that a caller takes without reading.
+pub const WINDOW: u32 = 64 << 10;
 pub const KEY: &str = "secret-of-alma";
 
 impl Bench {
@@ -250,7 +252,10 @@
         let served = tokio::spawn(filter::run(chain, listener, async {
             let _ = stopped.await;
         }));
-        let client = legacy::Client::builder(TokioExecutor::new()).http2_only(true).build_http();
+        let client = legacy::Client::builder(TokioExecutor::new())
+            .http2_only(true)
+            .http2_initial_stream_window_size(WINDOW)
+            .build_http();
         Self { router, fakes, agents: bench, address, stop: Some(stop), served, client }
     }
 
@@ -294,8 +299,12 @@
         self.fetch(self.request("GET", path).body(Full::default()).unwrap()).await
     }
 
+    pub fn chat_request(&self, body: Value) -> Request<Full<Bytes>> {
+        self.request("POST", "/v1/chat/completions").body(body.to_string().into()).unwrap()
+    }
+
     pub async fn chat(&self, body: Value) -> Reply {
-        self.fetch(self.request("POST", "/v1/chat/completions").body(body.to_string().into()).unwrap()).await
+        self.fetch(self.chat_request(body)).await
     }
 
     /// All execute requests, in no particular order between agents.
@@ -387,15 +396,23 @@
     Event::Head(v1::Head { status: 200, headers })
 }
 
-pub fn data(offset: u64, text: &'static str) -> Event {
+pub fn data(offset: u64, text: impl Into<Bytes>) -> Event {
     Event::Data(v1::Data { offset, chunk: text.into() })
 }
 
 pub fn finished(length: u64) -> Event {
-    let bill = v1::BillRecord { cost_micros: 11, ..v1::BillRecord::default() };
+    finished_for(length, 11)
+}
+
+pub fn finished_for(length: u64, cost_micros: u64) -> Event {
+    let bill = v1::BillRecord { cost_micros, ..v1::BillRecord::default() };
     Event::Finished(v1::Finished { bill: Some(bill), length })
 }
 
+pub fn status(status: u32) -> Event {
+    Event::Head(v1::Head { status, headers: Vec::new() })
+}
+
 pub fn refused(reason: &str) -> Event {
     Event::Refused(v1::Refused { reason: reason.into(), not_run: true, ..v1::Refused::default() })
 }
--- a/crates/daemon/tests/filters.rs
+++ b/crates/daemon/tests/filters.rs
@@ -14,9 +14,9 @@
     filter::choose,
 };
 use eelgrasswell_manifest::config::Weighted;
-use eelgrasswell_proto::v1::resolve_reply::Fate;
+use eelgrasswell_proto::v1::{execute_event::Event, resolve_reply::Fate};
 
-use fake::{Bench, Script, data, failed, finished, head, refused};
+use fake::{Bench, Script, data, failed, finished, finished_for, head, refused, status};
 
 fn push(bench: &Bench, agent: usize, script: Script) {
     bench.agents[agent].execute.lock().unwrap().push_back(script);
@@ -105,9 +105,7 @@
     push(&bench, 0, Script::Live(rx));
     tx.send(head()).await.unwrap();
     tx.send(data(0, "one")).await.unwrap();
-    let body = json!({"model": "small", "stream": true}).to_string();
-    let req = bench.request("POST", "/v1/chat/completions").body(body.into()).unwrap();
-    let response = bench.send(req).await;
+    let response = bench.send(bench.chat_request(json!({"model": "small", "stream": true}))).await;
     bench.stop.take().unwrap().send(()).unwrap();
     while tokio::net::TcpStream::connect(bench.address).await.is_ok() {
         tokio::task::yield_now().await;
@@ -145,20 +143,51 @@
     assert_eq!((reply.status, &reply.json()["error"]["reason"]), (StatusCode::PAYLOAD_TOO_LARGE, &json!("too_large")));
 }
 
-/// Guards against "not run" for a request that a backend server failed (P8).
+/// Guards against "not run" for a request that may have run, and the reverse (P8).
+#[test_case(vec![failed("backend_error")], "60000", 502, "unknown"; "failed")]
+#[test_case(vec![refused("deadline")], "60000", 504, "not_run"; "refused")]
+#[test_case(vec![], "500", 504, "unknown"; "no answer in time")]
+#[test_case(vec![], "0", 504, "not_run"; "no time to run")]
 #[tokio::test]
-async fn failure_has_unknown_outcome() {
+async fn failure_has_exact_outcome(events: Vec<Event>, deadline: &str, status: u16, outcome: &str) {
     let bench = Bench::open(1).await;
-    push(&bench, 0, Script::End(vec![failed("backend_error")]));
-    let reply = bench.chat(json!({"model": "small"})).await;
-    assert_eq!((reply.status, &reply.json()["error"]["outcome"]), (StatusCode::BAD_GATEWAY, &json!("unknown")));
+    push(&bench, 0, Script::Hang(events));
+    let req = bench.request("POST", "/v1/chat/completions").header("x-deadline-ms", deadline);
+    let reply = bench.fetch(req.body(json!({"model": "small"}).to_string().into()).unwrap()).await;
+    assert_eq!((reply.status.as_u16(), &reply.json()["error"]["outcome"]), (status, &json!(outcome)));
+}
+
+/// Guards against unread answers that fill the router, and against bytes lost when the agent's stream
+/// is left and joined again (P7).
+#[tokio::test]
+async fn stalled_caller_leaves_agent_stream() {
+    const CHUNK: usize = fake::WINDOW as usize;
+    let bench = Bench::open(1).await;
+    let (tx, rx) = tokio::sync::mpsc::channel(8);
+    push(&bench, 0, Script::Live(rx));
+    tx.send(head()).await.unwrap();
+    let chunk = |n: usize| Bytes::from(vec![n as u8; CHUNK]);
+    let response = bench.send(bench.chat_request(json!({"model": "small", "stream": true})));
+    let (response, ()) = tokio::join!(response, async {
+        for n in 0..6 {
+            tx.send(data((n * CHUNK) as u64, chunk(n))).await.unwrap();
+        }
+    });
+    tx.closed().await;
+    let whole: Vec<u8> = (0..8).flat_map(chunk).collect();
+    let held = vec![data(0, whole.clone()), finished(whole.len() as u64)];
+    bench.agents[0].resume.lock().unwrap().push_back(Script::End(held));
+    assert_eq!(response.into_body().collect().await.unwrap().to_bytes(), whole);
+    assert_eq!((bench.executed().len(), bench.agents[0].resumed.lock().unwrap().len()), (1, 1));
 }
 
 /// Guards against a cheap model's failure that reaches the caller although a stronger one could answer.
+#[test_case(vec![failed("backend_error")]; "failed")]
+#[test_case(vec![status(500), data(0, "no"), finished_for(2, 0)]; "server error")]
 #[tokio::test]
-async fn escalates_after_failure() {
+async fn escalates_after_failure(events: Vec<Event>) {
     let bench = Bench::open(1).await;
-    push(&bench, 0, Script::End(vec![failed("backend_error")]));
+    push(&bench, 0, Script::End(events));
     push(&bench, 0, Script::End(vec![head(), data(0, "ok"), finished(2)]));
     let reply = bench.chat(json!({"model": "easy"})).await;
     assert_eq!((reply.status, reply.header("x-model")), (StatusCode::OK, "large"));
@@ -198,6 +227,45 @@
     assert_eq!(completed.1, ClaimEnd::Done { status: 200, body: Some(Bytes::from("booked")) });
 }
 
+/// Guards against a booking that is cut off, or whose answer is not stored, when its caller goes away.
+#[tokio::test]
+async fn booking_outlives_its_caller() {
+    let bench = Bench::open(1).await;
+    bench.fakes.claims.lock().unwrap().push_back(ClaimResult::Granted(Fence(9)));
+    let (tx, rx) = tokio::sync::mpsc::channel(8);
+    push(&bench, 0, Script::Live(rx));
+    tokio::select! {
+        _ = bench.fetch(book(&bench)) => unreachable!("the agent has not answered"),
+        () = until(|| !bench.executed().is_empty()) => {}
+    }
+    for event in [head(), data(0, "booked"), finished(6)] {
+        tx.send(event).await.unwrap();
+    }
+    until(|| !bench.fakes.completed.lock().unwrap().is_empty()).await;
+    let end = bench.fakes.completed.lock().unwrap().remove(0).1;
+    assert_eq!(end, ClaimEnd::Done { status: 200, body: Some(Bytes::from("booked")) });
+}
+
+/// Guards against a waiting request that runs for nobody after its caller has gone away.
+#[tokio::test]
+async fn abandoned_request_is_barred() {
+    let bench = Bench::open(1).await;
+    push(&bench, 0, Script::Hang(vec![]));
+    bench.agents[0].resolve.lock().unwrap().push_back(Fate::Barred);
+    tokio::select! {
+        _ = bench.chat(json!({"model": "small"})) => unreachable!("the agent has not answered"),
+        () = until(|| !bench.executed().is_empty()) => {}
+    }
+    until(|| bench.agents[0].resolve.lock().unwrap().is_empty()).await;
+}
+
+/// Waits for a condition that other tasks bring about.
+async fn until(condition: impl Fn() -> bool) {
+    while !condition() {
+        tokio::task::yield_now().await;
+    }
+}
+
 /// Guards against a second run of a booking that has run (P9).
 #[tokio::test]
 async fn booking_replays_stored_answer() {
