--- a/crates/daemon/src/filter/claim.rs
+++ b/crates/daemon/src/filter/claim.rs
@@ -170,7 +170,7 @@
 }
 
 /// What became of an attempt; the agent bars it when it has not run. None when the agent cannot be
-/// reached.
+/// reached, or has restarted and knows nothing of it.
 pub async fn resolve(
     chain: &Chain,
     customer: &CustomerId,
@@ -178,7 +178,8 @@
     agent: &HostId,
     incarnation: Incarnation,
 ) -> Option<Fate> {
-    ask(chain, customer, request_id, agent, incarnation).await.map(|reply| reply.fate())
+    let reply = ask(chain, customer, request_id, agent, incarnation).await?;
+    (reply.agent_incarnation == incarnation.0).then(|| reply.fate())
 }
 
 async fn ask(
--- a/crates/daemon/src/filter/execute.rs
+++ b/crates/daemon/src/filter/execute.rs
@@ -310,7 +310,6 @@
             chain: self.chain.clone(),
             request_id,
             choice,
-            class: self.plan.class.clone(),
             agent: agent.view.id,
             customer: self.call.customer.clone(),
             held: self.held.take().expect("money is held while the request runs"),
@@ -412,8 +411,8 @@
 
     /// Goes on after the connection was lost for good. The agent is asked on a new connection whether
     /// it can still bar the request, which proves that it did not run. Otherwise the request runs
-    /// elsewhere only when it is idempotent and the agent knows nothing of it or cannot be reached,
-    /// under the retry budget; nothing of its answer was delivered.
+    /// elsewhere only when it is idempotent and the agent cannot be reached or has restarted, under
+    /// the retry budget; nothing of its answer was delivered.
     async fn after_loss(&mut self, agent: &Candidate, id: &RequestId, reason: Reason) -> Result<(), Failure> {
         let customer = &self.call.customer;
         let fate = claim::resolve(self.chain, customer, id, &agent.view.id, agent.incarnation).await;
@@ -429,8 +428,7 @@
         // The lost attempt may yet be billed, so its reservation stays spent.
         self.held = None;
         let failure = Failure::unknown(reason, message).at(id);
-        let known = matches!(fate, Some(Fate::Running | Fate::Finished));
-        if known || self.claim.is_some() || reason == Reason::Deadline || !self.chain.take_retry(reason) {
+        if fate.is_some() || self.claim.is_some() || reason == Reason::Deadline || !self.chain.take_retry(reason) {
             return Err(failure);
         }
         self.tried.push(agent.view.id.clone());
--- a/crates/daemon/src/filter/settlement.rs
+++ b/crates/daemon/src/filter/settlement.rs
@@ -2,7 +2,7 @@
 
 use bytes::Bytes;
 use eelgrasswell_core::{
-    id::{ClassName, CustomerId, HostId, RequestId},
+    id::{CustomerId, HostId, RequestId},
     unit::{Cost, Millis},
 };
 use eelgrasswell_proto::v1::{BillRecord, Finished};
@@ -25,8 +25,6 @@
     pub request_id: RequestId,
     /// Where it runs.
     pub choice: Choice,
-    /// Class of the request; empty when it names a model.
-    pub class: ClassName,
     /// Agent that runs it.
     pub agent: HostId,
     /// Customer of the request.
@@ -54,7 +52,7 @@
         }
         self.held.settle(cost);
         if !model.is_empty() {
-            router.quality.note_answer(&self.request_id, &self.class, model, version);
+            router.quality.note_answer(&self.request_id, &self.customer, model, version);
         }
         if let Some(claim) = self.claim {
             claim.complete(&self.chain, &self.customer, status, body).await;
--- a/crates/daemon/tests/fake/mod.rs
+++ b/crates/daemon/tests/fake/mod.rs
@@ -129,7 +129,12 @@
     async fn resolve(&self, _: tonic::Request<ResolveRequest>) -> Result<Response<ResolveReply>, Status> {
         let fate = self.0.resolve.lock().unwrap().pop_front();
         let fate = fate.ok_or_else(|| Status::unavailable("no fate is left"))?;
-        Ok(Response::new(ResolveReply { fate: fate.into(), status: 200, ..ResolveReply::default() }))
+        Ok(Response::new(ResolveReply {
+            fate: fate.into(),
+            status: 200,
+            agent_incarnation: INCARNATION.0,
+            ..ResolveReply::default()
+        }))
     }
 
     async fn link(&self, _: tonic::Request<Streaming<RouterBeat>>) -> Result<Response<Self::LinkStream>, Status> {
@@ -207,6 +212,8 @@
     }
 }
 
+/// Incarnation of each agent.
+pub const INCARNATION: Incarnation = Incarnation(7);
 /// Bytes that a caller takes without reading.
 pub const WINDOW: u32 = 64 << 10;
 pub const KEY: &str = "secret-of-alma";
@@ -324,7 +331,7 @@
         leaving: false,
     };
     let client = AgentClient::with_interceptor(endpoint.connect_lazy(), present.clone());
-    Candidate { view, incarnation: Incarnation(7), client, link: None }
+    Candidate { view, incarnation: INCARNATION, client, link: None }
 }
 
 fn settings(credential: &std::path::Path, platform: SocketAddr) -> RouterSettings {
@@ -377,8 +384,14 @@
                 },
             },
             "models": {
-                "small": {"service": "engines", "current": "v1", "versions": {"v1": version, "v2": version}},
-                "large": {"service": "engines", "current": "v1", "versions": {"v1": version}},
+                "small": {
+                    "service": "engines", "current": "v1", "prior_quality": 0.9,
+                    "versions": {"v1": version, "v2": version},
+                },
+                "large": {
+                    "service": "engines", "current": "v1", "prior_quality": 0.95,
+                    "versions": {"v1": {"state": "open", "input_price": 10, "output_price": 20}},
+                },
             },
             "classes": {"easy": {"candidates": ["small", "large"]}},
             "customers": {"alma": {
--- a/crates/daemon/tests/filters.rs
+++ b/crates/daemon/tests/filters.rs
@@ -8,7 +8,7 @@
 use serde_json::json;
 use test_case::test_case;
 
-use eelgrasswell_core::id::{Fence, Incarnation};
+use eelgrasswell_core::id::Fence;
 use eelgrasswell_daemon::{
     controller::shards::{ClaimEnd, ClaimResult},
     filter::choose,
@@ -287,7 +287,7 @@
     let pending = ClaimResult::Pending {
         request_id: "u.host-0".into(),
         agent: "host-0".into(),
-        agent_incarnation: Incarnation(7),
+        agent_incarnation: fake::INCARNATION,
     };
     bench.fakes.claims.lock().unwrap().extend([pending, ClaimResult::Granted(Fence(2))]);
     bench.agents[0].resolve.lock().unwrap().push_back(fate);
@@ -344,11 +344,14 @@
 }
 
 /// Guards against the loss of an idempotent request that had delivered nothing when its agent died.
+#[test_case(Script::Fail(tonic::Status::not_found("unknown")); "unknown request")]
+#[test_case(Script::End(vec![failed("answer_gone")]); "answer gone")]
 #[tokio::test]
-async fn idempotent_request_runs_elsewhere_after_loss() {
+async fn idempotent_request_runs_elsewhere_after_loss(resume: Script) {
     let bench = Bench::open(2).await;
     bench.set_running(1, 4);
     push(&bench, 0, Script::End(vec![]));
+    bench.agents[0].resume.lock().unwrap().push_back(resume);
     push(&bench, 1, Script::End(vec![head(), data(0, "ok"), finished(2)]));
     let reply = bench.chat(json!({"model": "small"})).await;
     assert_eq!(reply.body, Bytes::from("ok"));
@@ -424,3 +427,20 @@
     let chosen = (0..1000).map(|hash| choose::by_weight(&weights, stale, hash).unwrap());
     assert_eq!(chosen.filter(|version| version.as_str() == "v2").count() as u64, expected);
 }
+
+/// Guards against a second run, and a second bill, of a request that its agent has run although the
+/// router lost it (P4).
+#[test_case(Fate::Running, 1, "unknown"; "running")]
+#[test_case(Fate::Unknown, 1, "unknown"; "ended")]
+#[test_case(Fate::Barred, 2, ""; "not run")]
+#[tokio::test]
+async fn lost_request_follows_its_fate(fate: Fate, runs: usize, outcome: &str) {
+    let bench = Bench::open(2).await;
+    bench.set_running(1, 4);
+    push(&bench, 0, Script::End(vec![]));
+    bench.agents[0].resolve.lock().unwrap().push_back(fate);
+    push(&bench, 1, Script::End(vec![head(), data(0, "{}"), finished(2)]));
+    let reply = bench.chat(json!({"model": "small"})).await;
+    assert_eq!(bench.executed().len(), runs);
+    assert_eq!(reply.json()["error"]["outcome"].as_str().unwrap_or_default(), outcome);
+}
