--- a/crates/daemon/src/filter/events.rs
+++ b/crates/daemon/src/filter/events.rs
@@ -41,7 +41,6 @@
     next: u64,
     head_seen: bool,
     resumes: u32,
-    resumed: bool,
 }
 
 /// What an attempt brings.
@@ -114,7 +113,6 @@
             next: offset,
             head_seen: false,
             resumes: 0,
-            resumed: false,
         }
     }
 
@@ -146,6 +144,18 @@
         }
     }
 
+    /// Offset of the next byte.
+    pub fn offset(&self) -> u64 {
+        self.next
+    }
+
+    /// Leaves the stream; the next call of `next` joins the answer again. The agent holds what is
+    /// not read meanwhile.
+    pub fn leave(&mut self) {
+        self.stream = None;
+        self.resumes = 0;
+    }
+
     /// Filters one message: drops repetitions, and leaves the connection when bytes are missing.
     fn take(&mut self, message: ExecuteEvent) -> Result<Option<Event>, Lost> {
         use execute_event::Event as Message;
@@ -158,8 +168,10 @@
             }
             Some(Message::Data(data)) => self.take_data(data),
             Some(Message::Finished(finished)) => self.take_finished(finished),
-            Some(Message::Refused(refused)) if self.resumed => return Err(Lost::Gone(reason(&refused.reason))),
             Some(Message::Refused(refused)) => Some(Event::Refused(refused)),
+            Some(Message::Failed(failed)) if failed.reason == Reason::AnswerGone.as_str() => {
+                return Err(Lost::Gone(Reason::AnswerGone));
+            }
             Some(Message::Failed(failed)) => Some(Event::Failed(failed)),
         })
     }
@@ -216,7 +228,6 @@
             sleep(pause.into()).await;
         }
         self.resumes += 1;
-        self.resumed = true;
         metrics::counter!(telemetry::RETRIES, "reason" => "resume").increment(1);
         let Some(mut client) = self.backends.client(&self.agent) else {
             return Err(Lost::Gone(Reason::ConnectionLost));
