--- a/crates/daemon/tests/shards.rs
+++ b/crates/daemon/tests/shards.rs
@@ -3,6 +3,7 @@
 mod support;
 
 use eelgrasswell_core::{
+    hash::stable_hash,
     id::{CustomerId, RequestId},
     lease::Lease,
     refusal::Reason,
@@ -10,6 +11,7 @@
 };
 use eelgrasswell_daemon::controller::shards::{ClaimCall, ClaimEnd, ClaimResult, SHARDS};
 use eelgrasswell_testbed::platform::Platform;
+use futures::future::join_all;
 use support::{CAP, Node, bill};
 
 const LIMIT: Millis = Millis(20_000);
@@ -185,3 +187,54 @@
     let bills = b.run(|parts| async move { parts.shards.read_bills(&"open".into()).await }).await;
     assert_eq!(bills, Some(vec![bill("x", 5)]));
 }
+
+/// Guards against state that a snapshot or a segment of sealed bills loses, and against a successor
+/// that needs an entry which compaction deleted.
+#[tokio::test]
+async fn killed_owner_compacted_log() {
+    const ROUNDS: usize = 70;
+    const CLAIMS: usize = 5;
+    const BILLS: usize = 2_100;
+    let platform = platform().await;
+    let a = Node::start("a", platform.address()).await;
+    platform.until(|platform| owns_all(platform, "a")).await;
+    let b = Node::start("b", platform.address()).await;
+    let in_shard = |kind: &'static str, customer: Option<&'static str>| {
+        let parts = move |key: &str| stable_hash(&[&[kind], customer.as_slice(), &[key]].concat());
+        (0..).map(move |n| format!("{kind}-{n}")).filter(move |key| parts(key) % u64::from(SHARDS) == 3)
+    };
+
+    let bills: Vec<_> = in_shard("bill", None).take(BILLS).map(|id| bill(&id, 1)).collect();
+    let recorded = bills.clone();
+    assert!(a.run(|parts| async move { parts.shards.record_bills(&recorded).await }).await);
+    let keys: Vec<_> = in_shard("claim", Some("open")).take(ROUNDS * CLAIMS).collect();
+    let body = bytes::Bytes::from(vec![b'x'; 4 << 10]);
+    for round in keys.chunks(CLAIMS) {
+        let claims = round.iter().map(|key| claim_at(&a, claim(key, key)));
+        assert!(join_all(claims).await.iter().all(|result| matches!(result, ClaimResult::Granted(_))));
+        let ends = round.iter().map(|key| {
+            let (key, done) = (key.clone(), ClaimEnd::Done { status: 201, body: Some(body.clone()) });
+            a.run(|parts| async move { parts.shards.complete(&"open".into(), &key, &key.as_str().into(), done).await })
+        });
+        assert!(join_all(ends).await.into_iter().all(|durable| durable));
+    }
+    platform.until(|platform| platform.keys("shard/3/log/").len() < 2 * ROUNDS).await;
+    assert!(!platform.keys("shard/3/bills/").is_empty());
+    assert!(platform.keys("shard/3/part/").len() > 1, "the state must not fit in one object");
+
+    a.kill();
+    platform.until(|platform| owns_all(platform, "b")).await;
+    for key in &keys {
+        let done = claim_until_settled(&b, claim(key, "again")).await;
+        assert!(matches!(&done, ClaimResult::Done { request_id, .. } if request_id.as_str() == key), "{done:?}");
+    }
+    let last = ClaimResult::Done { request_id: keys.last().unwrap().as_str().into(), status: 201, body: Some(body) };
+    assert_eq!(claim_at(&b, claim(keys.last().unwrap(), "again")).await, last);
+    let again = bills.clone();
+    assert!(b.run(|parts| async move { parts.shards.record_bills(&again).await }).await);
+    let mut found = b.run(|parts| async move { parts.shards.read_bills(&"open".into()).await }).await.unwrap();
+    found.sort_by(|a, b| a.request_id.cmp(&b.request_id));
+    let mut expected = bills;
+    expected.sort_by(|a, b| a.request_id.cmp(&b.request_id));
+    assert_eq!(found, expected);
+}
