--- a/crates/core/src/claim.rs
+++ b/crates/core/src/claim.rs
@@ -178,6 +178,12 @@
         }
     }
 
+    /// The attempt whose outcome is not known yet, if the claim is held by one.
+    pub fn pending(&self, key: ClaimKey) -> Option<&Attempt> {
+        let claim = self.claims.get(&key).filter(|claim| claim.state == ClaimState::Pending)?;
+        Some(&claim.attempt)
+    }
+
     /// The change that ends the claim of an attempt; none when it has been made already, or when
     /// another attempt holds the claim.
     pub fn end(&self, key: ClaimKey, request: &RequestId, state: ClaimState) -> Option<ClaimOp> {
--- a/crates/daemon/src/controller/budgets/account.rs
+++ b/crates/daemon/src/controller/budgets/account.rs
@@ -65,6 +65,8 @@
     exhausted_until: Millis,
     failing: bool,
     open: Option<OpenDraw>,
+    /// Sum of all routers' shares when the owner last answered.
+    committed: Cost,
 }
 
 impl Account {
@@ -81,6 +83,11 @@
         &self.period
     }
 
+    /// The cap, and the sum of all routers' shares when the owner last answered.
+    pub fn commitment(&self) -> (Cost, Cost) {
+        (self.cap, self.committed)
+    }
+
     /// Money that can be reserved.
     pub fn available(&self) -> Cost {
         self.available
@@ -147,13 +154,14 @@
     }
 
     /// Takes in the owner's answer to a draw.
-    pub fn granted(&mut self, draw: &OpenDraw, granted: Cost, now: Millis) {
+    pub fn granted(&mut self, draw: &OpenDraw, granted: Cost, committed: Cost, now: Millis) {
         if self.open.as_ref().is_none_or(|open| open.id != draw.id) {
             return;
         }
         self.open = None;
         self.failing = false;
         self.confirmed = draw.sent;
+        self.committed = committed;
         self.credit(granted);
         if granted < draw.amount {
             self.exhausted_until = now + EXHAUSTED_FOR;
--- a/crates/daemon/src/controller/shards/serve.rs
+++ b/crates/daemon/src/controller/shards/serve.rs
@@ -2,7 +2,7 @@
 
 use eelgrasswell_core::{
     budget::{DrawAsk, DrawDecision},
-    claim::{Answer, ClaimDecision, ClaimKey, ClaimState},
+    claim::{Answer, ClaimAsk, ClaimDecision, ClaimKey, ClaimState},
     id::{Incarnation, ShardId},
     ledger::{BillOp, Ledger},
     shard::{Op, ShardState},
@@ -12,7 +12,10 @@
 use futures::{StreamExt, TryStreamExt, stream};
 
 use super::{Inner, convert, shard_of_bill, shard_of_claim, shard_of_key, snapshot};
-use crate::event;
+use crate::{
+    event,
+    invariant::{self, Promise},
+};
 
 /// Bills in one command; a batch of the log must stay under 1 MB.
 const BILLS_PER_COMMAND: usize = 500;
@@ -34,7 +37,10 @@
         let decide = move |state: &ShardState| {
             let decision = state.claims.decide(&ask, fence);
             let ops = match &decision {
-                ClaimDecision::Grant(op) => vec![Op::Claim(op.clone())],
+                ClaimDecision::Grant(op) => {
+                    check_grant(state, &ask);
+                    vec![Op::Claim(op.clone())]
+                }
                 _ => Vec::new(),
             };
             (ops, decision)
@@ -143,6 +149,8 @@
         let sealed: Vec<_> = segments.buffer_unordered(PARALLEL_SEGMENTS).try_collect().await.ok()?;
         bills.extend(sealed.into_iter().flatten().filter(|bill| bill.customer.as_str() == req.customer));
         bills.sort_by(|a, b| a.request.cmp(&b.request));
+        let repeated = bills.windows(2).find(|pair| pair[0].request == pair[1].request);
+        invariant::check(Promise::Billed, repeated.is_none(), || format!("a request is billed twice: {repeated:?}"));
         Some(v1::ReadBillsReply { bills: bills.iter().map(convert::bill_record).collect(), not_owner: None })
     }
 
@@ -151,6 +159,15 @@
     }
 }
 
+/// Asserts that a grant replaces no attempt that may still run.
+fn check_grant(state: &ShardState, ask: &ClaimAsk) {
+    let replaced = state.claims.pending(ask.key);
+    let barred = replaced.is_none_or(|attempt| Some(&attempt.request) == ask.barred.as_ref());
+    invariant::check(Promise::AtMostOnce, barred, || {
+        format!("request {} was granted a claim while {replaced:?} holds it", ask.attempt.request)
+    });
+}
+
 fn new_bills(ledger: &Ledger, bills: Vec<BillOp>) -> Vec<Op> {
     bills.into_iter().filter(|op| !ledger.contains(&op.bill.request)).map(Op::Bill).collect()
 }
--- a/crates/daemon/tests/shards.rs
+++ b/crates/daemon/tests/shards.rs
@@ -128,6 +128,8 @@
     let customer = capped.clone();
     let local = a.run(|parts| async move { parts.budgets.reserve(&customer, Cost(400)).await });
     local.await.expect("a share that is held can be spent").settle(Cost(400));
+    let spending = a.parts.budgets.spending().remove(0);
+    assert_eq!((spending.cap, spending.committed - spending.available), (CAP, Cost(400)));
     let customer = capped.clone();
     let too_much = a.run(|parts| async move { parts.budgets.reserve(&customer, Cost(CAP.0 / 2)).await });
     assert_eq!(too_much.await.map(drop).unwrap_err().reason, Reason::BudgetUnavailable);
