Keep digests of live routers and ping idle connections

Cause: each exchange built and sorted the whole list of live routers several times to compute its digest (350 entries with four strings each); the digest of an entry is now computed once and the entries are kept in order. A call that timed out on a silent connection left the connection without open calls, so it was not pinged and the next call used it again, for ever where peers are few. Idle connections are now pinged, idle channels dropped after 10 s, and an exchange that times out opens a new connection. A plan that could not be computed would have ended all links; the links now stay as they are. No figure for the cost of an exchange was taken.

--- a/crates/core/src/membership.rs
+++ b/crates/core/src/membership.rs
@@ -4,7 +4,7 @@
 use std::{cmp::Reverse, collections::BTreeMap};
 
 use crate::{
-    hash::{HashMap, stable_hash},
+    hash::stable_hash,
     id::{DomainId, HostId, Incarnation, ServiceName},
     unit::Millis,
 };
@@ -161,7 +161,7 @@
 /// Heartbeats of routers, heard directly or through others. `T` is what is known of a router.
 #[derive(Clone, Debug)]
 pub struct Heartbeats<T> {
-    heard: HashMap<HostId, Heard<T>>,
+    heard: BTreeMap<HostId, Heard<T>>,
 }
 
 /// The newest heartbeat of a router.
@@ -179,7 +179,7 @@
 
 impl<T> Default for Heartbeats<T> {
     fn default() -> Self {
-        Self { heard: HashMap::default() }
+        Self { heard: BTreeMap::new() }
     }
 }
 
@@ -201,15 +201,17 @@
 
     /// Drops routers that count as dead at `now`.
     pub fn expire(&mut self, now: Millis) {
-        self.heard.retain(|_, heard| now.saturating_sub(heard.at) < DEAD_AFTER);
+        self.heard.retain(|_, heard| heard.is_live(now));
     }
 
     /// Routers that are alive at `now`, leaving ones included, in order of id.
-    pub fn live(&self, now: Millis) -> Vec<(&HostId, &Heard<T>)> {
-        let mut live: Vec<_> =
-            self.heard.iter().filter(|(_, heard)| now.saturating_sub(heard.at) < DEAD_AFTER).collect();
-        live.sort_by_key(|(id, _)| *id);
-        live
+    pub fn live(&self, now: Millis) -> impl Iterator<Item = (&HostId, &Heard<T>)> {
+        self.heard.iter().filter(move |(_, heard)| heard.is_live(now))
+    }
+
+    /// Like `live`; for heartbeats of routers that are known already, which only raise `at`.
+    pub fn live_mut(&mut self, now: Millis) -> impl Iterator<Item = (&HostId, &mut Heard<T>)> {
+        self.heard.iter_mut().filter(move |(_, heard)| heard.is_live(now))
     }
 
     /// What is known of the router at `id`.
@@ -217,3 +219,9 @@
         self.heard.get(id)
     }
 }
+
+impl<T> Heard<T> {
+    fn is_live(&self, now: Millis) -> bool {
+        now.saturating_sub(self.at) < DEAD_AFTER
+    }
+}
--- a/crates/core/tests/membership.rs
+++ b/crates/core/tests/membership.rs
@@ -178,8 +178,8 @@
     let mut beats = Heartbeats::default();
     beats.note(&id, beat(1, 5_000));
     beats.note(&id, beat(1, 3_000));
-    assert_eq!(beats.live(Millis(5_000) + DEAD_AFTER - Millis(1)).len(), 1);
-    assert!(beats.live(Millis(5_000) + DEAD_AFTER).is_empty());
+    assert_eq!(beats.live(Millis(5_000) + DEAD_AFTER - Millis(1)).count(), 1);
+    assert_eq!(beats.live(Millis(5_000) + DEAD_AFTER).count(), 0);
 }
 
 /// Guards against news of an incarnation that has ended hiding the one that replaced it, and
--- a/crates/daemon/src/controller/links/mod.rs
+++ b/crates/daemon/src/controller/links/mod.rs
@@ -23,7 +23,7 @@
 use eelgrasswell_proto::v1::agent_client::AgentClient;
 use tokio::{
     sync::watch,
-    task::JoinHandle,
+    task::{JoinError, JoinHandle},
     time::{MissedTickBehavior, interval},
 };
 use tonic::{service::interceptor::InterceptedService, transport::Channel};
@@ -165,7 +165,7 @@
             continue;
         }
         let agents = inner.members.agents();
-        let links = plan(&inner, basis.0.clone(), &agents).await;
+        let Ok(links) = plan(&inner, basis.0.clone(), &agents).await else { continue };
         planned = Some(basis);
         retain_planned(&inner, &mut kept, &agents, &links);
         for link in links {
@@ -183,14 +183,13 @@
     }
 }
 
-async fn plan(inner: &Inner, routers: Vec<Node>, agents: &[HostEntry]) -> Vec<PlannedLink> {
+async fn plan(inner: &Inner, routers: Vec<Node>, agents: &[HostEntry]) -> Result<Vec<PlannedLink>, JoinError> {
     let own = inner.settings.host.id.clone();
     let agents: Vec<Node> = agents
         .iter()
         .map(|entry| Node { id: entry.id.clone(), domain: entry.domain.clone(), pool: entry.service.clone() })
         .collect();
-    let plan = tokio::task::spawn_blocking(move || membership::plan_links(&own, &routers, &agents));
-    plan.await.unwrap_or_default()
+    tokio::task::spawn_blocking(move || membership::plan_links(&own, &routers, &agents)).await
 }
 
 /// Ends links that are no longer planned or whose agent has moved.
--- a/crates/daemon/src/controller/membership/channels.rs
+++ b/crates/daemon/src/controller/membership/channels.rs
@@ -11,13 +11,14 @@
 
 /// Longest time that opening a connection takes.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
-/// Time between two pings on a connection with open calls.
+/// Time between two pings on a connection. Idle connections are pinged as well: a call that timed
+/// out on a silent connection leaves it idle, and the next call would go to it again.
 const KEEP_ALIVE_INTERVAL: Duration = Duration::from_secs(2);
 /// Time without an answer to a ping after which a connection counts as silent and is closed.
 const KEEP_ALIVE_TIMEOUT: Duration = Duration::from_secs(3);
 /// Time without use after which a channel is dropped. Two random peers a second would otherwise
 /// leave a connection to each of 350 routers open.
-const IDLE_AFTER: Millis = Millis(20_000);
+const IDLE_AFTER: Millis = Millis(10_000);
 
 /// Open channels by address.
 #[derive(Default)]
@@ -60,6 +61,7 @@
         .connect_timeout(CONNECT_TIMEOUT)
         .http2_keep_alive_interval(KEEP_ALIVE_INTERVAL)
         .keep_alive_timeout(KEEP_ALIVE_TIMEOUT)
+        .keep_alive_while_idle(true)
         .tcp_nodelay(true)
         .connect_lazy()
 }
--- a/crates/daemon/src/controller/membership/mod.rs
+++ b/crates/daemon/src/controller/membership/mod.rs
@@ -168,7 +168,7 @@
     pub fn peer_addresses(&self) -> Vec<SocketAddr> {
         let state = self.read();
         let own = &self.inner.settings.host;
-        let live = state.routers.others(self.inner.clock.now()).map(|router| router.address);
+        let live = state.routers.addresses(self.inner.clock.now());
         let listed = state.hosts.with_role(HostRole::Router).filter(|entry| entry.id != own.id);
         let mut addresses: Vec<SocketAddr> = live.chain(listed.map(|entry| entry.address)).collect();
         addresses.extend(self.inner.settings.seeds.iter().filter(|seed| **seed != own.inner));
--- a/crates/daemon/src/controller/membership/routers.rs
+++ b/crates/daemon/src/controller/membership/routers.rs
@@ -1,6 +1,6 @@
 //! Live routers: this one and those whose heartbeats arrive, directly or through others.
 
-use std::net::SocketAddr;
+use std::{mem, net::SocketAddr};
 
 use bytes::Bytes;
 use eelgrasswell_core::{
@@ -20,6 +20,7 @@
 /// This router and what it has heard of the others.
 pub struct Routers {
     own: LiveRouter,
+    own_digest: u64,
     leaving: bool,
     heard: Heartbeats<Place>,
     /// Time at which the host list first named a router.
@@ -33,12 +34,16 @@
 struct Place {
     domain: DomainId,
     address: SocketAddr,
+    /// Digest of the router, computed once: every exchange sums it over all live routers.
+    digest: u64,
 }
 
 impl Routers {
     /// Starts with `own` alone.
     pub fn new(own: LiveRouter) -> Self {
-        Self { own, leaving: false, heard: Heartbeats::default(), listed: HashMap::default(), last_digest: 0 }
+        let own_digest = digest(&own.id, &own.domain, own.address, own.incarnation);
+        let heard = Heartbeats::default();
+        Self { own, own_digest, leaving: false, heard, listed: HashMap::default(), last_digest: 0 }
     }
 
     /// Marks this router as leaving.
@@ -48,7 +53,7 @@
 
     /// Live routers that are not leaving, in order of id.
     pub fn live(&self, now: Millis) -> Vec<LiveRouter> {
-        let others = self.heard.live(now).into_iter().filter(|(_, heard)| !heard.leaving);
+        let others = self.heard.live(now).filter(|(_, heard)| !heard.leaving);
         let mut live: Vec<LiveRouter> = others.map(|(id, heard)| live_router(id, heard)).collect();
         if !self.leaving {
             let at = live.partition_point(|router| router.id < self.own.id);
@@ -57,9 +62,9 @@
         live
     }
 
-    /// All other live routers, leaving ones included.
-    pub fn others(&self, now: Millis) -> impl Iterator<Item = LiveRouter> {
-        self.heard.live(now).into_iter().map(|(id, heard)| live_router(id, heard))
+    /// Addresses of all other live routers, leaving ones included.
+    pub fn addresses(&self, now: Millis) -> impl Iterator<Item = SocketAddr> {
+        self.heard.live(now).map(|(_, heard)| heard.info.address)
     }
 
     /// See `Members::linking_routers`.
@@ -78,7 +83,8 @@
         nodes
     }
 
-    /// Notes which routers the host list names, and drops dead ones. True when the live ones changed.
+    /// Notes which routers the host list names, and drops dead ones. True when the live ones have
+    /// changed since the last tick.
     pub fn tick(&mut self, hosts: &Hosts, now: Millis) -> bool {
         self.listed.retain(|id, _| hosts.get(id).is_some());
         for entry in hosts.with_role(HostRole::Router) {
@@ -86,7 +92,7 @@
         }
         self.heard.expire(now);
         let digest = self.digest(now);
-        std::mem::replace(&mut self.last_digest, digest) != digest
+        mem::replace(&mut self.last_digest, digest) != digest
     }
 
     /// This router as others see it.
@@ -101,9 +107,9 @@
         }
     }
 
-    /// All live routers with the age of their heartbeats, in order of id.
+    /// All live routers with the age of their heartbeats.
     pub fn infos(&self, now: Millis) -> Vec<RouterInfo> {
-        let others = self.heard.live(now).into_iter().map(|(id, heard)| RouterInfo {
+        let others = self.heard.live(now).map(|(id, heard)| RouterInfo {
             id: id.to_string(),
             domain: heard.info.domain.to_string(),
             address: heard.info.address.to_string(),
@@ -111,36 +117,43 @@
             leaving: heard.leaving,
             heard_ms_ago: now.saturating_sub(heard.at).0,
         });
-        let mut infos: Vec<RouterInfo> = others.chain([self.own_info()]).collect();
-        infos.sort_by(|a, b| a.id.cmp(&b.id));
-        infos
+        others.chain([self.own_info()]).collect()
     }
 
     /// Digest and ages, without the routers themselves.
     pub fn gossip(&self, now: Millis) -> Gossip {
-        let infos = self.infos(now);
-        // Rounded up, so that an age never shrinks on its way through many routers.
-        let heard: Bytes =
-            infos.iter().map(|i| u8::try_from(i.heard_ms_ago.div_ceil(AGE_UNIT)).unwrap_or(u8::MAX)).collect();
-        Gossip { routers_digest: digest(&infos), heard, ..Gossip::default() }
+        let mut ages: Vec<u8> = Vec::new();
+        let mut own_at = 0;
+        for (id, heard) in self.heard.live(now) {
+            // Rounded up, so that an age never shrinks on its way through many routers.
+            let age = now.saturating_sub(heard.at).0.div_ceil(AGE_UNIT);
+            ages.push(u8::try_from(age).unwrap_or(u8::MAX));
+            own_at += usize::from(*id < self.own.id);
+        }
+        ages.insert(own_at, 0);
+        Gossip { routers_digest: self.digest(now), heard: Bytes::from(ages), ..Gossip::default() }
     }
 
     /// Takes in heartbeats that another router heard up to `now`; true when the live routers changed.
     pub fn receive(&mut self, from: Option<&RouterInfo>, gossip: &Gossip, now: Millis) -> bool {
         let before = self.digest(now);
-        if let Some(from) = from {
-            self.note(from, now);
-        }
-        for info in &gossip.routers {
+        for info in from.into_iter().chain(&gossip.routers) {
             self.note(info, now);
         }
-        if gossip.routers.is_empty() && gossip.routers_digest == self.digest(now) {
-            for (mut info, age) in self.infos(now).into_iter().zip(&gossip.heard) {
-                info.heard_ms_ago = u64::from(*age) * AGE_UNIT;
-                self.note(&info, now);
-            }
+        let digest = self.digest(now);
+        if gossip.routers_digest == digest {
+            self.note_ages(&gossip.heard, now);
+        }
+        before != digest
+    }
+
+    /// Takes in the ages of the heartbeats of all live routers in order of id, this one included.
+    fn note_ages(&mut self, ages: &[u8], now: Millis) {
+        let own_at = self.heard.live(now).filter(|(id, _)| **id < self.own.id).count();
+        let others = ages.iter().enumerate().filter(|(i, _)| *i != own_at);
+        for ((_, heard), (_, age)) in self.heard.live_mut(now).zip(others) {
+            heard.at = heard.at.max(now.saturating_sub(Millis(u64::from(*age) * AGE_UNIT)));
         }
-        before != self.digest(now)
     }
 
     fn note(&mut self, info: &RouterInfo, now: Millis) {
@@ -149,27 +162,31 @@
         if id == self.own.id || id.is_empty() || Millis(info.heard_ms_ago) >= DEAD_AFTER {
             return;
         }
+        let domain = DomainId::from(info.domain.as_str());
+        let incarnation = Incarnation(info.incarnation);
+        let digest = digest(&id, &domain, address, incarnation);
         let beat = Heard {
-            incarnation: Incarnation(info.incarnation),
+            incarnation,
             at: now.saturating_sub(Millis(info.heard_ms_ago)),
             leaving: info.leaving,
-            info: Place { domain: info.domain.as_str().into(), address },
+            info: Place { domain, address, digest },
         };
         self.heard.note(&id, beat);
     }
 
+    /// Digest of the live routers without the ages of their heartbeats.
     fn digest(&self, now: Millis) -> u64 {
-        digest(&self.infos(now))
+        let others = self.heard.live(now).map(|(_, heard)| with_leaving(heard.info.digest, heard.leaving));
+        others.fold(with_leaving(self.own_digest, self.leaving), u64::wrapping_add)
     }
 }
 
-/// Digest of routers without the ages of their heartbeats.
-fn digest(infos: &[RouterInfo]) -> u64 {
-    let digests = infos.iter().map(|info| {
-        let leaving = if info.leaving { "leaving" } else { "" };
-        stable_hash(&[&info.id, &info.domain, &info.address, &info.incarnation.to_string(), leaving])
-    });
-    digests.fold(0, u64::wrapping_add)
+fn digest(id: &HostId, domain: &DomainId, address: SocketAddr, incarnation: Incarnation) -> u64 {
+    stable_hash(&[id.as_str(), domain.as_str(), &address.to_string(), &incarnation.to_string()])
+}
+
+fn with_leaving(digest: u64, leaving: bool) -> u64 {
+    if leaving { digest.rotate_left(1) } else { digest }
 }
 
 fn live_router(id: &HostId, heard: &Heard<Place>) -> LiveRouter {
--- a/crates/daemon/src/controller/peers/exchange.rs
+++ b/crates/daemon/src/controller/peers/exchange.rs
@@ -7,7 +7,7 @@
     unit::Millis,
 };
 use eelgrasswell_proto::v1::{ConfigUpdate, RouterInfo, ShardOwner, SyncReply, SyncRequest, peer_client::PeerClient};
-use eyre::{Result, WrapErr};
+use eyre::{Result, WrapErr, bail};
 use tokio::time::{Instant, timeout};
 
 use crate::{controller::membership::Gossip, event, router::Router};
@@ -52,7 +52,11 @@
     let mut client = PeerClient::with_interceptor(channel, present);
     let start = Instant::now();
     let reply = timeout(TIMEOUT, client.sync(request(router, since))).await;
-    let reply = reply.wrap_err_with(|| format!("timed out syncing with {address}"))?;
+    let Ok(reply) = reply else {
+        // The connection may be silent.
+        router.members.reconnect(address);
+        bail!("timed out syncing with {address}");
+    };
     let reply = reply.wrap_err_with(|| format!("could not sync with {address}"))?.into_inner();
     let answer = Answer {
         peer: reply.from.as_ref().map_or_else(HostId::default, |from| from.id.as_str().into()),
