Pass host list changes on and test silent connections

Cause: only one watcher polls the host list in a second, and the exchange with random peers alone takes seconds to reach 350 routers. A watcher now passes changed sections to the routers of its failure domain and to the other watchers, which do the same. Sections that a router learns for the first time are not passed on, or each start would send the whole list. A push no longer waits for the one before: a dead peer delayed the next change by its time-out, and a revision adopted during a push was not pushed at all.

--- a/crates/daemon/src/controller/membership/hosts.rs
+++ b/crates/daemon/src/controller/membership/hosts.rs
@@ -17,6 +17,8 @@
 pub struct Hosts {
     sections: BTreeMap<DomainId, Section>,
     by_id: HashMap<HostId, HostEntry>,
+    /// Number of the last change to a section.
+    changes: u64,
 }
 
 #[derive(Default)]
@@ -26,6 +28,8 @@
     digest: u64,
     /// Time of this process's clock at which a router read the section at the platform.
     observed_at: Millis,
+    /// Number of the last change to this section; zero while it has only been learned.
+    changed: u64,
 }
 
 impl Hosts {
@@ -62,9 +66,21 @@
         changed
     }
 
-    /// Digests and ages of all sections, without their entries.
-    pub fn digests(&self, now: Millis) -> Vec<HostSection> {
-        self.sections.iter().map(|(domain, section)| section.describe(domain, now)).collect()
+    /// Number of the last change to a section that was known before.
+    pub fn changes(&self) -> u64 {
+        self.changes
+    }
+
+    /// All sections, with the entries of those that changed after change number `since`.
+    pub fn changed_since(&self, since: u64, now: Millis) -> Vec<HostSection> {
+        let sections = self.sections.iter();
+        sections
+            .map(
+                |(domain, section)| {
+                    if section.changed > since { section.complete(domain, now) } else { section.describe(domain, now) }
+                },
+            )
+            .collect()
     }
 
     /// The sections that are newer here than in `theirs` and differ.
@@ -77,11 +93,7 @@
                     .get(domain.as_str())
                     .is_none_or(|their| their.digest != section.digest && their.observed_ms_ago > section.age(now))
             })
-            .map(|(domain, section)| HostSection {
-                complete: true,
-                entries: section.entries.iter().map(encode).collect(),
-                ..section.describe(domain, now)
-            })
+            .map(|(domain, section)| section.complete(domain, now))
             .collect()
     }
 
@@ -98,11 +110,16 @@
     fn set(&mut self, domain: DomainId, mut entries: Vec<HostEntry>, observed_at: Millis) -> bool {
         entries.sort_by(|a, b| a.id.cmp(&b.id));
         let digest = entries.iter().map(digest).fold(0, u64::wrapping_add);
+        let is_known = self.sections.contains_key(&domain);
         let section = self.sections.entry(domain).or_default();
         section.observed_at = observed_at;
         if section.digest == digest {
             return false;
         }
+        if is_known {
+            self.changes += 1;
+            section.changed = self.changes;
+        }
         section.digest = digest;
         section.entries = entries;
         self.by_id = self
@@ -120,6 +137,10 @@
         now.saturating_sub(self.observed_at).0
     }
 
+    fn complete(&self, domain: &DomainId, now: Millis) -> HostSection {
+        HostSection { complete: true, entries: self.entries.iter().map(encode).collect(), ..self.describe(domain, now) }
+    }
+
     fn describe(&self, domain: &DomainId, now: Millis) -> HostSection {
         HostSection {
             domain: domain.to_string(),
--- a/crates/daemon/src/controller/membership/mod.rs
+++ b/crates/daemon/src/controller/membership/mod.rs
@@ -164,6 +164,19 @@
         state.routers.linking(&state.hosts, now)
     }
 
+    /// Addresses of the routers that a watcher passes changes on to: the other routers of its failure
+    /// domain, and the watchers of the other failure domains.
+    pub fn push_targets(&self) -> Vec<SocketAddr> {
+        let own = &self.inner.settings.host;
+        let routers = self.routers();
+        let nodes: Vec<Node> = routers.iter().cloned().map(node_of).collect();
+        let targets = routers
+            .iter()
+            .filter(|router| router.id != own.id)
+            .filter(|router| router.domain == own.domain || membership::is_watcher(&router.id, &router.domain, &nodes));
+        targets.map(|router| router.address).collect()
+    }
+
     /// Addresses of all other routers: live ones, those of the host list, and seeds.
     pub fn peer_addresses(&self) -> Vec<SocketAddr> {
         let state = self.read();
@@ -182,11 +195,17 @@
         self.read().routers.own_info()
     }
 
-    /// What to tell another router that has not said what it knows.
-    pub fn gossip(&self) -> Gossip {
+    /// Number of the last change to a part of the host list that was known before.
+    pub fn host_changes(&self) -> u64 {
+        self.read().hosts.changes()
+    }
+
+    /// What to tell another router that has not said what it knows: digests of the host list, and
+    /// the parts that changed after change number `since`.
+    pub fn gossip(&self, since: u64) -> Gossip {
         let state = self.read();
         let now = self.inner.clock.now();
-        Gossip { hosts: state.hosts.digests(now), routers: Vec::new(), ..state.routers.gossip(now) }
+        Gossip { hosts: state.hosts.changed_since(since, now), ..state.routers.gossip(now) }
     }
 
     /// What to tell a router that knows `theirs`.
--- a/crates/daemon/src/controller/peers/exchange.rs
+++ b/crates/daemon/src/controller/peers/exchange.rs
@@ -25,6 +25,22 @@
     pub revision: Revision,
 }
 
+/// What a peer is told at once, before it has said what it lacks.
+#[derive(Clone, Copy, Debug)]
+pub struct News {
+    /// Changes to the configuration after this revision.
+    pub config_since: Revision,
+    /// Changes to the host list after this number.
+    pub hosts_since: u64,
+}
+
+impl News {
+    /// Nothing, given the state of `router`.
+    pub fn none(router: &Router) -> Self {
+        Self { config_since: router.config.revision(), hosts_since: router.members.host_changes() }
+    }
+}
+
 /// What a message says, request or reply.
 pub struct Incoming<'a> {
     pub from: Option<&'a RouterInfo>,
@@ -37,21 +53,21 @@
     pub delay: Millis,
 }
 
-/// Exchanges with the router at `address`. It is sent what came after `since` at once, and what it
+/// Exchanges with the router at `address`. It is sent `news` at once, and the configuration that it
 /// turns out to lack afterwards.
-pub async fn exchange(router: &Router, address: SocketAddr, since: Option<Revision>) -> Result<Answer> {
-    let answer = call(router, address, since).await?;
+pub async fn exchange(router: &Router, address: SocketAddr, news: News) -> Result<Answer> {
+    let answer = call(router, address, news).await?;
     if answer.revision < router.config.revision() {
-        return call(router, address, Some(answer.revision)).await;
+        return call(router, address, News { config_since: answer.revision, ..News::none(router) }).await;
     }
     Ok(answer)
 }
 
-async fn call(router: &Router, address: SocketAddr, since: Option<Revision>) -> Result<Answer> {
+async fn call(router: &Router, address: SocketAddr, news: News) -> Result<Answer> {
     let (channel, present) = router.members.channel(address);
     let mut client = PeerClient::with_interceptor(channel, present);
     let start = Instant::now();
-    let reply = timeout(TIMEOUT, client.sync(request(router, since))).await;
+    let reply = timeout(TIMEOUT, client.sync(request(router, news))).await;
     let Ok(reply) = reply else {
         // The connection may be silent.
         router.members.reconnect(address);
@@ -66,13 +82,13 @@
     Ok(answer)
 }
 
-fn request(router: &Router, since: Option<Revision>) -> SyncRequest {
-    let gossip = router.members.gossip();
+fn request(router: &Router, news: News) -> SyncRequest {
+    let gossip = router.members.gossip(news.hosts_since);
     SyncRequest {
         from: Some(router.members.own_info()),
         revision: router.config.known_revision().0,
         confirmed_ms_ago: router.config.confirmed_ago().0,
-        update: since.and_then(|since| router.config.update_since(since)),
+        update: router.config.update_since(news.config_since),
         owners: router.shards.owners(),
         routers_digest: gossip.routers_digest,
         heard: gossip.heard,
--- a/crates/daemon/src/controller/peers/mod.rs
+++ b/crates/daemon/src/controller/peers/mod.rs
@@ -9,8 +9,9 @@
 use eelgrasswell_core::id::Revision;
 use futures::{StreamExt, stream};
 use rand::seq::IndexedRandom;
-use tokio::time::{MissedTickBehavior, interval};
+use tokio::time::{MissedTickBehavior, interval, timeout};
 
+use self::exchange::News;
 pub use self::service::PeerService;
 use crate::{event, router::Router};
 
@@ -20,10 +21,13 @@
 const PEERS_PER_ROUND: usize = 2;
 /// Exchanges that run at a time when all routers of a failure domain are told of something.
 const CONCURRENCY: usize = 16;
+/// Pause between two rounds of a router that catches up.
+const CATCH_UP_PAUSE: Duration = Duration::from_millis(50);
 
 /// Starts the periodic exchange with random peers.
 pub fn spawn(router: Router) {
     tokio::spawn(push_config(router.clone()));
+    tokio::spawn(push_hosts(router.clone()));
     tokio::spawn(tell_leaving(router.clone()));
     tokio::spawn(async move {
         start::ask_peers(&router).await;
@@ -38,36 +42,74 @@
         ticks.tick().await;
         let addresses = router.members.peer_addresses();
         let picked: Vec<SocketAddr> = addresses.sample(&mut rand::rng(), PEERS_PER_ROUND).copied().collect();
-        exchange_with(router, picked, None).await;
+        exchange_with(router, picked, News::none(router)).await;
     }
 }
 
-/// Pushes each new configuration to the routers of the failure domain when this router watches for it.
+/// Passes each new configuration on to the routers of the failure domain when this router watches
+/// for it. All failure domains have watchers of their own.
 async fn push_config(router: Router) {
     let mut last = router.config.revision();
     loop {
         router.config.reached(Revision(last.0 + 1)).await;
+        let current = router.config.revision();
         if router.members.is_watcher() {
             let domain = &router.settings.host.domain;
             let peers = router.members.routers().into_iter();
             let peers = peers.filter(|peer| peer.domain == *domain && peer.id != router.settings.host.id);
-            exchange_with(&router, peers.map(|peer| peer.address).collect(), Some(last)).await;
+            let peers = peers.map(|peer| peer.address).collect();
+            push(&router, peers, News { config_since: last, ..News::none(&router) });
         }
-        last = router.config.revision();
+        last = current;
     }
 }
 
+/// Passes changes of the host list on when this router is a watcher. Of all watchers only one polls
+/// at a time, so it tells those of the other failure domains too.
+async fn push_hosts(router: Router) {
+    let mut changes = router.members.changes();
+    let mut last = router.members.host_changes();
+    while changes.changed().await.is_ok() {
+        let current = router.members.host_changes();
+        if current > last && router.members.is_watcher() {
+            let news = News { hosts_since: last, ..News::none(&router) };
+            push(&router, router.members.push_targets(), news);
+        }
+        last = current;
+    }
+}
+
+/// Tells `peers` without waiting for them, so that a dead one does not delay the next push.
+fn push(router: &Router, peers: Vec<SocketAddr>, news: News) {
+    let router = router.clone();
+    tokio::spawn(async move { exchange_with(&router, peers, news).await });
+}
+
 /// Tells all live routers at once that this one leaves, so that they stop choosing it.
 async fn tell_leaving(router: Router) {
     router.members.left().await;
     let peers = router.members.routers().into_iter().map(|peer| peer.address).collect();
-    exchange_with(&router, peers, None).await;
+    exchange_with(&router, peers, News::none(&router)).await;
+}
+
+/// Exchanges with peers until one has brought `revision`. For a router that an agent refused because
+/// the agent's configuration is newer; the caller bounds the time.
+pub async fn catch_up(router: &Router, revision: Revision) {
+    while router.config.revision() < revision {
+        let addresses = router.members.peer_addresses();
+        let picked: Vec<SocketAddr> = addresses.sample(&mut rand::rng(), PEERS_PER_ROUND).copied().collect();
+        tokio::select! {
+            () = exchange_with(router, picked, News::none(router)) => {}
+            () = router.config.reached(revision) => return,
+        }
+        let _ = timeout(CATCH_UP_PAUSE, router.config.reached(revision)).await;
+    }
 }
 
-/// Exchanges with each of `peers`; they are sent what came after revision `since` at once.
-async fn exchange_with(router: &Router, peers: Vec<SocketAddr>, since: Option<Revision>) {
+/// Exchanges with each of `peers`, which are told `news` at once.
+async fn exchange_with(router: &Router, peers: Vec<SocketAddr>, news: News) {
     let exchanges = peers.into_iter().map(|peer| async move {
-        if let Err(err) = exchange::exchange(router, peer, since).await {
+        if let Err(err) = exchange::exchange(router, peer, news).await {
             event!(Debug, "exchange_failed", peer = peer, error = format!("{err:#}"));
         }
     });
--- a/crates/daemon/tests/distribution/agent.rs
+++ b/crates/daemon/tests/distribution/agent.rs
@@ -16,10 +16,49 @@
 };
 use eelgrasswell_proto::v1::{self, AgentBeat, RouterBeat, agent_server};
 use futures::Stream;
-use tokio::{net::TcpListener, sync::mpsc};
+use tokio::{
+    io::copy_bidirectional,
+    net::{TcpListener, TcpStream},
+    sync::{mpsc, watch},
+};
 use tokio_stream::wrappers::{ReceiverStream, TcpListenerStream};
 use tonic::{Request, Response, Status, Streaming};
 
+/// Forwards connections to an agent until it is frozen. Frozen connections stay open and carry
+/// nothing; new ones work.
+pub struct Proxy {
+    pub address: SocketAddr,
+    frozen: watch::Sender<u64>,
+}
+
+impl Proxy {
+    pub async fn open(target: SocketAddr) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let frozen = watch::channel(0).0;
+        let freezes = frozen.clone();
+        tokio::spawn(async move {
+            loop {
+                let (mut near, _) = listener.accept().await.unwrap();
+                let mut freeze = freezes.subscribe();
+                tokio::spawn(async move {
+                    let mut far = TcpStream::connect(target).await.unwrap();
+                    tokio::select! {
+                        _ = copy_bidirectional(&mut near, &mut far) => {}
+                        _ = freeze.changed() => std::future::pending().await,
+                    }
+                });
+            }
+        });
+        Self { address, frozen }
+    }
+
+    /// Freezes all open connections.
+    pub fn freeze(&self) {
+        self.frozen.send_modify(|n| *n += 1);
+    }
+}
+
 /// What the agent sees.
 #[derive(Debug)]
 pub enum Seen {
--- a/crates/daemon/tests/distribution/fleet.rs
+++ b/crates/daemon/tests/distribution/fleet.rs
@@ -1,9 +1,18 @@
 //! Several routers: election of watchers, spreading of changes, and a router that leaves.
 
-use eelgrasswell_core::id::{Revision, ShardId};
+use std::time::Instant;
+
+use eelgrasswell_core::{
+    id::{Revision, ShardId},
+    unit::Millis,
+};
+use eelgrasswell_daemon::controller::membership::Gossip;
+use eelgrasswell_proto::v1::{HostInfo, HostSection, RouterInfo, SyncReply};
+use prost::Message;
 use tokio::runtime::Runtime;
 
 use crate::{
+    agent::FakeAgent,
     platform::FakePlatform,
     routers::{self, TestRouter},
     until, within,
@@ -26,24 +35,81 @@
 }
 
 /// Guards against reads of the platform that grow with the fleet: at most two routers of each
-/// failure domain watch, and a change still reaches all.
+/// failure domain watch, and changes of configuration and host list still reach all.
 #[tokio::test(flavor = "multi_thread")]
 async fn fleet_elects_watchers() {
     let platform = FakePlatform::open().await;
     let fleet = fleet(&platform, 3, 5).await;
     let watchers = fleet.iter().filter(|router| router.router.members.is_watcher()).count();
     assert_eq!(watchers, 6);
+    let agent = FakeAgent::open("a1").await;
     let reader = fleet.iter().find(|router| !router.router.members.is_watcher()).unwrap();
+    let start = Instant::now();
     reader.add_domain("s1", "d1").await;
     for router in &fleet {
         within("the change", router.router.config.reached(Revision(1))).await;
-        within("the confirmation", async {
-            while router.router.config.is_stale() {
-                let _ = platform.changes().changed().await;
-            }
-        })
-        .await;
     }
+    within("the change at the agent", async {
+        platform.set_hosts(fleet.iter().map(TestRouter::entry).chain([agent.entry()]).collect());
+        agent.config.reached(Revision(1)).await;
+    })
+    .await;
+    println!("change at {} routers and a new agent after {:?}", fleet.len(), start.elapsed());
+    for router in &fleet {
+        let router = &router.router;
+        until("the agent in the host list", router.members.changes(), || router.members.agents().len() == 1).await;
+        until("the confirmation", platform.changes(), || !router.config.is_stale()).await;
+    }
+}
+
+/// Guards against control messages that grow beyond the budget of a node at the size of the
+/// largest fleet: four messages a second of the usual kind must stay well under 13 KB/s.
+#[tokio::test]
+async fn fleet_gossip_size() {
+    const ROUTERS: usize = 350;
+    let router = routers::open("r0", "d0", routers::closed_address().await, &[]).await;
+    let infos = (1..ROUTERS).map(|i| RouterInfo {
+        id: format!("router-{i}"),
+        domain: format!("domain-{}", i % 15),
+        address: format!("10.0.{}.{}:7000", i / 256, i % 256),
+        incarnation: i as u64,
+        leaving: false,
+        heard_ms_ago: 500,
+    });
+    let hosts = (0..15).map(|i| HostSection {
+        domain: format!("domain-{i}"),
+        digest: 1,
+        observed_ms_ago: 1_500,
+        complete: true,
+        entries: vec![HostInfo {
+            id: format!("agent-{i}"),
+            router: false,
+            address: "10.1.0.1:7000".into(),
+            service: "engines".into(),
+            leaving: false,
+        }],
+    });
+    let members = &router.router.members;
+    let theirs = Gossip { routers: infos.collect(), hosts: hosts.collect(), ..Gossip::default() };
+    members.receive(None, &theirs, Millis(0));
+    assert_eq!(members.routers().len(), ROUTERS);
+
+    let gossip = members.gossip(members.host_changes());
+    let reply = members.reply_to(&gossip);
+    assert!(reply.routers.is_empty() && reply.hosts.is_empty(), "nothing to learn");
+    let size = |gossip: Gossip| {
+        let message = SyncReply {
+            routers_digest: gossip.routers_digest,
+            heard: gossip.heard,
+            routers: gossip.routers,
+            hosts: gossip.hosts,
+            ..SyncReply::default()
+        };
+        message.encoded_len()
+    };
+    let (request, reply) = (size(gossip), size(reply));
+    println!("membership in a request of {ROUTERS} routers: {request} bytes, in a reply: {reply} bytes");
+    assert!(2 * (request + reply) < 13_000 / 4, "{request} and {reply} bytes");
 }
 
 /// Guards against shards that go to a router which is leaving.
--- a/crates/daemon/tests/distribution/links.rs
+++ b/crates/daemon/tests/distribution/links.rs
@@ -1,9 +1,10 @@
 //! Links between a router and an agent.
 
 use eelgrasswell_core::id::{HostId, Incarnation, Revision, ServiceName};
+use eelgrasswell_daemon::platform::HostEntry;
 
 use crate::{
-    agent::FakeAgent,
+    agent::{FakeAgent, Proxy},
     platform::FakePlatform,
     routers::{self, TestRouter},
     until, within,
@@ -66,6 +67,23 @@
     candidate(&router).await;
 }
 
+/// Guards against a link that is opened again over the connection which has gone silent, while new
+/// connections work.
+#[tokio::test(flavor = "multi_thread")]
+async fn link_connection_goes_silent() {
+    let platform = FakePlatform::open().await;
+    let agent = FakeAgent::open("a1").await;
+    let proxy = Proxy::open(agent.address).await;
+    let router = routers::open("r1", "d1", platform.address, &[]).await;
+    platform.set_hosts(vec![router.entry(), HostEntry { address: proxy.address, ..agent.entry() }]);
+    router.start();
+    candidate(&router).await;
+    proxy.freeze();
+    let links = &router.router.links;
+    until("the link to be dropped", links.changes(), || candidates(&router) == 0).await;
+    candidate(&router).await;
+}
+
 /// Guards against work of an earlier incarnation of an agent being counted for the new one.
 #[tokio::test(flavor = "multi_thread")]
 async fn link_agent_restarts() {
@@ -86,7 +104,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn link_host_leaves() {
     let (platform, router, mut agent) = linked().await;
-    let leaving = eelgrasswell_daemon::platform::HostEntry { leaving: true, ..agent.entry() };
+    let leaving = HostEntry { leaving: true, ..agent.entry() };
     platform.set_hosts(vec![router.entry(), leaving]);
     agent.beat("a heartbeat that says so", |beat| beat.leaving).await;
     let links = &router.router.links;
