Compare digests first in the exchange between routers

Cause: each request carried a digest per failure domain and all shard owners, 727 bytes of membership and about as much for 16 owners at 350 routers. Both sides now compare one digest of the host list and one of the owners; only when they differ does a second call carry what is missing.

--- a/crates/daemon/src/controller/membership/hosts.rs
+++ b/crates/daemon/src/controller/membership/hosts.rs
@@ -71,6 +71,19 @@
         self.changes
     }
 
+    /// Digest of the whole list. Failure domains without hosts do not count, since others may never
+    /// have heard of them.
+    pub fn digest(&self) -> u64 {
+        let filled = self.sections.iter().filter(|(_, section)| !section.entries.is_empty());
+        let digests = filled.map(|(domain, section)| stable_hash(&[domain.as_str(), &section.digest.to_string()]));
+        digests.fold(0, u64::wrapping_add)
+    }
+
+    /// Digests and ages of all sections.
+    pub fn digests(&self, now: Millis) -> Vec<HostSection> {
+        self.sections.iter().map(|(domain, section)| section.describe(domain, now)).collect()
+    }
+
     /// All sections, with the entries of those that changed after change number `since`.
     pub fn changed_since(&self, since: u64, now: Millis) -> Vec<HostSection> {
         let sections = self.sections.iter();
@@ -83,17 +96,17 @@
             .collect()
     }
 
-    /// The sections that are newer here than in `theirs` and differ.
+    /// All sections, with the entries of those that are newer here than in `theirs` and differ.
     pub fn newer_than(&self, theirs: &[HostSection], now: Millis) -> Vec<HostSection> {
         let theirs: BTreeMap<&str, &HostSection> = theirs.iter().map(|s| (s.domain.as_str(), s)).collect();
-        self.sections
-            .iter()
-            .filter(|(domain, section)| {
-                theirs
+        let sections = self.sections.iter();
+        sections
+            .map(|(domain, section)| {
+                let is_newer = theirs
                     .get(domain.as_str())
-                    .is_none_or(|their| their.digest != section.digest && their.observed_ms_ago > section.age(now))
+                    .is_none_or(|their| their.digest != section.digest && their.observed_ms_ago > section.age(now));
+                if is_newer { section.complete(domain, now) } else { section.describe(domain, now) }
             })
-            .map(|(domain, section)| section.complete(domain, now))
             .collect()
     }
 
--- a/crates/daemon/src/controller/membership/mod.rs
+++ b/crates/daemon/src/controller/membership/mod.rs
@@ -70,6 +70,8 @@
     pub heard: bytes::Bytes,
     /// All live routers, when the receiver knows others.
     pub routers: Vec<RouterInfo>,
+    /// Digest of the host list.
+    pub hosts_digest: u64,
     /// Sections of the host list, or their digests alone.
     pub hosts: Vec<HostSection>,
 }
@@ -200,23 +202,37 @@
         self.read().hosts.changes()
     }
 
-    /// What to tell another router that has not said what it knows: digests of the host list, and
-    /// the parts that changed after change number `since`.
-    pub fn gossip(&self, since: u64) -> Gossip {
+    /// Digests of what this router knows, and the ages of heartbeats.
+    pub fn gossip(&self) -> Gossip {
         let state = self.read();
-        let now = self.inner.clock.now();
-        Gossip { hosts: state.hosts.changed_since(since, now), ..state.routers.gossip(now) }
+        Gossip { hosts_digest: state.hosts.digest(), ..state.routers.gossip(self.inner.clock.now()) }
+    }
+
+    /// The host list, with the entries of the parts that changed after change number `since`.
+    pub fn hosts_since(&self, since: u64) -> Vec<HostSection> {
+        self.read().hosts.changed_since(since, self.inner.clock.now())
     }
 
-    /// What to tell a router that knows `theirs`.
+    /// The host list, with the entries of the parts that are newer here than in `theirs`.
+    pub fn hosts_newer_than(&self, theirs: &[HostSection]) -> Vec<HostSection> {
+        self.read().hosts.newer_than(theirs, self.inner.clock.now())
+    }
+
+    /// What to tell a router that knows `theirs`. Without a word on the parts of its host list it gets
+    /// only digests, and may then ask for the parts that it lacks.
     pub fn reply_to(&self, theirs: &Gossip) -> Gossip {
         let state = self.read();
         let now = self.inner.clock.now();
-        let mut gossip = state.routers.gossip(now);
+        let mut gossip = Gossip { hosts_digest: state.hosts.digest(), ..state.routers.gossip(now) };
         if gossip.routers_digest != theirs.routers_digest {
             gossip.routers = state.routers.infos(now);
         }
-        gossip.hosts = state.hosts.newer_than(&theirs.hosts, now);
+        if gossip.hosts_digest != theirs.hosts_digest {
+            // The digest of an empty list is zero: that router needs everything.
+            let is_digest = theirs.hosts.is_empty() && theirs.hosts_digest != 0;
+            let hosts = &state.hosts;
+            gossip.hosts = if is_digest { hosts.digests(now) } else { hosts.newer_than(&theirs.hosts, now) };
+        }
         gossip
     }
 
--- a/crates/daemon/src/controller/peers/exchange.rs
+++ b/crates/daemon/src/controller/peers/exchange.rs
@@ -3,10 +3,13 @@
 use std::{net::SocketAddr, time::Duration};
 
 use eelgrasswell_core::{
+    hash::stable_hash,
     id::{HostId, Revision},
     unit::Millis,
 };
-use eelgrasswell_proto::v1::{ConfigUpdate, RouterInfo, ShardOwner, SyncReply, SyncRequest, peer_client::PeerClient};
+use eelgrasswell_proto::v1::{
+    ConfigUpdate, HostSection, RouterInfo, ShardOwner, SyncReply, SyncRequest, peer_client::PeerClient,
+};
 use eyre::{Result, WrapErr, bail};
 use tokio::time::{Instant, timeout};
 
@@ -25,20 +28,15 @@
     pub revision: Revision,
 }
 
-/// What a peer is told at once, before it has said what it lacks.
-#[derive(Clone, Copy, Debug)]
-pub struct News {
-    /// Changes to the configuration after this revision.
-    pub config_since: Revision,
-    /// Changes to the host list after this number.
-    pub hosts_since: u64,
-}
-
-impl News {
-    /// Nothing, given the state of `router`.
-    pub fn none(router: &Router) -> Self {
-        Self { config_since: router.config.revision(), hosts_since: router.members.host_changes() }
-    }
+/// What a peer is told beyond digests.
+#[derive(Clone, Debug, Default)]
+pub struct Parts {
+    /// Send the changes to the configuration after this revision.
+    pub config_since: Option<Revision>,
+    /// Parts of the host list.
+    pub hosts: Vec<HostSection>,
+    /// Shard owners.
+    pub owners: Vec<ShardOwner>,
 }
 
 /// What a message says, request or reply.
@@ -53,46 +51,73 @@
     pub delay: Millis,
 }
 
-/// Exchanges with the router at `address`. It is sent `news` at once, and the configuration that it
-/// turns out to lack afterwards.
-pub async fn exchange(router: &Router, address: SocketAddr, news: News) -> Result<Answer> {
-    let answer = call(router, address, news).await?;
-    if answer.revision < router.config.revision() {
-        return call(router, address, News { config_since: answer.revision, ..News::none(router) }).await;
+/// Exchanges with the router at `address`. It is told `parts` at once, and what it turns out to lack
+/// afterwards.
+pub async fn exchange(router: &Router, address: SocketAddr, parts: Parts) -> Result<Answer> {
+    let reply = call(router, address, parts).await?;
+    if let Some(lacking) = lacking(router, &reply) {
+        return call(router, address, lacking).await.map(|reply| answer(&reply));
     }
-    Ok(answer)
+    Ok(answer(&reply))
 }
 
-async fn call(router: &Router, address: SocketAddr, news: News) -> Result<Answer> {
+async fn call(router: &Router, address: SocketAddr, parts: Parts) -> Result<SyncReply> {
     let (channel, present) = router.members.channel(address);
     let mut client = PeerClient::with_interceptor(channel, present);
     let start = Instant::now();
-    let reply = timeout(TIMEOUT, client.sync(request(router, news))).await;
+    let reply = timeout(TIMEOUT, client.sync(request(router, parts))).await;
     let Ok(reply) = reply else {
         // The connection may be silent.
         router.members.reconnect(address);
         bail!("timed out syncing with {address}");
     };
     let reply = reply.wrap_err_with(|| format!("could not sync with {address}"))?.into_inner();
-    let answer = Answer {
-        peer: reply.from.as_ref().map_or_else(HostId::default, |from| from.id.as_str().into()),
-        revision: Revision(reply.revision),
-    };
     receive(router, &incoming(&reply, &gossip_of(&reply), start.elapsed().into()));
-    Ok(answer)
+    Ok(reply)
+}
+
+/// What the peer lacks, or may have that this router lacks, by its reply; none when both are equal.
+fn lacking(router: &Router, reply: &SyncReply) -> Option<Parts> {
+    let their_revision = Revision(reply.revision);
+    let config_since = (their_revision < router.config.revision()).then_some(their_revision);
+    // Without a word on its sections everything would seem to be missing there.
+    let differs = !reply.hosts.is_empty() && reply.hosts_digest != router.members.gossip().hosts_digest;
+    let hosts = if differs { router.members.hosts_newer_than(&reply.hosts) } else { Vec::new() };
+    let owners = router.shards.owners();
+    let owners = if owners_digest(&owners) == reply.owners_digest { Vec::new() } else { owners };
+    let nothing = config_since.is_none() && hosts.is_empty() && owners.is_empty();
+    (!nothing).then_some(Parts { config_since, hosts, owners })
 }
 
-fn request(router: &Router, news: News) -> SyncRequest {
-    let gossip = router.members.gossip(news.hosts_since);
+fn request(router: &Router, parts: Parts) -> SyncRequest {
+    let gossip = router.members.gossip();
     SyncRequest {
         from: Some(router.members.own_info()),
         revision: router.config.known_revision().0,
         confirmed_ms_ago: router.config.confirmed_ago().0,
-        update: router.config.update_since(news.config_since),
-        owners: router.shards.owners(),
+        update: parts.config_since.and_then(|since| router.config.update_since(since)),
+        owners: parts.owners,
         routers_digest: gossip.routers_digest,
         heard: gossip.heard,
-        hosts: gossip.hosts,
+        hosts: parts.hosts,
+        hosts_digest: gossip.hosts_digest,
+        owners_digest: owners_digest(&router.shards.owners()),
+    }
+}
+
+/// Digest of shard owners in any order.
+pub fn owners_digest(owners: &[ShardOwner]) -> u64 {
+    let digests = owners.iter().map(|owner| {
+        let numbers = [owner.shard.into(), owner.incarnation, owner.fence].map(|n: u64| n.to_string());
+        stable_hash(&[&owner.owner, &owner.address, &numbers[0], &numbers[1], &numbers[2]])
+    });
+    digests.fold(0, u64::wrapping_add)
+}
+
+fn answer(reply: &SyncReply) -> Answer {
+    Answer {
+        peer: reply.from.as_ref().map_or_else(HostId::default, |from| from.id.as_str().into()),
+        revision: Revision(reply.revision),
     }
 }
 
@@ -101,6 +126,7 @@
         routers_digest: reply.routers_digest,
         heard: reply.heard.clone(),
         routers: reply.routers.clone(),
+        hosts_digest: reply.hosts_digest,
         hosts: reply.hosts.clone(),
     }
 }
--- a/crates/daemon/src/controller/peers/mod.rs
+++ b/crates/daemon/src/controller/peers/mod.rs
@@ -4,14 +4,14 @@
 mod service;
 mod start;
 
-use std::{net::SocketAddr, time::Duration};
+use std::{iter, net::SocketAddr, time::Duration};
 
 use eelgrasswell_core::id::Revision;
 use futures::{StreamExt, stream};
 use rand::seq::IndexedRandom;
 use tokio::time::{MissedTickBehavior, interval, timeout};
 
-use self::exchange::News;
+use self::exchange::Parts;
 pub use self::service::PeerService;
 use crate::{event, router::Router};
 
@@ -42,7 +42,7 @@
         ticks.tick().await;
         let addresses = router.members.peer_addresses();
         let picked: Vec<SocketAddr> = addresses.sample(&mut rand::rng(), PEERS_PER_ROUND).copied().collect();
-        exchange_with(router, picked, News::none(router)).await;
+        exchange_with(router, picked, Parts::default()).await;
     }
 }
 
@@ -58,7 +58,7 @@
             let peers = router.members.routers().into_iter();
             let peers = peers.filter(|peer| peer.domain == *domain && peer.id != router.settings.host.id);
             let peers = peers.map(|peer| peer.address).collect();
-            push(&router, peers, News { config_since: last, ..News::none(&router) });
+            push(&router, peers, Parts { config_since: Some(last), ..Parts::default() });
         }
         last = current;
     }
@@ -72,24 +72,24 @@
     while changes.changed().await.is_ok() {
         let current = router.members.host_changes();
         if current > last && router.members.is_watcher() {
-            let news = News { hosts_since: last, ..News::none(&router) };
-            push(&router, router.members.push_targets(), news);
+            let parts = Parts { hosts: router.members.hosts_since(last), ..Parts::default() };
+            push(&router, router.members.push_targets(), parts);
         }
         last = current;
     }
 }
 
 /// Tells `peers` without waiting for them, so that a dead one does not delay the next push.
-fn push(router: &Router, peers: Vec<SocketAddr>, news: News) {
+fn push(router: &Router, peers: Vec<SocketAddr>, parts: Parts) {
     let router = router.clone();
-    tokio::spawn(async move { exchange_with(&router, peers, news).await });
+    tokio::spawn(async move { exchange_with(&router, peers, parts).await });
 }
 
 /// Tells all live routers at once that this one leaves, so that they stop choosing it.
 async fn tell_leaving(router: Router) {
     router.members.left().await;
     let peers = router.members.routers().into_iter().map(|peer| peer.address).collect();
-    exchange_with(&router, peers, News::none(&router)).await;
+    exchange_with(&router, peers, Parts::default()).await;
 }
 
 /// Exchanges with peers until one has brought `revision`. For a router that an agent refused because
@@ -99,17 +99,17 @@
         let addresses = router.members.peer_addresses();
         let picked: Vec<SocketAddr> = addresses.sample(&mut rand::rng(), PEERS_PER_ROUND).copied().collect();
         tokio::select! {
-            () = exchange_with(router, picked, News::none(router)) => {}
+            () = exchange_with(router, picked, Parts::default()) => {}
             () = router.config.reached(revision) => return,
         }
         let _ = timeout(CATCH_UP_PAUSE, router.config.reached(revision)).await;
     }
 }
 
-/// Exchanges with each of `peers`, which are told `news` at once.
-async fn exchange_with(router: &Router, peers: Vec<SocketAddr>, news: News) {
-    let exchanges = peers.into_iter().map(|peer| async move {
-        if let Err(err) = exchange::exchange(router, peer, news).await {
+/// Exchanges with each of `peers`, which are told `parts` at once.
+async fn exchange_with(router: &Router, peers: Vec<SocketAddr>, parts: Parts) {
+    let exchanges = peers.into_iter().zip(iter::repeat(parts)).map(|(peer, parts)| async move {
+        if let Err(err) = exchange::exchange(router, peer, parts).await {
             event!(Debug, "exchange_failed", peer = peer, error = format!("{err:#}"));
         }
     });
--- a/crates/daemon/src/controller/peers/service.rs
+++ b/crates/daemon/src/controller/peers/service.rs
@@ -4,7 +4,7 @@
 use eelgrasswell_proto::v1::{ReportReply, ReportRequest, SyncReply, SyncRequest, peer_server::Peer};
 use tonic::{Request, Response, Status};
 
-use super::exchange::{self, Incoming, TRANSIT};
+use super::exchange::{self, Incoming, TRANSIT, owners_digest};
 use crate::{controller::membership::Gossip, router::Router};
 
 /// Serves `Peer.Sync` and `Peer.Report`.
@@ -24,8 +24,13 @@
     async fn sync(&self, req: Request<SyncRequest>) -> Result<Response<SyncReply>, Status> {
         let router = &self.router;
         let req = req.into_inner();
-        let theirs =
-            Gossip { routers_digest: req.routers_digest, heard: req.heard, routers: Vec::new(), hosts: req.hosts };
+        let theirs = Gossip {
+            routers_digest: req.routers_digest,
+            heard: req.heard,
+            routers: Vec::new(),
+            hosts_digest: req.hosts_digest,
+            hosts: req.hosts,
+        };
         let message = Incoming {
             from: req.from.as_ref(),
             gossip: &theirs,
@@ -37,18 +42,20 @@
         };
         exchange::receive(router, &message);
         let gossip = router.members.reply_to(&theirs);
-        // The caller knows what it has just said.
-        let owners = router.shards.owners().into_iter().filter(|owner| !req.owners.contains(owner)).collect();
+        let owners = router.shards.owners();
+        let owners_digest = owners_digest(&owners);
         Ok(Response::new(SyncReply {
             from: Some(router.members.own_info()),
             revision: router.config.revision().0,
             confirmed_ms_ago: router.config.confirmed_ago().0,
             update: router.config.update_since(Revision(req.revision)),
-            owners,
+            owners: if owners_digest == req.owners_digest { Vec::new() } else { owners },
             routers_digest: gossip.routers_digest,
             heard: gossip.heard,
             routers: gossip.routers,
             hosts: gossip.hosts,
+            hosts_digest: gossip.hosts_digest,
+            owners_digest,
         }))
     }
 
--- a/crates/daemon/src/controller/peers/start.rs
+++ b/crates/daemon/src/controller/peers/start.rs
@@ -10,7 +10,7 @@
 use futures::future::join_all;
 use tokio::time::sleep;
 
-use super::exchange::{News, exchange};
+use super::exchange::{Parts, exchange};
 use crate::{event, router::Router};
 
 /// Peers with a configuration that must have answered, when so many can be reached.
@@ -29,7 +29,7 @@
         // Answers name further peers, so a round goes on until no known peer is left.
         while let Some(batch) = next_batch(router, &asked) {
             asked.extend(&batch);
-            let answers = join_all(batch.into_iter().map(|peer| exchange(router, peer, News::none(router)))).await;
+            let answers = join_all(batch.into_iter().map(|peer| exchange(router, peer, Parts::default()))).await;
             // A peer without a configuration is starting as well.
             let holding = answers.into_iter().flatten().filter(|answer| answer.revision > Revision(0));
             holders.extend(holding.map(|answer| answer.peer));
