Seek only the rounds that a link plan needs

Cause: a plan kept the best eight routers of each failure domain although with at least eight domains one of each is enough.

--- a/crates/core/src/membership.rs
+++ b/crates/core/src/membership.rs
@@ -124,19 +124,21 @@
     /// Takes up to `count` nodes round-robin over the failure domains: first the best of each domain
     /// in falling order of weight, then the second best of each, and so on.
     fn pick(&self, key: u64, count: usize) -> Vec<usize> {
-        let mut ranked: Vec<(usize, Reverse<u64>, usize)> = Vec::with_capacity(self.domains.len() * 2);
-        let mut best: Vec<(Reverse<u64>, usize)> = Vec::with_capacity(count + 1);
+        // Rounds that are needed; with many domains one suffices, and only the best of each is sought.
+        let supplied = |rounds: usize| self.domains.iter().map(|domain| domain.len().min(rounds)).sum::<usize>();
+        let rounds = (1..count).find(|&rounds| supplied(rounds) >= count).unwrap_or(count);
+        let mut ranked: Vec<(usize, Reverse<u64>, usize)> = Vec::with_capacity(self.domains.len() * rounds);
+        let mut best: Vec<(Reverse<u64>, usize)> = Vec::with_capacity(rounds + 1);
         for domain in &self.domains {
             best.clear();
-            let depth = count.min(domain.len());
             for &(hash, i) in domain {
                 let entry = (Reverse(weight(key, hash)), i);
-                if best.len() == depth && entry >= best[depth - 1] {
+                if best.len() == rounds && entry >= best[rounds - 1] {
                     continue;
                 }
                 let at = best.partition_point(|other| *other < entry);
                 best.insert(at, entry);
-                best.truncate(depth);
+                best.truncate(rounds);
             }
             ranked.extend(best.iter().enumerate().map(|(round, &(weight, i))| (round, weight, i)));
         }
--- a/crates/daemon/tests/distribution/fleet.rs
+++ b/crates/daemon/tests/distribution/fleet.rs
@@ -38,27 +38,32 @@
 /// failure domain watch, and changes of configuration and host list still reach all.
 #[tokio::test(flavor = "multi_thread")]
 async fn fleet_elects_watchers() {
+    const COMMITS: u64 = 5;
     let platform = FakePlatform::open().await;
     let fleet = fleet(&platform, 3, 5).await;
     let watchers = fleet.iter().filter(|router| router.router.members.is_watcher()).count();
     assert_eq!(watchers, 6);
-    let agent = FakeAgent::open("a1").await;
-    let reader = fleet.iter().find(|router| !router.router.members.is_watcher()).unwrap();
-    let start = Instant::now();
-    reader.add_domain("s1", "d1").await;
+    let mut agent = FakeAgent::open("a1").await;
+    platform.set_hosts(fleet.iter().map(TestRouter::entry).chain([agent.entry()]).collect());
     for router in &fleet {
-        within("the change", router.router.config.reached(Revision(1))).await;
+        let members = &router.router.members;
+        until("the agent in the host list", members.changes(), || members.agents().len() == 1).await;
+    }
+    agent.opened().await;
+    let writer = fleet.iter().find(|router| !router.router.members.is_watcher()).unwrap();
+    for i in 1..=COMMITS {
+        let start = Instant::now();
+        writer.add_domain(&format!("s{i}"), &format!("d{i}")).await;
+        for router in &fleet {
+            within("the change", router.router.config.reached(Revision(i))).await;
+        }
+        let routers = start.elapsed();
+        within("the change at the agent", agent.config.reached(Revision(i))).await;
+        println!("change {i} at {} routers after {routers:?}, at the agent after {:?}", fleet.len(), start.elapsed());
     }
-    within("the change at the agent", async {
-        platform.set_hosts(fleet.iter().map(TestRouter::entry).chain([agent.entry()]).collect());
-        agent.config.reached(Revision(1)).await;
-    })
-    .await;
-    println!("change at {} routers and a new agent after {:?}", fleet.len(), start.elapsed());
     for router in &fleet {
-        let router = &router.router;
-        until("the agent in the host list", router.members.changes(), || router.members.agents().len() == 1).await;
-        until("the confirmation", platform.changes(), || !router.config.is_stale()).await;
+        let config = &router.router.config;
+        until("the confirmation", platform.changes(), || !config.is_stale()).await;
     }
 }
 
