--- a/crates/daemon/src/controller/membership/hosts.rs
+++ b/crates/daemon/src/controller/membership/hosts.rs
@@ -17,6 +17,8 @@
 pub struct Hosts {
     sections: BTreeMap<DomainId, Section>,
     by_id: HashMap<HostId, HostEntry>,
+    /// Number of the last change to a section.
+    changes: u64,
 }
 
 #[derive(Default)]
@@ -26,6 +28,8 @@
     digest: u64,
     /// Time of this process's clock at which a router read the section at the platform.
     observed_at: Millis,
+    /// Number of the last change to this section; zero while it has only been learned.
+    changed: u64,
 }
 
 impl Hosts {
@@ -62,25 +66,46 @@
         changed
     }
 
-    /// Digests and ages of all sections, without their entries.
+    /// Number of the last change to a section that was known before.
+    pub fn changes(&self) -> u64 {
+        self.changes
+    }
+
+    /// Digest of the whole list. Failure domains without hosts do not count, since others may never
+    /// have heard of them.
+    pub fn digest(&self) -> u64 {
+        let filled = self.sections.iter().filter(|(_, section)| !section.entries.is_empty());
+        let digests = filled.map(|(domain, section)| stable_hash(&[domain.as_str(), &section.digest.to_string()]));
+        digests.fold(0, u64::wrapping_add)
+    }
+
+    /// Digests and ages of all sections.
     pub fn digests(&self, now: Millis) -> Vec<HostSection> {
         self.sections.iter().map(|(domain, section)| section.describe(domain, now)).collect()
     }
 
-    /// The sections that are newer here than in `theirs` and differ.
+    /// All sections, with the entries of those that changed after change number `since`.
+    pub fn changed_since(&self, since: u64, now: Millis) -> Vec<HostSection> {
+        let sections = self.sections.iter();
+        sections
+            .map(
+                |(domain, section)| {
+                    if section.changed > since { section.complete(domain, now) } else { section.describe(domain, now) }
+                },
+            )
+            .collect()
+    }
+
+    /// All sections, with the entries of those that are newer here than in `theirs` and differ.
     pub fn newer_than(&self, theirs: &[HostSection], now: Millis) -> Vec<HostSection> {
         let theirs: BTreeMap<&str, &HostSection> = theirs.iter().map(|s| (s.domain.as_str(), s)).collect();
-        self.sections
-            .iter()
-            .filter(|(domain, section)| {
-                theirs
+        let sections = self.sections.iter();
+        sections
+            .map(|(domain, section)| {
+                let is_newer = theirs
                     .get(domain.as_str())
-                    .is_none_or(|their| their.digest != section.digest && their.observed_ms_ago > section.age(now))
-            })
-            .map(|(domain, section)| HostSection {
-                complete: true,
-                entries: section.entries.iter().map(encode).collect(),
-                ..section.describe(domain, now)
+                    .is_none_or(|their| their.digest != section.digest && their.observed_ms_ago > section.age(now));
+                if is_newer { section.complete(domain, now) } else { section.describe(domain, now) }
             })
             .collect()
     }
@@ -98,11 +123,16 @@
     fn set(&mut self, domain: DomainId, mut entries: Vec<HostEntry>, observed_at: Millis) -> bool {
         entries.sort_by(|a, b| a.id.cmp(&b.id));
         let digest = entries.iter().map(digest).fold(0, u64::wrapping_add);
+        let is_known = self.sections.contains_key(&domain);
         let section = self.sections.entry(domain).or_default();
         section.observed_at = observed_at;
         if section.digest == digest {
             return false;
         }
+        if is_known {
+            self.changes += 1;
+            section.changed = self.changes;
+        }
         section.digest = digest;
         section.entries = entries;
         self.by_id = self
@@ -120,6 +150,10 @@
         now.saturating_sub(self.observed_at).0
     }
 
+    fn complete(&self, domain: &DomainId, now: Millis) -> HostSection {
+        HostSection { complete: true, entries: self.entries.iter().map(encode).collect(), ..self.describe(domain, now) }
+    }
+
     fn describe(&self, domain: &DomainId, now: Millis) -> HostSection {
         HostSection {
             domain: domain.to_string(),
--- a/crates/daemon/src/controller/membership/mod.rs
+++ b/crates/daemon/src/controller/membership/mod.rs
@@ -70,6 +70,8 @@
     pub heard: bytes::Bytes,
     /// All live routers, when the receiver knows others.
     pub routers: Vec<RouterInfo>,
+    /// Digest of the host list.
+    pub hosts_digest: u64,
     /// Sections of the host list, or their digests alone.
     pub hosts: Vec<HostSection>,
 }
@@ -164,11 +166,24 @@
         state.routers.linking(&state.hosts, now)
     }
 
+    /// Addresses of the routers that a watcher passes changes on to: the other routers of its failure
+    /// domain, and the watchers of the other failure domains.
+    pub fn push_targets(&self) -> Vec<SocketAddr> {
+        let own = &self.inner.settings.host;
+        let routers = self.routers();
+        let nodes: Vec<Node> = routers.iter().cloned().map(node_of).collect();
+        let targets = routers
+            .iter()
+            .filter(|router| router.id != own.id)
+            .filter(|router| router.domain == own.domain || membership::is_watcher(&router.id, &router.domain, &nodes));
+        targets.map(|router| router.address).collect()
+    }
+
     /// Addresses of all other routers: live ones, those of the host list, and seeds.
     pub fn peer_addresses(&self) -> Vec<SocketAddr> {
         let state = self.read();
         let own = &self.inner.settings.host;
-        let live = state.routers.others(self.inner.clock.now()).map(|router| router.address);
+        let live = state.routers.addresses(self.inner.clock.now());
         let listed = state.hosts.with_role(HostRole::Router).filter(|entry| entry.id != own.id);
         let mut addresses: Vec<SocketAddr> = live.chain(listed.map(|entry| entry.address)).collect();
         addresses.extend(self.inner.settings.seeds.iter().filter(|seed| **seed != own.inner));
@@ -182,22 +197,42 @@
         self.read().routers.own_info()
     }
 
-    /// What to tell another router that has not said what it knows.
+    /// Number of the last change to a part of the host list that was known before.
+    pub fn host_changes(&self) -> u64 {
+        self.read().hosts.changes()
+    }
+
+    /// Digests of what this router knows, and the ages of heartbeats.
     pub fn gossip(&self) -> Gossip {
         let state = self.read();
-        let now = self.inner.clock.now();
-        Gossip { hosts: state.hosts.digests(now), routers: Vec::new(), ..state.routers.gossip(now) }
+        Gossip { hosts_digest: state.hosts.digest(), ..state.routers.gossip(self.inner.clock.now()) }
+    }
+
+    /// The host list, with the entries of the parts that changed after change number `since`.
+    pub fn hosts_since(&self, since: u64) -> Vec<HostSection> {
+        self.read().hosts.changed_since(since, self.inner.clock.now())
     }
 
-    /// What to tell a router that knows `theirs`.
+    /// The host list, with the entries of the parts that are newer here than in `theirs`.
+    pub fn hosts_newer_than(&self, theirs: &[HostSection]) -> Vec<HostSection> {
+        self.read().hosts.newer_than(theirs, self.inner.clock.now())
+    }
+
+    /// What to tell a router that knows `theirs`. Without a word on the parts of its host list it gets
+    /// only digests, and may then ask for the parts that it lacks.
     pub fn reply_to(&self, theirs: &Gossip) -> Gossip {
         let state = self.read();
         let now = self.inner.clock.now();
-        let mut gossip = state.routers.gossip(now);
+        let mut gossip = Gossip { hosts_digest: state.hosts.digest(), ..state.routers.gossip(now) };
         if gossip.routers_digest != theirs.routers_digest {
             gossip.routers = state.routers.infos(now);
         }
-        gossip.hosts = state.hosts.newer_than(&theirs.hosts, now);
+        if gossip.hosts_digest != theirs.hosts_digest {
+            // The digest of an empty list is zero: that router needs everything.
+            let is_digest = theirs.hosts.is_empty() && theirs.hosts_digest != 0;
+            let hosts = &state.hosts;
+            gossip.hosts = if is_digest { hosts.digests(now) } else { hosts.newer_than(&theirs.hosts, now) };
+        }
         gossip
     }
 
