--- a/crates/daemon/src/controller/peers/mod.rs
+++ b/crates/daemon/src/controller/peers/mod.rs
@@ -92,15 +92,6 @@
     exchange_with(&router, peers, Parts::default()).await;
 }
 
-/// Exchanges with each of `peers` now, to learn which revision they hold.
-pub async fn ask(router: &Router, peers: Vec<SocketAddr>) {
-    exchange_with(router, peers, None).await;
-}
-
-/// Exchanges with each of `peers`; they are sent what came after revision `since` at once.
-async fn exchange_with(router: &Router, peers: Vec<SocketAddr>, since: Option<Revision>) {
-    let exchanges = peers.into_iter().map(|peer| async move {
-        if let Err(err) = exchange::exchange(router, peer, since).await {
 /// Exchanges with peers until one has brought `revision`. For a router that an agent refused because
 /// the agent's configuration is newer; the caller bounds the time.
 pub async fn catch_up(router: &Router, revision: Revision) {
@@ -115,6 +106,11 @@
     }
 }
 
+/// Exchanges with each of `peers` now, to learn which revision they hold.
+pub async fn ask(router: &Router, peers: Vec<SocketAddr>) {
+    exchange_with(router, peers, Parts::default()).await;
+}
+
 /// Exchanges with each of `peers`, which are told `parts` at once.
 async fn exchange_with(router: &Router, peers: Vec<SocketAddr>, parts: Parts) {
     let exchanges = peers.into_iter().zip(iter::repeat(parts)).map(|(peer, parts)| async move {
