--- a/crates/testbed/src/fleet.rs
+++ b/crates/testbed/src/fleet.rs
@@ -389,6 +389,11 @@
         process.ok_or_else(|| eyre::eyre!("the router is not running"))?.memory_mb()
     }
 
+    /// Resident memory of all agents together in megabytes.
+    pub fn agents_memory_mb(&self) -> Result<f64> {
+        self.agents.iter().filter_map(|agent| agent.process.as_ref()).map(Process::memory_mb).sum()
+    }
+
     /// Copies the logs to a directory that outlives the fleet.
     pub fn keep_logs(&self) -> PathBuf {
         let kept = self.dir.with_extension("logs");
