Measure the pace of streams by time as well as by tokens

An engine ten times slower than usual gave its first sample only after eight tokens, 2.9 s at 36 ms per token. A run of tokens now also ends after 250 ms.

The usage object was lost when a chunk ended between the key and the object; the meter now keeps what it needs and no more, and is tested at every split. Cancellation has its own notification, as the runner woke up for every chunk of its own.

--- a/crates/daemon/src/agent/answers.rs
+++ b/crates/daemon/src/agent/answers.rs
@@ -95,6 +95,7 @@
     end: Option<Event>,
     cancel: Option<Reason>,
     changed: Arc<Notify>,
+    cancelled: Arc<Notify>,
 }
 
 /// How far a request has got.
@@ -116,6 +117,7 @@
     id: RequestId,
     customer: CustomerId,
     changed: Arc<Notify>,
+    cancelled: Arc<Notify>,
     ended: bool,
 }
 
@@ -161,6 +163,7 @@
         let serial = table.next_serial;
         table.next_serial += 1;
         let changed = Arc::new(Notify::new());
+        let cancelled = Arc::new(Notify::new());
         let entry = Entry {
             serial,
             customer: customer.clone(),
@@ -177,6 +180,7 @@
             end: None,
             cancel: None,
             changed: Arc::clone(&changed),
+            cancelled: Arc::clone(&cancelled),
         };
         table.entries.insert(id.clone(), entry);
         table.usage.add(customer, OVERHEAD);
@@ -188,6 +192,7 @@
             id: id.clone(),
             customer: customer.clone(),
             changed: Arc::clone(&changed),
+            cancelled,
             ended: false,
         };
         let reader = Reader { answers: self.clone(), id: id.clone(), serial, changed, offset: 0, next: Next::Accepted };
@@ -260,7 +265,7 @@
         for entry in table.entries.values_mut() {
             if let Some(reason) = entry.nobody_reads(&self.limits, now) {
                 entry.cancel.get_or_insert(reason);
-                entry.changed.notify_waiters();
+                entry.cancelled.notify_waiters();
             }
         }
         self.room.notify_waiters();
@@ -305,12 +310,12 @@
     /// Waits until the answer is cancelled.
     pub async fn cancelled(&self) -> Reason {
         loop {
-            let changed = self.changed.notified();
+            let cancelled = self.cancelled.notified();
             let cancel = self.answers.lock().entries.get(&self.id).and_then(|entry| entry.cancel);
             if let Some(reason) = cancel {
                 return reason;
             }
-            changed.await;
+            cancelled.await;
         }
     }
 
--- a/crates/daemon/src/agent/meter.rs
+++ b/crates/daemon/src/agent/meter.rs
@@ -4,8 +4,10 @@
 use serde::Deserialize;
 use serde_json::Deserializer;
 
-/// Bytes kept so that an object split between chunks is still seen whole.
-const CARRY: usize = 512;
+/// What precedes the object with the token counts.
+const KEY: &[u8] = b"\"usage\":";
+/// Most bytes kept so that an object split between chunks is still seen whole.
+const MAX_CARRY: usize = 512;
 /// Longest line of a stream that is looked at; engines send one token per line.
 const MAX_LINE: usize = 64 << 10;
 
@@ -80,15 +82,23 @@
 
     /// Quotes inside text are escaped, so that text cannot be taken for the object.
     fn find_usage(&mut self, bytes: &[u8]) {
-        const KEY: &[u8] = b"\"usage\":";
         self.carry.extend_from_slice(bytes);
-        if let Some(at) = self.carry.windows(KEY.len()).rposition(|window| window == KEY) {
-            let object = &self.carry[at + KEY.len()..];
-            if let Some(Ok(usage)) = Deserializer::from_slice(object).into_iter::<Usage>().next() {
+        let key = self.carry.windows(KEY.len()).rposition(|window| window == KEY);
+        let object = key.map(|at| {
+            let rest = &self.carry[at + KEY.len()..];
+            (self.carry.len() - at, Deserializer::from_slice(rest).into_iter::<Usage>().next())
+        });
+        let keep = match object {
+            Some((_, Some(Ok(usage)))) => {
                 self.usage = Some(usage);
+                0
             }
-        }
-        let surplus = self.carry.len().saturating_sub(CARRY);
+            // The rest of the object comes with the next bytes.
+            Some((length, None)) => length,
+            Some((length, Some(Err(err)))) if err.is_eof() => length,
+            Some((_, Some(Err(_)))) | None => KEY.len() - 1,
+        };
+        let surplus = self.carry.len().saturating_sub(keep.min(MAX_CARRY));
         self.carry.drain(..surplus);
     }
 
--- a/crates/daemon/src/agent/run.rs
+++ b/crates/daemon/src/agent/run.rs
@@ -1,6 +1,9 @@
 //! The course of one request: its turn, the call of the backend server, the answer and the bill.
 
-use std::time::{Duration, Instant};
+use std::{
+    pin::pin,
+    time::{Duration, Instant},
+};
 
 use eelgrasswell_core::{
     admission::{Ending, Sample},
@@ -33,11 +36,12 @@
 const WHOLE_SILENCE: Duration = Duration::from_secs(120);
 /// Tokens over which the time per token is averaged.
 const SAMPLE_TOKENS: u64 = 8;
+/// Time after which fewer tokens will do, so that a cold engine shows within its first few tokens.
+const SAMPLE_TIME: Duration = Duration::from_millis(250);
 
 /// Runs a request that passed the checks and whose id is reserved.
-pub async fn run(agent: Agent, req: ExecuteRequest, checked: Checked, answer: Answer) {
+pub async fn run(agent: Agent, req: ExecuteRequest, checked: Checked, deadline: Option<Millis>, answer: Answer) {
     let id = RequestId::from(&*req.request_id);
-    let deadline = (req.deadline_ms > 0).then(|| agent.clock.now() + Millis(req.deadline_ms));
     let turn = wait_turn(&agent, &req, &checked, &answer, deadline).await;
     let turn = turn.and_then(|permit| Ok((permit, agent.start_now(&req, &id)?)));
     let (permit, checked) = match turn {
@@ -173,38 +177,28 @@
     }
 
     async fn pass_on(&mut self, response: Response<Incoming>) -> Result<(), Broken> {
+        let (is_model, stream) = (self.is_model(), self.req.stream);
+        let Self { permit, answer, meter, .. } = self;
         let mut body = response.into_body();
-        let mut sampled = (Instant::now(), 0);
+        let mut pace = Pace::default();
+        let mut cancelled = pin!(answer.cancelled());
         loop {
             let frame = tokio::select! {
                 frame = timeout(STREAM_SILENCE, body.frame()) => frame,
-                reason = self.answer.cancelled() => return Err(Broken::Cut(reason)),
+                reason = &mut cancelled => return Err(Broken::Cut(reason)),
             };
             let Some(frame) = frame.map_err(|_| Broken::Backend(Reason::ConnectionLost))? else { return Ok(()) };
             let frame = frame.map_err(|_| Broken::Backend(Reason::ConnectionLost))?;
             let Ok(bytes) = frame.into_data() else { continue };
-            if self.is_model() {
-                self.meter.feed(&bytes);
+            if is_model {
+                meter.feed(&bytes);
             }
-            if self.req.stream {
-                self.sample(&mut sampled);
+            if let Some(micros) = pace.sample(meter.delivered().0).filter(|_| stream) {
+                permit.observe(Sample::Token, micros);
             }
             let pushed = Instant::now();
-            self.answer.push(&bytes).await.map_err(Broken::Cut)?;
-            // Time that a slow reader takes is no time of the engine.
-            sampled.0 += pushed.elapsed();
-        }
-    }
-
-    /// Feeds the time per token to the admission.
-    fn sample(&self, (since, tokens): &mut (Instant, u64)) {
-        let delivered = self.meter.delivered().0;
-        if *tokens == 0 && delivered > 0 {
-            // The first token takes longer, in proportion to the prompt.
-            (*since, *tokens) = (Instant::now(), delivered);
-        } else if delivered >= *tokens + SAMPLE_TOKENS {
-            self.permit.observe(Sample::Token, micros(*since) / (delivered - *tokens));
-            (*since, *tokens) = (Instant::now(), delivered);
+            answer.push(&bytes).await.map_err(Broken::Cut)?;
+            pace.excuse(pushed.elapsed());
         }
     }
 
@@ -284,6 +278,35 @@
     }
 }
 
+/// Time per token of a stream, measured in short runs of tokens.
+#[derive(Default)]
+struct Pace {
+    /// Begin of the run and tokens delivered before it; none before the first token, which takes
+    /// longer, in proportion to the prompt.
+    run: Option<(Instant, u64)>,
+}
+
+impl Pace {
+    /// Microseconds per token when a run is complete.
+    fn sample(&mut self, delivered: u64) -> Option<u64> {
+        if delivered == 0 {
+            return None;
+        }
+        let (since, before) = *self.run.get_or_insert_with(|| (Instant::now(), delivered));
+        let tokens = delivered - before;
+        let complete = tokens >= SAMPLE_TOKENS || (tokens > 0 && since.elapsed() >= SAMPLE_TIME);
+        complete.then(|| {
+            self.run = Some((Instant::now(), delivered));
+            micros(since) / tokens
+        })
+    }
+
+    /// Leaves out time that a slow reader took.
+    fn excuse(&mut self, time: Duration) {
+        self.run.iter_mut().for_each(|(since, _)| *since += time);
+    }
+}
+
 fn micros(since: Instant) -> u64 {
     u64::try_from(since.elapsed().as_micros()).unwrap_or(u64::MAX)
 }
--- a/crates/daemon/src/agent/service.rs
+++ b/crates/daemon/src/agent/service.rs
@@ -5,6 +5,7 @@
 use eelgrasswell_core::{
     id::{CustomerId, Fence, RequestId},
     refusal::{Reason, Refusal},
+    unit::Millis,
 };
 use eelgrasswell_proto::v1::{
     Accepted, AgentBeat, ExecuteEvent, ExecuteRequest, OrderReply, OrderRequest, ResolveReply, ResolveRequest,
@@ -44,12 +45,13 @@
         if id.is_empty() {
             return Err(Refusal::not_run(Reason::BadRequest));
         }
+        let deadline = (req.deadline_ms > 0).then(|| agent.clock.now() + Millis(req.deadline_ms));
         let checked = agent.check(&req).await?;
         agent.fences.reserve(&id)?;
         let accepted = Accepted { revision: agent.config.revision().0, agent_incarnation: agent.incarnation.0 };
         let begun = agent.answers.begin(&id, &CustomerId::from(&*req.customer), accepted);
         let (answer, reader) = begun.inspect_err(|_| agent.fences.release(&id))?;
-        tokio::spawn(run::run(agent.clone(), req, checked, answer));
+        tokio::spawn(run::run(agent.clone(), req, checked, deadline, answer));
         Ok(reader)
     }
 
--- a/crates/daemon/tests/agent/main.rs
+++ b/crates/daemon/tests/agent/main.rs
@@ -3,5 +3,6 @@
 mod answers;
 mod execute;
 mod link;
+mod meter;
 mod refuse;
 mod rig;
--- a/crates/daemon/tests/agent/refuse.rs
+++ b/crates/daemon/tests/agent/refuse.rs
@@ -1,8 +1,14 @@
 //! Requests that the agent refuses, and what it does about ids that ran or are barred.
 
+use eelgrasswell_core::refusal::Reason;
+use eelgrasswell_daemon::agent::{
+    checks::{Place, check},
+    loaded::Loaded,
+};
 use eelgrasswell_manifest::{
     config::{Config, RolloutPhase, RolloutStatus},
     manifest::{Drain, VersionState},
+    settings::LoadedVersion,
 };
 use eelgrasswell_proto::v1::{ExecuteRequest, ResolveReply, ResolveRequest, resolve_reply::Fate};
 use eelgrasswell_testbed::engine::FaultsUpdate;
@@ -164,3 +170,34 @@
     assert_eq!(bill.cost_micros, 3 * 2 + bill.output_tokens * 10);
     assert_eq!(rig.run(model_request("r3", false, 1)).await.refusal(), ("no_backend", true));
 }
+
+/// Guards against new work for a version in rollout on a node that could not hear of its
+/// withdrawal, and against sessions that are cut off for that.
+#[test_case("v2", false, Some(Reason::StaleConfig) ; "version in rollout")]
+#[test_case("v2", true, None ; "pinned to the version in rollout")]
+#[test_case("v1", false, None ; "stable version")]
+fn check_with_stale_config(version: &str, pinned: bool, reason: Option<Reason>) {
+    let config = changed(&config(1), |config| {
+        let plan = serde_json::from_str("{\"version\": \"v2\"}").unwrap();
+        config.manifest.models.get_mut("loan-desk").unwrap().rollout = Some(plan);
+        let status = RolloutStatus {
+            baseline: "v1".into(),
+            step: 0,
+            permille: 10,
+            phase: RolloutPhase::Running,
+            reason: "".into(),
+        };
+        config.rollouts.insert("loan-desk/v2".parse().unwrap(), status);
+    });
+    let loaded = ["v1", "v2"].map(|version| LoadedVersion { model: "loan-desk".into(), version: version.into() });
+    let place = Place {
+        host: &"worker-1".into(),
+        domain: &"nadi".into(),
+        service: &MODELS.into(),
+        loaded: &Loaded::open(&loaded),
+        leaving: false,
+        stale: true,
+    };
+    let req = ExecuteRequest { version: version.to_owned(), pinned, ..model_request("r1", false, 1) };
+    assert_eq!(check(&config, &place, &req).err(), reason);
+}
