Keep stalled callers from holding up others, and resume on a new connection

Cause: the answers of one agent share an HTTP/2 connection, whose default window was 5 MB, with 2 MB for each answer. In the new test 60 callers that do not read filled it: another caller got an error after 163 s instead of its 64 KiB.

The router no longer leaves the stream of every stalled caller: the agent counts what it has sent as read and may drop it, so a join could fail. It does so only above 512 stalled callers, which bounds the memory for them at about 16 MiB; further answers stay at the agents as long as these have room.

After a silent connection the next call to that agent opens a new one, at most every 2 s for each agent; before, the resumption shared the silent one.

--- a/crates/daemon/src/controller/membership/channels.rs
+++ b/crates/daemon/src/controller/membership/channels.rs
@@ -15,6 +15,12 @@
 const KEEP_ALIVE_INTERVAL: Duration = Duration::from_secs(2);
 /// Time without an answer to a ping after which a connection counts as silent and is closed.
 const KEEP_ALIVE_TIMEOUT: Duration = Duration::from_secs(3);
+/// Unread bytes of one call that a connection takes. More of them would sit in memory for each answer
+/// whose caller does not read.
+const STREAM_WINDOW: u32 = 32 << 10;
+/// Unread bytes of all calls on a connection, the most that HTTP/2 allows: the answers of callers that
+/// do not read must not hold up the others.
+const CONNECTION_WINDOW: u32 = (1 << 31) - 1;
 /// Time without use after which a channel is dropped. Two random peers a second would otherwise
 /// leave a connection to each of 350 routers open.
 const IDLE_AFTER: Millis = Millis(20_000);
@@ -60,6 +66,8 @@
         .connect_timeout(CONNECT_TIMEOUT)
         .http2_keep_alive_interval(KEEP_ALIVE_INTERVAL)
         .keep_alive_timeout(KEEP_ALIVE_TIMEOUT)
+        .initial_stream_window_size(STREAM_WINDOW)
+        .initial_connection_window_size(CONNECTION_WINDOW)
         .tcp_nodelay(true)
         .connect_lazy()
 }
--- a/crates/daemon/src/filter/answer.rs
+++ b/crates/daemon/src/filter/answer.rs
@@ -85,7 +85,7 @@
     loop {
         match events.next().await {
             Ok(Event::Data(chunk)) => {
-                if !deliver(&mut events, chunk, &tx).await && events.offset() > MAX_UNREAD {
+                if !deliver(&settlement.chain, &mut events, chunk, &tx).await && events.offset() > MAX_UNREAD {
                     return;
                 }
             }
@@ -108,10 +108,10 @@
     }
 }
 
-/// Hands a chunk to the caller; false when the caller has gone away. While the caller does not read,
-/// the agent's stream is left, since its unread bytes would take up memory and the window of the
-/// connection that other answers share.
-async fn deliver(events: &mut Events, chunk: Bytes, tx: &Sender) -> bool {
+/// Hands a chunk to the caller; false when the caller has gone away. When too many callers do not
+/// read, the agent's stream is left, so that the memory for them does not grow further; the agent
+/// holds the answer as long as it has room.
+async fn deliver(chain: &Chain, events: &mut Events, chunk: Bytes, tx: &Sender) -> bool {
     if tx.is_closed() {
         return false;
     }
@@ -119,7 +119,10 @@
         Ok(slot) => slot,
         Err(_) => {
             metrics::counter!(STALLS).increment(1);
-            events.leave();
+            let held = chain.stalled.try_acquire();
+            if held.is_err() {
+                events.leave();
+            }
             tx.reserve().await
         }
     };
@@ -196,7 +199,7 @@
         };
         match next {
             Ok(Event::Data(chunk)) => {
-                if !deliver(&mut events, chunk, &tx).await {
+                if !deliver(&chain, &mut events, chunk, &tx).await {
                     return;
                 }
             }
--- a/crates/daemon/src/filter/backends.rs
+++ b/crates/daemon/src/filter/backends.rs
@@ -1,17 +1,24 @@
 //! What the filters need of links and shards. It is a trait so that tests drive the filters against
 //! agents and claims of their own.
 
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, PoisonError};
 
 use eelgrasswell_core::{
+    hash::HashMap,
     id::{CustomerId, HostId, Incarnation, RequestId, ServiceName},
     route::AgentView,
+    unit::Millis,
 };
 use futures::future::{BoxFuture, FutureExt};
 
-use crate::controller::{
-    links::{AgentLink, Client, Links, Outstanding},
-    shards::{ClaimCall, ClaimEnd, ClaimResult, Shards},
+use crate::{
+    clock::Clock,
+    controller::{
+        links::{AgentLink, Client, Links, Outstanding},
+        membership::Members,
+        shards::{ClaimCall, ClaimEnd, ClaimResult, Shards},
+    },
+    router::Router,
 };
 
 /// Agents and claims as the filters see them.
@@ -19,9 +26,12 @@
     /// Agents of `service` that this router may send new work to.
     fn candidates(&self, service: &ServiceName) -> Vec<Candidate>;
 
-    /// A client of any known agent, on a connection that has not gone silent; for `Resume` and `Resolve`.
+    /// A client of any known agent; for `Resume` and `Resolve`.
     fn client(&self, agent: &HostId) -> Option<Client>;
 
+    /// Makes the next client of the agent open a new connection, since the present one is silent.
+    fn reconnect(&self, agent: &HostId);
+
     /// Claims a non-idempotent request.
     fn claim<'a>(&'a self, call: &'a ClaimCall) -> BoxFuture<'a, ClaimResult>;
 
@@ -55,12 +65,31 @@
     }
 }
 
+/// Shortest time between two new connections to one agent. All answers on a silent connection find
+/// it silent within about a second of each other, and share the new one.
+const RECONNECT_INTERVAL: Millis = Millis(2_000);
+
 /// The links and shards of the router.
 pub struct Live {
-    /// Links to agents.
-    pub links: Links,
-    /// Shards with the claims.
-    pub shards: Shards,
+    links: Links,
+    shards: Shards,
+    members: Members,
+    clock: Clock,
+    /// Times of the last new connections.
+    reconnected: Mutex<HashMap<HostId, Millis>>,
+}
+
+impl Live {
+    /// Takes the handles from `router`.
+    pub fn new(router: &Router) -> Self {
+        Self {
+            links: router.links.clone(),
+            shards: router.shards.clone(),
+            members: router.members.clone(),
+            clock: router.clock,
+            reconnected: Mutex::default(),
+        }
+    }
 }
 
 impl Backends for Live {
@@ -81,6 +110,19 @@
         self.links.client(agent)
     }
 
+    fn reconnect(&self, agent: &HostId) {
+        let now = self.clock.now();
+        let mut reconnected = self.reconnected.lock().unwrap_or_else(PoisonError::into_inner);
+        reconnected.retain(|_, at| now.saturating_sub(*at) < RECONNECT_INTERVAL);
+        if reconnected.contains_key(agent) {
+            return;
+        }
+        reconnected.insert(agent.clone(), now);
+        if let Some(host) = self.members.host(agent) {
+            self.members.reconnect(host.address);
+        }
+    }
+
     fn claim<'a>(&'a self, call: &'a ClaimCall) -> BoxFuture<'a, ClaimResult> {
         self.shards.claim(call).boxed()
     }
--- a/crates/daemon/src/filter/events.rs
+++ b/crates/daemon/src/filter/events.rs
@@ -41,6 +41,8 @@
     next: u64,
     head_seen: bool,
     resumes: u32,
+    /// Whether the connection to the agent may be silent.
+    suspect: bool,
 }
 
 /// What an attempt brings.
@@ -113,6 +115,7 @@
             next: offset,
             head_seen: false,
             resumes: 0,
+            suspect: false,
         }
     }
 
@@ -215,7 +218,8 @@
         self.note_loss(why);
     }
 
-    fn note_loss(&self, why: &dyn std::fmt::Display) {
+    fn note_loss(&mut self, why: &dyn std::fmt::Display) {
+        self.suspect = true;
         event!(Info, "agent_stream_lost", agent = self.agent, request = self.request_id, at = self.next, error = why);
     }
 
@@ -229,6 +233,9 @@
         }
         self.resumes += 1;
         metrics::counter!(telemetry::RETRIES, "reason" => "resume").increment(1);
+        if std::mem::take(&mut self.suspect) {
+            self.backends.reconnect(&self.agent);
+        }
         let Some(mut client) = self.backends.client(&self.agent) else {
             return Err(Lost::Gone(Reason::ConnectionLost));
         };
--- a/crates/daemon/src/filter/mod.rs
+++ b/crates/daemon/src/filter/mod.rs
@@ -21,7 +21,7 @@
 use eyre::Result;
 use http_body_util::combinators::UnsyncBoxBody;
 use hyper::{Request, Response, body::Incoming};
-use tokio::net::TcpListener;
+use tokio::{net::TcpListener, sync::Semaphore};
 use uuid::Uuid;
 
 use self::{
@@ -37,13 +37,17 @@
 /// Retries that the retry budget has denied, by `reason`.
 const RETRIES_DENIED: &str = "eelgrasswell_retries_denied_total";
 
+/// Stalled callers whose answers may stay on the connection to the agent. With 32 KiB of window for
+/// each they hold at most 16 MiB; the answers of further ones stay at the agents.
+const MAX_STALLED: usize = 512;
+
 /// Body of an answer to a caller.
 type Body = UnsyncBoxBody<Bytes, eyre::Report>;
 
 /// Serves callers until `shutdown` is requested and the running requests have finished.
 pub async fn serve(router: Router, listener: TcpListener, mut shutdown: Shutdown) -> Result<()> {
-    let backends = Live { links: router.links.clone(), shards: router.shards.clone() };
-    let chain = Chain::new(router, Arc::new(backends));
+    let backends = Arc::new(Live::new(&router));
+    let chain = Chain::new(router, backends);
     run(chain, listener, async move { shutdown.wait().await }).await
 }
 
@@ -54,13 +58,26 @@
     backends: Arc<dyn Backends>,
     retries: Arc<Mutex<RetryBudget>>,
     memory: Arc<Mutex<route::Memory>>,
+    /// Stalled callers whose answers may stay on the connection to the agent.
+    stalled: Arc<Semaphore>,
 }
 
 impl Chain {
     /// Starts with a fresh retry budget, and without memory of refusals and cached prefixes.
     pub fn new(router: Router, backends: Arc<dyn Backends>) -> Self {
         let retries = RetryBudget::new(router.clock.now());
-        Self { router, backends, retries: Arc::new(Mutex::new(retries)), memory: Arc::default() }
+        Self {
+            router,
+            backends,
+            retries: Arc::new(Mutex::new(retries)),
+            memory: Arc::default(),
+            stalled: Arc::new(Semaphore::new(MAX_STALLED)),
+        }
+    }
+
+    /// Sets the number of stalled callers whose answers may stay on the connection to the agent.
+    pub fn max_stalled(self, limit: usize) -> Self {
+        Self { stalled: Arc::new(Semaphore::new(limit)), ..self }
     }
 
     /// Answers one request of a caller.
--- a/crates/daemon/tests/fake/mod.rs
+++ b/crates/daemon/tests/fake/mod.rs
@@ -21,7 +21,6 @@
         links::Client,
         shards::{ClaimCall, ClaimEnd, ClaimResult},
     },
-    credential::Present,
     filter::{
         self, Chain,
         backends::{Backends, Candidate},
@@ -30,7 +29,7 @@
 };
 use eelgrasswell_manifest::{
     config::Config,
-    settings::{CallerLimits, HostSettings, RouterSettings, read_secret},
+    settings::{CallerLimits, HostSettings, RouterSettings},
 };
 use eelgrasswell_proto::v1::{
     self, AgentBeat, ExecuteEvent, ExecuteRequest, OrderReply, OrderRequest, ResolveReply, ResolveRequest,
@@ -165,6 +164,8 @@
         candidates.iter().find(|c| c.view.id == *agent).map(|c| c.client.clone())
     }
 
+    fn reconnect(&self, _: &HostId) {}
+
     fn claim<'a>(&'a self, call: &'a ClaimCall) -> BoxFuture<'a, ClaimResult> {
         self.claimed.lock().unwrap().push(call.clone());
         let result = self.claims.lock().unwrap().pop_front().unwrap_or(ClaimResult::Unavailable);
@@ -212,6 +213,8 @@
     }
 }
 
+/// Stalled callers whose answers may stay on the connection.
+pub const MAX_STALLED: usize = 100;
 /// Incarnation of each agent.
 pub const INCARNATION: Incarnation = Incarnation(7);
 /// Bytes that a caller takes without reading.
@@ -222,20 +225,19 @@
     /// Starts a router with this many agents, which run versions v1 and v2 of model `small` and v1 of
     /// `large`.
     pub async fn open(agents: usize) -> Self {
-        Self::open_with(agents, |_| {}).await
+        Self::open_with(agents, MAX_STALLED).await
     }
 
-    /// Starts with an edited configuration.
-    pub async fn open_with(agents: usize, edit: impl FnOnce(&mut Value)) -> Self {
+    /// Starts with another limit on stalled callers.
+    pub async fn open_with(agents: usize, max_stalled: usize) -> Self {
         let dir = std::path::Path::new(env!("CARGO_TARGET_TMPDIR"));
         let credential = dir.join(format!("inner-{}", uuid::Uuid::new_v4()));
         fs::write(&credential, "inner-secret").unwrap();
-        let present = Present::new(&read_secret(&credential).unwrap()).unwrap();
         let platform = platform::FakePlatform::default();
         let platform_address = platform.spawn().await;
         let metrics = PrometheusBuilder::new().build_recorder().handle();
         let router = Router::open(settings(&credential, platform_address), metrics).await.unwrap();
-        adopt(&router, REVISION, edit);
+        adopt(&router, REVISION, |_| {});
         router.sessions.spawn();
         router.sessions.ready().await;
         let mut bench = Vec::new();
@@ -247,7 +249,7 @@
             let service = agent_server::AgentServer::new(Service(Arc::clone(&agent)));
             let server = Server::builder().add_service(service);
             tokio::spawn(server.serve_with_incoming(TcpListenerStream::new(listener)));
-            let candidate = candidate(&format!("host-{n}"), address, &present);
+            let candidate = candidate(&format!("host-{n}"), address, &router);
             fakes.candidates.lock().unwrap().push(candidate);
             bench.push(agent);
         }
@@ -255,7 +257,7 @@
         let address = listener.local_addr().unwrap();
         let (stop, stopped) = oneshot::channel();
         let backends: Arc<dyn Backends> = fakes.clone();
-        let chain = Chain::new(router.clone(), backends);
+        let chain = Chain::new(router.clone(), backends).max_stalled(max_stalled);
         let served = tokio::spawn(filter::run(chain, listener, async {
             let _ = stopped.await;
         }));
@@ -276,9 +278,7 @@
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let address = listener.local_addr().unwrap();
         drop(listener);
-        let secret = self.router.settings.host.inner_credential.clone();
-        let present = Present::new(&read_secret(&secret).unwrap()).unwrap();
-        self.fakes.candidates.lock().unwrap().push(candidate(id, address, &present));
+        self.fakes.candidates.lock().unwrap().push(candidate(id, address, &self.router));
     }
 
     /// Lets an agent report this many running requests.
@@ -320,8 +320,7 @@
     }
 }
 
-fn candidate(id: &str, address: SocketAddr, present: &Present) -> Candidate {
-    let endpoint = tonic::transport::Endpoint::from_shared(format!("http://{address}")).unwrap();
+fn candidate(id: &str, address: SocketAddr, router: &Router) -> Candidate {
     let view = AgentView {
         id: id.into(),
         domain: "north".into(),
@@ -330,7 +329,8 @@
         loaded: vec![("small".into(), "v1".into()), ("small".into(), "v2".into()), ("large".into(), "v1".into())],
         leaving: false,
     };
-    let client = AgentClient::with_interceptor(endpoint.connect_lazy(), present.clone());
+    let (channel, present) = router.members.channel(address);
+    let client = AgentClient::with_interceptor(channel, present);
     Candidate { view, incarnation: INCARNATION, client, link: None }
 }
 
--- a/crates/daemon/tests/filters.rs
+++ b/crates/daemon/tests/filters.rs
@@ -157,12 +157,31 @@
     assert_eq!((reply.status.as_u16(), &reply.json()["error"]["outcome"]), (status, &json!(outcome)));
 }
 
+/// Guards against stalled callers that hold up the others: the answers of one agent share a connection.
+#[tokio::test]
+async fn stalled_callers_do_not_hold_up_others() {
+    const CHUNK: usize = fake::WINDOW as usize;
+    let bench = Bench::open(1).await;
+    let mut stalled = Vec::new();
+    let chunk = Bytes::from(vec![b'x'; CHUNK]);
+    for _ in 0..60 {
+        let mut events = vec![head()];
+        events.extend((0..16).map(|n| data((n * CHUNK) as u64, chunk.clone())));
+        push(&bench, 0, Script::Hang(events));
+        stalled.push(bench.send(bench.chat_request(json!({"model": "small", "stream": true}))).await);
+    }
+    push(&bench, 0, Script::End(vec![head(), data(0, chunk), finished(CHUNK as u64)]));
+    let reply = bench.chat(json!({"model": "small", "stream": true}));
+    let reply = tokio::time::timeout(std::time::Duration::from_secs(20), reply).await;
+    assert_eq!(reply.expect("the answer is held up").body.len(), CHUNK);
+}
+
 /// Guards against unread answers that fill the router, and against bytes lost when the agent's stream
 /// is left and joined again (P7).
 #[tokio::test]
 async fn stalled_caller_leaves_agent_stream() {
     const CHUNK: usize = fake::WINDOW as usize;
-    let bench = Bench::open(1).await;
+    let bench = Bench::open_with(1, 0).await;
     let (tx, rx) = tokio::sync::mpsc::channel(8);
     push(&bench, 0, Script::Live(rx));
     tx.send(head()).await.unwrap();
