Wait for abandoned work in a shutdown, and bound budget and claim by the deadline

Cause: a booking whose caller had gone away ran in a task that a graceful shutdown did not wait for, so a planned stop could cut it off. The tasks that may outlive their callers now each hold a permit, and the shutdown waits for all of them within the drain limit.

A budget or claim that did not come in time held the caller beyond its deadline; both steps now end there as not run. A refusal with a newer revision is caught up with before a claim moves, too. Header fields that the router sets are no longer taken from the backend server's answer.

--- a/crates/daemon/src/filter/answer.rs
+++ b/crates/daemon/src/filter/answer.rs
@@ -31,6 +31,8 @@
 
 const COST: HeaderName = HeaderName::from_static("x-cost-micros");
 const REQUEST_ID: &str = "x-request-id";
+/// Header fields that only the router sets.
+const OWN_FIELDS: [&str; 4] = [REQUEST_ID, "x-model", "x-version", "x-cost-micros"];
 /// Frames between an agent's stream and a caller's connection. One keeps the reader's pace: the
 /// next event is not read before the caller has taken the last.
 const FRAMES: usize = 1;
@@ -66,7 +68,8 @@
         }
         None => {
             let (tx, body) = channel(body);
-            tokio::spawn(forward(events, settlement, status, tx));
+            let chain = settlement.chain.clone();
+            chain.spawn(forward(events, settlement, status, tx));
             response.header(TRAILER, COST.as_str()).body(body)
         }
     };
@@ -233,6 +236,7 @@
         let (name, value) = (HeaderName::try_from(&field.name), HeaderValue::try_from(&field.value));
         if let (Ok(name), Ok(value)) = (name, value)
             && !is_hop_by_hop(name.as_str())
+            && !OWN_FIELDS.contains(&name.as_str())
         {
             response = response.header(name, value);
         }
--- a/crates/daemon/src/filter/endpoint.rs
+++ b/crates/daemon/src/filter/endpoint.rs
@@ -1,6 +1,6 @@
 //! The callers' endpoint: accepts connections and serves HTTP/1.1 and HTTP/2 on each.
 
-use std::{convert::Infallible, future::Future, sync::Arc, time::Duration};
+use std::{convert::Infallible, sync::Arc, time::Duration};
 
 use eelgrasswell_manifest::settings::CallerLimits;
 use eyre::Result;
@@ -65,7 +65,11 @@
     }
     drop(listener);
     let drain = chain.router.settings.host.drain;
-    if timeout(drain.into(), graceful.shutdown()).await.is_err() {
+    let finished = async {
+        graceful.shutdown().await;
+        chain.idle().await;
+    };
+    if timeout(drain.into(), finished).await.is_err() {
         event!(Warn, "drain_limit_reached", limit = drain);
     }
     Ok(())
--- a/crates/daemon/src/filter/execute.rs
+++ b/crates/daemon/src/filter/execute.rs
@@ -334,16 +334,15 @@
         self.chain.memory().note_refusal(&agent.view.id, self.chain.router.clock.now());
         self.tried.push(agent.view.id.clone());
         let again = goes_elsewhere(reason) && self.chain.take_retry(reason);
+        if again && revision > self.call.config.revision {
+            self.catch_up(revision).await?;
+        }
         if let Some(claim) = self.claim.take() {
-            self.reclaim(claim, sent, again, failure).await?;
-            return Ok(());
+            return self.reclaim(claim, sent, again, failure).await;
         }
         if !again {
             return Err(failure);
         }
-        if revision > self.call.config.revision {
-            self.catch_up(revision).await?;
-        }
         self.last = Some(failure);
         Ok(())
     }
--- a/crates/daemon/src/filter/mod.rs
+++ b/crates/daemon/src/filter/mod.rs
@@ -21,7 +21,12 @@
 use eyre::Result;
 use http_body_util::combinators::UnsyncBoxBody;
 use hyper::{Request, Response, body::Incoming};
-use tokio::{net::TcpListener, sync::Semaphore};
+use tokio::{
+    net::TcpListener,
+    sync::Semaphore,
+    task::JoinHandle,
+    time::{Instant, timeout_at},
+};
 use uuid::Uuid;
 
 use self::{
@@ -41,6 +46,9 @@
 /// each they hold at most 16 MiB; the answers of further ones stay at the agents.
 const MAX_STALLED: usize = 512;
 
+/// Tasks that may outlive their callers; more than there can be requests.
+const MAX_TASKS: u32 = 1 << 24;
+
 /// Body of an answer to a caller.
 type Body = UnsyncBoxBody<Bytes, eyre::Report>;
 
@@ -60,6 +68,8 @@
     memory: Arc<Mutex<route::Memory>>,
     /// Stalled callers whose answers may stay on the connection to the agent.
     stalled: Arc<Semaphore>,
+    /// One permit is taken for each task that may outlive its caller.
+    tasks: Arc<Semaphore>,
 }
 
 impl Chain {
@@ -72,6 +82,7 @@
             retries: Arc::new(Mutex::new(retries)),
             memory: Arc::default(),
             stalled: Arc::new(Semaphore::new(MAX_STALLED)),
+            tasks: Arc::new(Semaphore::new(MAX_TASKS as usize)),
         }
     }
 
@@ -80,6 +91,20 @@
         Self { stalled: Arc::new(Semaphore::new(limit)), ..self }
     }
 
+    /// Runs `task` to its end even when the caller goes away; a graceful shutdown waits for it.
+    fn spawn<T: Send + 'static>(&self, task: impl Future<Output = T> + Send + 'static) -> JoinHandle<T> {
+        let running = Arc::clone(&self.tasks);
+        tokio::spawn(async move {
+            let _running = running.acquire().await;
+            task.await
+        })
+    }
+
+    /// Waits until all spawned tasks have ended.
+    async fn idle(&self) {
+        let _all = self.tasks.acquire_many(MAX_TASKS).await;
+    }
+
     /// Answers one request of a caller.
     async fn handle(&self, req: Request<Incoming>) -> Response<Body> {
         let id = Uuid::now_v7();
@@ -111,8 +136,9 @@
         };
         let pin = session::verify(self, &call)?;
         let plan = choose::plan(self, &call, pin.as_ref())?;
-        let held = budget::reserve(self, &call, &plan).await?;
-        let claim = match claim::take(self, &call, &plan).await {
+        let held = in_time(call.deadline, budget::reserve(self, &call, &plan)).await?;
+        // A claim that is cut off by the deadline is settled by the next attempt with its key.
+        let claim = match in_time(call.deadline, claim::take(self, &call, &plan)).await {
             Ok(Claimed::Run(claim)) => claim,
             Ok(Claimed::Replay(response)) => {
                 held.settle_unspent();
@@ -133,8 +159,14 @@
             return rest.await;
         }
         // A caller that goes away must not cut off a request that cannot be repeated.
-        tokio::spawn(rest).await.unwrap_or_else(|err| {
+        self.spawn(rest).await.unwrap_or_else(|err| {
             Err(Failure::unknown(Reason::Internal, format!("the request was cut off inside the router: {err}")))
         })
     }
 }
+
+/// Cuts `step` off at the deadline. Only for steps before any byte is sent to an agent.
+async fn in_time<T>(deadline: Instant, step: impl Future<Output = Result<T, Failure>>) -> Result<T, Failure> {
+    let late = || Failure::not_run(Reason::Deadline, "the deadline passed before the request could run");
+    timeout_at(deadline, step).await.unwrap_or_else(|_| Err(late()))
+}
--- a/crates/daemon/tests/filters.rs
+++ b/crates/daemon/tests/filters.rs
@@ -246,10 +246,11 @@
     assert_eq!(completed.1, ClaimEnd::Done { status: 200, body: Some(Bytes::from("booked")) });
 }
 
-/// Guards against a booking that is cut off, or whose answer is not stored, when its caller goes away.
+/// Guards against a booking that is cut off, or whose answer is not stored, when its caller goes away,
+/// also during a graceful shutdown (P11).
 #[tokio::test]
 async fn booking_outlives_its_caller() {
-    let bench = Bench::open(1).await;
+    let mut bench = Bench::open(1).await;
     bench.fakes.claims.lock().unwrap().push_back(ClaimResult::Granted(Fence(9)));
     let (tx, rx) = tokio::sync::mpsc::channel(8);
     push(&bench, 0, Script::Live(rx));
@@ -257,10 +258,12 @@
         _ = bench.fetch(book(&bench)) => unreachable!("the agent has not answered"),
         () = until(|| !bench.executed().is_empty()) => {}
     }
+    bench.stop.take().unwrap().send(()).unwrap();
     for event in [head(), data(0, "booked"), finished(6)] {
+        assert!(!bench.served.is_finished());
         tx.send(event).await.unwrap();
     }
-    until(|| !bench.fakes.completed.lock().unwrap().is_empty()).await;
+    bench.served.await.unwrap().unwrap();
     let end = bench.fakes.completed.lock().unwrap().remove(0).1;
     assert_eq!(end, ClaimEnd::Done { status: 200, body: Some(Bytes::from("booked")) });
 }
