--- a/crates/daemon/src/filter/answer.rs
+++ b/crates/daemon/src/filter/answer.rs
@@ -31,6 +31,8 @@
 
 const COST: HeaderName = HeaderName::from_static("x-cost-micros");
 const REQUEST_ID: &str = "x-request-id";
+/// Header fields that only the router sets.
+const OWN_FIELDS: [&str; 4] = [REQUEST_ID, "x-model", "x-version", "x-cost-micros"];
 /// Frames between an agent's stream and a caller's connection. One keeps the reader's pace: the
 /// next event is not read before the caller has taken the last.
 const FRAMES: usize = 1;
@@ -66,7 +68,8 @@
         }
         None => {
             let (tx, body) = channel(body);
-            tokio::spawn(forward(events, settlement, status, tx));
+            let chain = settlement.chain.clone();
+            chain.spawn(forward(events, settlement, status, tx));
             response.header(TRAILER, COST.as_str()).body(body)
         }
     };
@@ -85,7 +88,7 @@
     loop {
         match events.next().await {
             Ok(Event::Data(chunk)) => {
-                if !deliver(&mut events, chunk, &tx).await && events.offset() > MAX_UNREAD {
+                if !deliver(&settlement.chain, &mut events, chunk, &tx).await && events.offset() > MAX_UNREAD {
                     return;
                 }
             }
@@ -108,10 +111,10 @@
     }
 }
 
-/// Hands a chunk to the caller; false when the caller has gone away. While the caller does not read,
-/// the agent's stream is left, since its unread bytes would take up memory and the window of the
-/// connection that other answers share.
-async fn deliver(events: &mut Events, chunk: Bytes, tx: &Sender) -> bool {
+/// Hands a chunk to the caller; false when the caller has gone away. When too many callers do not
+/// read, the agent's stream is left, so that the memory for them does not grow further; the agent
+/// holds the answer as long as it has room.
+async fn deliver(chain: &Chain, events: &mut Events, chunk: Bytes, tx: &Sender) -> bool {
     if tx.is_closed() {
         return false;
     }
@@ -119,7 +122,10 @@
         Ok(slot) => slot,
         Err(_) => {
             metrics::counter!(STALLS).increment(1);
-            events.leave();
+            let held = chain.stalled.try_acquire();
+            if held.is_err() {
+                events.leave();
+            }
             tx.reserve().await
         }
     };
@@ -196,7 +202,7 @@
         };
         match next {
             Ok(Event::Data(chunk)) => {
-                if !deliver(&mut events, chunk, &tx).await {
+                if !deliver(&chain, &mut events, chunk, &tx).await {
                     return;
                 }
             }
@@ -230,6 +236,7 @@
         let (name, value) = (HeaderName::try_from(&field.name), HeaderValue::try_from(&field.value));
         if let (Ok(name), Ok(value)) = (name, value)
             && !is_hop_by_hop(name.as_str())
+            && !OWN_FIELDS.contains(&name.as_str())
         {
             response = response.header(name, value);
         }
--- a/crates/daemon/tests/filters.rs
+++ b/crates/daemon/tests/filters.rs
@@ -157,12 +157,31 @@
     assert_eq!((reply.status.as_u16(), &reply.json()["error"]["outcome"]), (status, &json!(outcome)));
 }
 
+/// Guards against stalled callers that hold up the others: the answers of one agent share a connection.
+#[tokio::test]
+async fn stalled_callers_do_not_hold_up_others() {
+    const CHUNK: usize = fake::WINDOW as usize;
+    let bench = Bench::open(1).await;
+    let mut stalled = Vec::new();
+    let chunk = Bytes::from(vec![b'x'; CHUNK]);
+    for _ in 0..60 {
+        let mut events = vec![head()];
+        events.extend((0..16).map(|n| data((n * CHUNK) as u64, chunk.clone())));
+        push(&bench, 0, Script::Hang(events));
+        stalled.push(bench.send(bench.chat_request(json!({"model": "small", "stream": true}))).await);
+    }
+    push(&bench, 0, Script::End(vec![head(), data(0, chunk), finished(CHUNK as u64)]));
+    let reply = bench.chat(json!({"model": "small", "stream": true}));
+    let reply = tokio::time::timeout(std::time::Duration::from_secs(20), reply).await;
+    assert_eq!(reply.expect("the answer is held up").body.len(), CHUNK);
+}
+
 /// Guards against unread answers that fill the router, and against bytes lost when the agent's stream
 /// is left and joined again (P7).
 #[tokio::test]
 async fn stalled_caller_leaves_agent_stream() {
     const CHUNK: usize = fake::WINDOW as usize;
-    let bench = Bench::open(1).await;
+    let bench = Bench::open_with(1, 0).await;
     let (tx, rx) = tokio::sync::mpsc::channel(8);
     push(&bench, 0, Script::Live(rx));
     tx.send(head()).await.unwrap();
@@ -227,10 +246,11 @@
     assert_eq!(completed.1, ClaimEnd::Done { status: 200, body: Some(Bytes::from("booked")) });
 }
 
-/// Guards against a booking that is cut off, or whose answer is not stored, when its caller goes away.
+/// Guards against a booking that is cut off, or whose answer is not stored, when its caller goes away,
+/// also during a graceful shutdown (P11).
 #[tokio::test]
 async fn booking_outlives_its_caller() {
-    let bench = Bench::open(1).await;
+    let mut bench = Bench::open(1).await;
     bench.fakes.claims.lock().unwrap().push_back(ClaimResult::Granted(Fence(9)));
     let (tx, rx) = tokio::sync::mpsc::channel(8);
     push(&bench, 0, Script::Live(rx));
@@ -238,10 +258,12 @@
         _ = bench.fetch(book(&bench)) => unreachable!("the agent has not answered"),
         () = until(|| !bench.executed().is_empty()) => {}
     }
+    bench.stop.take().unwrap().send(()).unwrap();
     for event in [head(), data(0, "booked"), finished(6)] {
+        assert!(!bench.served.is_finished());
         tx.send(event).await.unwrap();
     }
-    until(|| !bench.fakes.completed.lock().unwrap().is_empty()).await;
+    bench.served.await.unwrap().unwrap();
     let end = bench.fakes.completed.lock().unwrap().remove(0).1;
     assert_eq!(end, ClaimEnd::Done { status: 200, body: Some(Bytes::from("booked")) });
 }
