Test two owners under all faults at once

80 keys are claimed, billed and paid for at two routers in turn stopped, with answers lost, the platform slow and down. No key has two grants, each bill is there once, the cap holds.

--- a/crates/daemon/tests/shards.rs
+++ b/crates/daemon/tests/shards.rs
@@ -2,6 +2,8 @@
 
 mod support;
 
+use std::collections::{BTreeMap, BTreeSet};
+
 use eelgrasswell_core::{
     hash::stable_hash,
     id::{CustomerId, RequestId},
@@ -10,7 +12,7 @@
     unit::{Cost, Millis},
 };
 use eelgrasswell_daemon::controller::shards::{ClaimCall, ClaimEnd, ClaimResult, SHARDS};
-use eelgrasswell_testbed::platform::Platform;
+use eelgrasswell_testbed::platform::{Faults, Platform};
 use futures::future::join_all;
 use support::{CAP, Node, bill};
 
@@ -240,3 +242,69 @@
     expected.sort_by(|a, b| a.request_id.cmp(&b.request_id));
     assert_eq!(found, expected);
 }
+
+/// Guards against a second grant, a lost or repeated bill and an overspent cap when answers get
+/// lost, the platform is slow or down, and owners are paused, all at once.
+#[tokio::test]
+async fn owners_under_faults() {
+    const ROUNDS: usize = 2;
+    const KEYS: usize = 40;
+    const COST: u64 = 30_000;
+    let platform = platform().await;
+    let names = ["a", "b"];
+    let nodes = [Node::start("a", platform.address()).await, Node::start("b", platform.address()).await];
+    platform.until(|platform| leases(platform).len() == SHARDS as usize).await;
+    let mut granted: BTreeMap<String, Vec<RequestId>> = BTreeMap::new();
+    let mut spent = 0;
+    for round in 0..ROUNDS {
+        let (stopped, running) = (round % 2, (round + 1) % 2);
+        let call = |at: usize, n: usize| {
+            let key = format!("key-{round}-{n}");
+            nodes[at].parts.bills.push(&"agent-1".into(), bill(&key, 1));
+            let call = claim(&key, &format!("{key}-{}", names[at]));
+            nodes[at].spawn(|parts| async move {
+                let claimed = parts.shards.claim(&call).await;
+                let reserved = parts.budgets.reserve(&"capped".into(), Cost(COST)).await;
+                (call, claimed, reserved.map(|reserved| reserved.settle(Cost(COST))).is_ok())
+            })
+        };
+        let paused = nodes[stopped].pause().await;
+        let late: Vec<_> = (0..KEYS).map(|n| call(stopped, n)).collect();
+        platform.fault(|faults| faults.lose_answers = 40);
+        let owned = |lease: &Lease| lease.owner.as_str() == names[running];
+        platform.until(|platform| leases(platform).iter().all(owned)).await;
+        let mut results = Vec::new();
+        for n in 0..KEYS {
+            platform.fault(|faults| {
+                faults.lose_answers = 2 * u64::from(n % 3 == 0);
+                faults.slow_ms = 20 * u64::from(n % 4 == 0);
+                faults.down = n == 7;
+            });
+            results.push(call(running, n).await.unwrap());
+        }
+        drop(paused);
+        results.extend(join_all(late).await.into_iter().map(Result::unwrap));
+        for (call, claimed, paid) in results {
+            spent += COST * u64::from(paid);
+            let requests = granted.entry(call.key).or_default();
+            requests.extend(matches!(claimed, ClaimResult::Granted(_)).then_some(call.request_id));
+        }
+    }
+    platform.fault(|faults| *faults = Faults::default());
+    for (key, requests) in &granted {
+        let again = claim_until_settled(&nodes[0], claim(key, "again")).await;
+        match requests.as_slice() {
+            [] => {}
+            [request] => assert_eq!(again, pending(request.as_str())),
+            more => panic!("{key} was granted to {more:?}"),
+        }
+    }
+    assert!(granted.values().any(|requests| requests.len() == 1), "no claim was granted, so nothing was tested");
+    assert!(0 < spent && spent <= CAP.0, "{spent} spent");
+    for node in &nodes {
+        node.run(|parts| async move { parts.bills.flush(LIMIT).await }).await;
+    }
+    let bills = nodes[0].run(|parts| async move { parts.shards.read_bills(&"open".into()).await }).await.unwrap();
+    let billed: BTreeSet<_> = bills.iter().map(|bill| bill.request_id.clone()).collect();
+    assert_eq!((bills.len(), billed), (granted.len(), granted.into_keys().collect()));
+}
