--- a/crates/core/src/claim.rs
+++ b/crates/core/src/claim.rs
@@ -31,10 +31,13 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Attempt {
     /// Id of the attempt.
+    #[serde(rename = "r")]
     pub request: RequestId,
     /// Agent that shall run it.
+    #[serde(rename = "a")]
     pub agent: HostId,
     /// Incarnation of that agent.
+    #[serde(rename = "i")]
     pub agent_incarnation: Incarnation,
 }
 
@@ -143,13 +146,19 @@
 /// A claim as kept in a snapshot.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct ClaimRecord {
+    #[serde(rename = "k")]
     key: ClaimKey,
+    #[serde(rename = "d")]
     digest: Fingerprint,
+    #[serde(rename = "a")]
     attempt: Attempt,
+    #[serde(rename = "f")]
     fence: Fence,
+    #[serde(rename = "s")]
     state: ClaimState,
     /// Rest of the retention when the snapshot was taken. A restored claim is kept for at least
     /// that long, whatever the clocks of the two owners show.
+    #[serde(rename = "t")]
     rest: Millis,
 }
 
--- a/crates/core/src/ledger.rs
+++ b/crates/core/src/ledger.rs
@@ -1,11 +1,13 @@
 //! The ledger of a shard: bill records as a set keyed by request id, with totals.
 
+use std::collections::VecDeque;
+
 use base64::{Engine, prelude::BASE64_STANDARD_NO_PAD};
 use compact_str::CompactString;
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    hash::{HashMap, stable_hash},
+    hash::{HashMap, HashSet, stable_hash},
     id::{CustomerId, Incarnation, ModelName, RequestId, ServiceName, VersionName},
     unit::{Cost, Millis, Tokens},
 };
@@ -13,8 +15,8 @@
 /// Time for which the ids of sealed bills are remembered. Both holders of a bill send it within
 /// seconds, or after an outage; outages last hours.
 pub const BILL_ID_RETENTION: Millis = Millis(24 * 3_600_000);
-/// Width of the groups by rest of retention in a snapshot. Each takeover rounds the rest up to it.
-const REST_GROUP: Millis = Millis(600_000);
+/// Time over which sealed ids go into one group and are forgotten together. A lookup asks each group.
+const GROUP_WIDTH: Millis = Millis(3_600_000);
 
 /// What a customer owes for one request.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -72,11 +74,18 @@
 pub struct Ledger {
     /// Bills that are in no sealed segment.
     recent: HashMap<RequestId, BillOp>,
-    /// Ids of sealed bills, with the time at which they are forgotten.
-    sealed: HashMap<BillId, Millis>,
+    /// Ids of sealed bills, the newest group at the end.
+    sealed: VecDeque<Group>,
     totals: HashMap<(CustomerId, CompactString), Total>,
 }
 
+/// Ids that are forgotten together.
+#[derive(Clone, Debug)]
+struct Group {
+    expires: Millis,
+    ids: HashSet<BillId>,
+}
+
 /// 128-bit hash of a request id, in place of its text of about 50 bytes. Two ids among a billion
 /// are equal with a probability of about 1e-21.
 type BillId = [u8; 16];
@@ -85,7 +94,7 @@
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct LedgerRecord {
     recent: Vec<BillOp>,
-    /// Ids of sealed bills, joined and in base64, in groups by rest of retention.
+    /// Groups of ids of sealed bills: rest of retention, and the ids joined and in base64.
     sealed: Vec<(Millis, String)>,
     totals: Vec<(CustomerId, CompactString, Total)>,
 }
@@ -93,7 +102,8 @@
 impl Ledger {
     /// Whether the bill of `request` is recorded.
     pub fn contains(&self, request: &RequestId) -> bool {
-        self.recent.contains_key(request) || self.sealed.contains_key(&bill_id(request))
+        let id = bill_id(request);
+        self.recent.contains_key(request) || self.sealed.iter().any(|group| group.ids.contains(&id))
     }
 
     /// Adds a bill; false when its request has one already, which stays.
@@ -125,50 +135,48 @@
 
     /// Number of remembered ids of sealed bills.
     pub fn sealed_len(&self) -> usize {
-        self.sealed.len()
+        self.sealed.iter().map(|group| group.ids.len()).sum()
     }
 
     /// Notes that these bills are kept in a segment; only their ids stay in memory.
     pub fn seal(&mut self, bills: &[Bill], now: Millis) {
-        for bill in bills {
-            if self.recent.remove(&bill.request).is_some() {
-                self.sealed.insert(bill_id(&bill.request), now + BILL_ID_RETENTION);
+        let ids = bills.iter().filter(|bill| self.recent.remove(&bill.request).is_some());
+        let ids = ids.map(|bill| bill_id(&bill.request));
+        match self.sealed.back_mut().filter(|group| group.expires >= now + BILL_ID_RETENTION) {
+            Some(group) => group.ids.extend(ids),
+            None => {
+                let expires = now + BILL_ID_RETENTION + GROUP_WIDTH;
+                self.sealed.push_back(Group { expires, ids: ids.collect() });
             }
         }
     }
 
-    /// Forgets ids of bills that were sealed longer than the retention ago.
+    /// Forgets groups of ids that were sealed longer than the retention ago.
     pub fn expire(&mut self, now: Millis) {
-        self.sealed.retain(|_, expires| now < *expires);
+        self.sealed.retain(|group| now < group.expires);
     }
 
     /// The ledger with rests of retention in place of points in time.
     pub fn record(&self, now: Millis) -> LedgerRecord {
-        let mut groups: HashMap<u64, Vec<u8>> = HashMap::default();
-        for (id, expires) in &self.sealed {
-            let rest = expires.saturating_sub(now);
-            groups.entry(rest.0 / REST_GROUP.0).or_default().extend(id);
-        }
+        let sealed = self.sealed.iter().map(|group| {
+            let ids: Vec<u8> = group.ids.iter().flatten().copied().collect();
+            (group.expires.saturating_sub(now), BASE64_STANDARD_NO_PAD.encode(ids))
+        });
         let totals = self.totals.iter().map(|((customer, period), total)| (customer.clone(), period.clone(), *total));
         LedgerRecord {
             recent: self.recent.values().cloned().collect(),
-            sealed: groups
-                .into_iter()
-                .map(|(group, ids)| {
-                    (Millis((group + 1) * REST_GROUP.0).min(BILL_ID_RETENTION), BASE64_STANDARD_NO_PAD.encode(ids))
-                })
-                .collect(),
+            sealed: sealed.collect(),
             totals: totals.collect(),
         }
     }
 
     /// The ledger of a snapshot; none when it is malformed.
     pub fn restore(record: LedgerRecord, now: Millis) -> Option<Self> {
-        let mut sealed = HashMap::default();
+        let mut sealed = VecDeque::new();
         for (rest, ids) in record.sealed {
             let ids = BASE64_STANDARD_NO_PAD.decode(ids).ok()?;
-            let expires = now + rest;
-            sealed.extend(ids.chunks_exact(16).filter_map(|id| Some((BillId::try_from(id).ok()?, expires))));
+            let ids = ids.chunks_exact(16).filter_map(|id| BillId::try_from(id).ok()).collect();
+            sealed.push_back(Group { expires: now + rest, ids });
         }
         let recent = record.recent.into_iter().map(|op| (op.bill.request.clone(), op)).collect();
         let totals = record.totals.into_iter().map(|(customer, period, total)| ((customer, period), total)).collect();
--- a/crates/daemon/src/controller/shards/snapshot.rs
+++ b/crates/daemon/src/controller/shards/snapshot.rs
@@ -71,6 +71,11 @@
         Self { next: state.next, keep: state.takeovers.iter().copied().collect(), json }
     }
 
+    /// Size in bytes.
+    pub fn len(&self) -> usize {
+        self.json.len()
+    }
+
     /// Writes the snapshot over version `version` of the index, then deletes what it replaces.
     pub async fn write(self, log: &ShardLog, version: u64) -> Result<Written> {
         let ShardLog { platform, shard, fence, .. } = log;
--- a/crates/daemon/src/controller/shards/writer.rs
+++ b/crates/daemon/src/controller/shards/writer.rs
@@ -32,16 +32,21 @@
 const QUEUE: usize = 4_096;
 /// Age of an unsettled write from which waiting commands are refused.
 const STUCK_AFTER: Duration = Duration::from_secs(1);
-/// Log entries after which a snapshot is due. A successor reads at most about so many.
-const SNAPSHOT_ENTRIES: u64 = 128;
+/// Log entries after which a snapshot may be due: once the log has grown by the size of the last
+/// snapshot, so that a large state is not written again and again.
+const LEAST_ENTRIES: u64 = 128;
+/// Log entries after which a snapshot is due at any size. A successor reads at most about so many.
+const MOST_ENTRIES: u64 = 1_024;
 /// Time after which a snapshot is due when there is any new entry.
 const SNAPSHOT_INTERVAL: Duration = Duration::from_secs(600);
 /// Time after a failed snapshot before the next attempt.
 const SNAPSHOT_PAUSE: Duration = Duration::from_secs(10);
 /// Bills in memory from which they are sealed into a segment.
 const SEAL_BILLS: usize = 2_000;
-/// Interval of checks for expired state and due snapshots.
+/// Interval of checks for due snapshots.
 const UPKEEP_INTERVAL: Duration = Duration::from_secs(2);
+/// Interval at which expired state is dropped, which looks at all claims.
+const EXPIRY_INTERVAL: Duration = Duration::from_secs(60);
 
 /// Why an owner stopped.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -104,6 +109,7 @@
     rx: mpsc::Receiver<Command>,
     stop: watch::Receiver<bool>,
     last_write: Instant,
+    last_expiry: Instant,
     snapshot: SnapshotState,
 }
 
@@ -111,6 +117,9 @@
     version: u64,
     next: u64,
     not_before: Instant,
+    /// Size of the last snapshot written here, and of the log entries since, in bytes.
+    size: usize,
+    log_size: usize,
     due: Instant,
     job: Option<JoinHandle<Result<JobResult>>>,
 }
@@ -145,10 +154,15 @@
             version: snapshot_version,
             next: snapshot_next,
             not_before: now,
+            size: 0,
+            log_size: 0,
             due: now + SNAPSHOT_INTERVAL,
             job: None,
         };
-        (Self { log, clock, config, state, rx, stop, last_write: now - BATCH_INTERVAL, snapshot }, handle)
+        (
+            Self { log, clock, config, state, rx, stop, last_write: now - BATCH_INTERVAL, last_expiry: now, snapshot },
+            handle,
+        )
     }
 
     /// Serves commands until the end of the ownership.
@@ -176,6 +190,7 @@
             if !batch.ops.is_empty() && !self.write(&batch.ops).await {
                 return End::Deposed;
             }
+            self.snapshot.log_size += batch.bytes;
             for reply in batch.replies {
                 reply();
             }
@@ -276,7 +291,10 @@
 
     /// Drops expired state and moves the snapshot on.
     async fn upkeep(&mut self) -> Option<End> {
-        self.state.expire(self.clock.now());
+        if self.last_expiry.elapsed() >= EXPIRY_INTERVAL {
+            self.last_expiry = Instant::now();
+            self.state.expire(self.clock.now());
+        }
         if let Some(job) = self.snapshot.job.take_if(|job| job.is_finished()) {
             match job.await {
                 Ok(Ok(JobResult::Sealed(key, bills))) => {
@@ -301,9 +319,10 @@
             return None;
         }
         let entries = self.state.next.saturating_sub(self.snapshot.next);
+        let grown = entries >= LEAST_ENTRIES && self.snapshot.log_size >= self.snapshot.size;
         if self.state.ledger.recent_len() >= SEAL_BILLS {
             self.seal();
-        } else if entries >= SNAPSHOT_ENTRIES || (entries > 0 && now >= self.snapshot.due) {
+        } else if grown || entries >= MOST_ENTRIES || (entries > 0 && now >= self.snapshot.due) {
             self.write_snapshot();
         }
         None
@@ -320,6 +339,8 @@
 
     fn write_snapshot(&mut self) {
         let draft = Draft::new(&self.state, self.clock.now());
+        self.snapshot.size = draft.len();
+        self.snapshot.log_size = 0;
         let (log, next, version) = (self.log.clone(), self.state.next, self.snapshot.version);
         self.snapshot.job = Some(tokio::spawn(async move {
             let written = draft.write(&log, version).await?;
