Keep a router from taking back a shard that it has handed over

The router that hands a shard over ranks second for it and saw the released lease at once, so that its wait of 500 ms ended together with the first poll of the router that ranks first. The wait for a released lease is now 1 s for each rank, two polls. Found by reading; no test drives two ranks until membership is in place.

Tests: unspent shares come back at a planned stop; bills beyond the bound of an outage are taken when their agent offers them again.

--- a/crates/daemon/src/controller/shards/keeper.rs
+++ b/crates/daemon/src/controller/shards/keeper.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use eelgrasswell_core::{
     id::{Fence, HostId, ShardId},
-    lease::{Lease, LeaseObserver, RENEW_INTERVAL},
+    lease::{LEASE_EXPIRY, Lease, LeaseObserver, RENEW_INTERVAL},
     unit::Millis,
 };
 use futures::future;
@@ -25,8 +25,11 @@
 
 /// Interval at which an observer reads the lease.
 const POLL_INTERVAL: Duration = Duration::from_millis(500);
-/// Wait of each rank after the one before, so that one router tries first.
+/// Wait of each rank after the one before for an expired lease, so that one router tries first.
 const RANK_DELAY: Millis = Millis(500);
+/// Wait of each rank after the one before for a released lease. It spans a poll of the router before,
+/// or the router that has handed a shard over would take it back.
+const FREE_RANK_DELAY: Millis = Millis(1_000);
 /// Routers that observe a lease.
 const OBSERVERS: usize = 2;
 /// Size of a fleet in which all routers observe: of few routers, both observers may be gone.
@@ -89,8 +92,8 @@
             self.inner.owners.learn_lease(self.shard, lease);
         }
         let free = found.as_ref().is_none_or(|(_, lease)| lease.released || self.is_own(lease));
-        let delay = Millis(RANK_DELAY.0 * rank as u64);
-        let wait = if free { delay } else { eelgrasswell_core::lease::LEASE_EXPIRY + delay };
+        let rank = rank as u64;
+        let wait = if free { Millis(FREE_RANK_DELAY.0 * rank) } else { LEASE_EXPIRY + Millis(RANK_DELAY.0 * rank) };
         if self.observer.unchanged_for() < wait {
             return None;
         }
--- a/crates/daemon/tests/shards.rs
+++ b/crates/daemon/tests/shards.rs
@@ -72,6 +72,12 @@
     }
 }
 
+/// Keys of shard 3.
+fn in_shard(kind: &'static str, customer: Option<&'static str>) -> impl Iterator<Item = String> {
+    let hash = move |key: &str| stable_hash(&[&[kind], customer.as_slice(), &[key]].concat());
+    (0..).map(move |n| format!("{kind}-{n}")).filter(move |key| hash(key) % u64::from(SHARDS) == 3)
+}
+
 /// Guards against a claim that runs twice because the answer to its log write was lost.
 #[tokio::test]
 async fn claim_lost_answer() {
@@ -152,8 +158,8 @@
     assert!(after == pending("r1") || matches!(after, ClaimResult::Granted(_)), "{after:?}");
 }
 
-/// Guards against a planned stop that loses state, or that makes the successor wait for the expiry
-/// of a lease.
+/// Guards against a planned stop that loses state, keeps unspent money from the other routers, or
+/// makes the successor wait for the expiry of a lease.
 #[tokio::test]
 async fn handover_at_shutdown() {
     let platform = platform().await;
@@ -164,6 +170,9 @@
     assert!(matches!(claim_at(&a, claim("k", "r1")).await, ClaimResult::Granted(_)));
     assert!(a.run(|parts| async move { parts.shards.complete(&"open".into(), "k", &request, done).await }).await);
     assert!(a.run(|parts| async move { parts.shards.record_bills(&[bill("x", 5)]).await }).await);
+    let reserved = a.run(|parts| async move { parts.budgets.reserve(&"capped".into(), Cost(400)).await });
+    reserved.await.unwrap().settle(Cost(100));
+    a.run(|parts| async move { parts.budgets.release(LIMIT).await }).await;
     a.run(|parts| async move { parts.shards.release(LIMIT).await }).await;
     assert!(leases(&platform).iter().all(|lease| lease.released && lease.owner.as_str() == "a"));
 
@@ -171,6 +180,10 @@
     platform.until(|platform| owns_all(platform, "b")).await;
     let done = ClaimResult::Done { request_id: "r1".into(), status: 201, body: Some("booked".into()) };
     assert_eq!(claim_until_settled(&b, claim("k", "r2")).await, done);
+    let reserved = b.run(|parts| async move { parts.budgets.reserve(&"capped".into(), Cost(1)).await }).await;
+    let spending = b.parts.budgets.spending().remove(0);
+    assert_eq!(spending.committed - spending.available, Cost(100 + 1));
+    drop(reserved);
     let bills = b.run(|parts| async move { parts.shards.read_bills(&"open".into()).await }).await;
     assert_eq!(bills, Some(vec![bill("x", 5)]));
 }
@@ -203,10 +216,6 @@
     let a = Node::start("a", platform.address()).await;
     platform.until(|platform| owns_all(platform, "a")).await;
     let b = Node::start("b", platform.address()).await;
-    let in_shard = |kind: &'static str, customer: Option<&'static str>| {
-        let parts = move |key: &str| stable_hash(&[&[kind], customer.as_slice(), &[key]].concat());
-        (0..).map(move |n| format!("{kind}-{n}")).filter(move |key| parts(key) % u64::from(SHARDS) == 3)
-    };
 
     let bills: Vec<_> = in_shard("bill", None).take(BILLS).map(|id| bill(&id, 1)).collect();
     let recorded = bills.clone();
@@ -308,3 +317,26 @@
     let billed: BTreeSet<_> = bills.iter().map(|bill| bill.request_id.clone()).collect();
     assert_eq!((bills.len(), billed), (granted.len(), granted.into_keys().collect()));
 }
+
+/// Guards against memory without bound during an outage, and against bills lost at the bound.
+#[tokio::test]
+async fn bills_bounded() {
+    const OFFERED: usize = 3_000;
+    let platform = platform().await;
+    platform.fault(|faults| faults.down = true);
+    let a = Node::start("a", platform.address()).await;
+    let agent = "agent-1".into();
+    let bills: Vec<_> = in_shard("bill", None).take(OFFERED).map(|id| bill(&id, 1)).collect();
+    bills.iter().for_each(|bill| a.parts.bills.push(&agent, bill.clone()));
+    platform.fault(|faults| faults.down = false);
+    a.run(|parts| async move { parts.bills.flush(LIMIT).await }).await;
+    let taken = a.parts.bills.take_settled(&agent).len();
+    assert!(0 < taken && taken < OFFERED, "{taken} of {OFFERED}");
+
+    bills.iter().for_each(|bill| a.parts.bills.push(&agent, bill.clone()));
+    a.run(|parts| async move { parts.bills.flush(LIMIT).await }).await;
+    bills.iter().for_each(|bill| a.parts.bills.push(&agent, bill.clone()));
+    a.run(|parts| async move { parts.bills.flush(LIMIT).await }).await;
+    let found = a.run(|parts| async move { parts.shards.read_bills(&"open".into()).await }).await.unwrap();
+    assert_eq!(found.len(), OFFERED);
+}
