--- a/crates/daemon/src/config.rs
+++ b/crates/daemon/src/config.rs
@@ -18,6 +18,7 @@
     clock::Clock,
     event,
     invariant::{self, Promise},
+    revisions::Revisions,
 };
 
 /// Most deltas kept for processes that lag. At 14,000 changes a day this covers 25 minutes.
@@ -31,6 +32,8 @@
     clock: Clock,
     tx: Arc<watch::Sender<State>>,
     held: Arc<Mutex<Held>>,
+    /// Revisions that other hosts reported in their heartbeats.
+    pub reported: Revisions,
 }
 
 #[derive(Clone, Debug, Default)]
@@ -54,7 +57,7 @@
     /// Starts with an empty configuration of revision 0, under which everything is refused.
     pub fn open(clock: Clock) -> Self {
         let (tx, _) = watch::channel(State::default());
-        Self { clock, tx: Arc::new(tx), held: Arc::default() }
+        Self { clock, tx: Arc::new(tx), held: Arc::default(), reported: Revisions::default() }
     }
 
     /// The configuration in force.
--- a/crates/daemon/src/controller/peers/mod.rs
+++ b/crates/daemon/src/controller/peers/mod.rs
@@ -106,6 +106,11 @@
     }
 }
 
+/// Exchanges with each of `peers` now, to learn which revision they hold.
+pub async fn ask(router: &Router, peers: Vec<SocketAddr>) {
+    exchange_with(router, peers, Parts::default()).await;
+}
+
 /// Exchanges with each of `peers`, which are told `parts` at once.
 async fn exchange_with(router: &Router, peers: Vec<SocketAddr>, parts: Parts) {
     let exchanges = peers.into_iter().zip(iter::repeat(parts)).map(|(peer, parts)| async move {
--- a/crates/daemon/src/telemetry.rs
+++ b/crates/daemon/src/telemetry.rs
@@ -15,6 +15,8 @@
 pub const PLATFORM_CALLS: &str = "eelgrasswell_platform_calls_total";
 /// Links that broke or went silent.
 pub const LINKS_LOST: &str = "eelgrasswell_links_lost_total";
+/// Spend warnings given, by `customer` and `percent` of the cap.
+pub const BUDGET_WARNINGS: &str = "eelgrasswell_budget_warnings_total";
 
 /// Installs the recorder for the process.
 pub fn install() -> Result<PrometheusHandle> {
--- a/crates/testbed/src/lib.rs
+++ b/crates/testbed/src/lib.rs
@@ -1,1 +1,11 @@
-//! Placeholder.
+//! Stand-ins, a harness that runs the system as separate processes, and helpers for experiments.
+
+pub mod engine;
+pub mod experiment;
+pub mod fault_link;
+pub mod fleet;
+pub mod http;
+pub mod load;
+pub mod plan;
+pub mod platform;
+pub mod process;
