--- a/crates/testbed/src/engine/runs.rs
+++ b/crates/testbed/src/engine/runs.rs
@@ -28,6 +28,8 @@
     pub at_ms: u64,
     /// Requests that ran when this one arrived, with this one.
     pub running: u32,
+    /// Whether the engine was cold when this one arrived.
+    pub cold: bool,
     /// Tokens written to the connection so far.
     pub tokens: u64,
     /// Whether the whole answer was written.
--- a/crates/testbed/src/engine/serve.rs
+++ b/crates/testbed/src/engine/serve.rs
@@ -204,6 +204,7 @@
             bytes,
             at_ms: u64::try_from(self.shared.start.elapsed().as_millis()).unwrap_or(u64::MAX),
             running: state.running,
+            cold: self.shared.faults.borrow().cold,
             ..Run::default()
         };
         state.runs.push(run.clone());
