Keep bytes that the next reader of an answer still needs

Bytes that a first reader had taken were dropped for room although they may have been lost on its dead connection, so that the reader that took over found them gone. The active reader that is furthest behind now decides, and without a reader nothing is dropped. A stalled reader counts only while it is alone.

--- a/crates/daemon/src/agent/answers.rs
+++ b/crates/daemon/src/agent/answers.rs
@@ -1,7 +1,8 @@
 //! Running and held answers, in bounded memory.
 //!
-//! Bytes that no reader has taken yet hold up the engine when a bound is reached. Bytes that were
-//! read, and finished answers, are held only as long as there is room. An answer without unread
+//! Bytes that a reader still needs hold up the engine when a bound is reached; without a reader all
+//! bytes count as needed, since the next one may begin anywhere. Bytes that were read, and finished
+//! answers, are held only as long as there is room. An answer without unread
 //! bytes may always take one more piece, so that slow readers never hold up a reader that keeps
 //! up. A quarter of the total is reserved for such pieces and for new answers; it covers one piece
 //! for each of 256 running requests at the default limits.
@@ -43,8 +44,8 @@
 const OVERHEAD: u64 = 512;
 /// Time between two events while the answer makes no bytes; readers count three misses as silence.
 const PROGRESS_INTERVAL: Duration = Duration::from_secs(1);
-/// Time for another reader to join a request that waits for its turn; routers open a new
-/// connection after 3 s of silence.
+/// Time for another reader to join a request that waits for its turn, and for which a reader that
+/// reads nothing counts as active; routers open a new connection after 3 s of silence.
 const RESUME_GRACE: Millis = Millis(5_000);
 const SWEEP_INTERVAL: Duration = Duration::from_millis(250);
 
@@ -68,7 +69,7 @@
     usage: Usage,
     unfinished: usize,
     readers: usize,
-    next_serial: u64,
+    next_number: u64,
 }
 
 #[derive(Default)]
@@ -87,7 +88,7 @@
     base: u64,
     /// Offset up to which any reader has read.
     read_to: u64,
-    readers: u32,
+    readers: Vec<Attached>,
     last_read: Millis,
     last_reader_left: Millis,
     blocked_since: Option<Millis>,
@@ -98,6 +99,13 @@
     cancelled: Arc<Notify>,
 }
 
+/// A reader as the table knows it.
+struct Attached {
+    number: u64,
+    offset: u64,
+    active_at: Millis,
+}
+
 /// How far a request has got.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Stage {
@@ -126,6 +134,7 @@
     answers: Answers,
     id: RequestId,
     serial: u64,
+    number: u64,
     changed: Arc<Notify>,
     offset: u64,
     next: Next,
@@ -160,8 +169,7 @@
             return Err(Refusal::not_run(Reason::SlowReader));
         }
         table.remove(id);
-        let serial = table.next_serial;
-        table.next_serial += 1;
+        let (serial, number) = (table.draw_number(), table.draw_number());
         let changed = Arc::new(Notify::new());
         let cancelled = Arc::new(Notify::new());
         let entry = Entry {
@@ -172,7 +180,7 @@
             buf: Vec::new(),
             base: 0,
             read_to: 0,
-            readers: 1,
+            readers: vec![Attached { number, offset: 0, active_at: now }],
             last_read: now,
             last_reader_left: now,
             blocked_since: None,
@@ -195,19 +203,22 @@
             cancelled,
             ended: false,
         };
-        let reader = Reader { answers: self.clone(), id: id.clone(), serial, changed, offset: 0, next: Next::Accepted };
+        let reader =
+            Reader { answers: self.clone(), id: id.clone(), serial, number, changed, offset: 0, next: Next::Accepted };
         Ok((answer, reader))
     }
 
     /// Joins an answer of `customer` at a byte offset; none when it is not held.
     pub fn join(&self, id: &RequestId, customer: &CustomerId, offset: u64) -> Option<Reader> {
+        let now = self.clock.now();
         let mut table = self.lock();
+        let number = table.draw_number();
         let entry = table.entries.get_mut(id).filter(|entry| entry.customer == *customer)?;
-        entry.readers += 1;
+        entry.readers.push(Attached { number, offset, active_at: now });
         let (serial, changed) = (entry.serial, Arc::clone(&entry.changed));
         table.readers += 1;
         drop(table);
-        Some(Reader { answers: self.clone(), id: id.clone(), serial, changed, offset, next: Next::Accepted })
+        Some(Reader { answers: self.clone(), id: id.clone(), serial, number, changed, offset, next: Next::Accepted })
     }
 
     /// Status and whole body of a finished answer of `customer`, if all of it is held.
@@ -354,10 +365,10 @@
         let Table { entries, usage, .. } = &mut *table;
         let Some(entry) = entries.get_mut(&self.id) else { return true };
         if entry.buf.len() as u64 + size > limits.per_answer.0 {
-            let dropped = entry.drop_read(size.max(limits.per_answer.0 / 4));
+            let dropped = entry.drop_read(size.max(limits.per_answer.0 / 4), now);
             usage.sub(&self.customer, dropped);
         }
-        let unread = entry.unread();
+        let unread = entry.unread(now);
         let fits = entry.buf.len() as u64 + size <= limits.per_answer.0;
         let may_push = unread == 0 || (fits && table.make_room(limits, &self.customer, size, now));
         if may_push && unread == 0 {
@@ -443,6 +454,9 @@
             self.offset += chunk.len() as u64;
             entry.read_to = entry.read_to.max(self.offset);
             entry.last_read = now;
+            for reader in entry.readers.iter_mut().filter(|reader| reader.number == self.number) {
+                (reader.offset, reader.active_at) = (self.offset, now);
+            }
             drop(table);
             self.answers.room.notify_waiters();
             return Some(Event::Data(Data { offset, chunk }));
@@ -467,7 +481,7 @@
         let mut table = self.answers.lock();
         table.readers -= 1;
         if let Some(entry) = table.entries.get_mut(&self.id).filter(|entry| entry.serial == self.serial) {
-            entry.readers -= 1;
+            entry.readers.retain(|reader| reader.number != self.number);
             entry.last_reader_left = now;
         }
         drop(table);
@@ -485,7 +499,7 @@
                 return true;
             }
             let only = (!customer_fits).then_some(customer);
-            if !self.evict(limits, only, now) && !self.drop_read(only, size) {
+            if !self.evict(limits, only, now) && !self.drop_read(only, size, now) {
                 return false;
             }
         }
@@ -499,17 +513,17 @@
             .values()
             .filter(|id| entries.get(*id).is_some_and(|e| only.is_none_or(|c| e.customer == *c)))
             .filter(|id| entries[*id].is_idle(limits, now));
-        let first = candidates.clone().find(|id| entries[*id].unread() == 0);
+        let first = candidates.clone().find(|id| entries[*id].is_read());
         let Some(id) = first.or_else(|| candidates.next()).cloned() else { return false };
         self.remove(&id);
         true
     }
 
     /// Drops bytes of running answers that were read.
-    fn drop_read(&mut self, only: Option<&CustomerId>, size: u64) -> bool {
+    fn drop_read(&mut self, only: Option<&CustomerId>, size: u64, now: Millis) -> bool {
         let mut left = size;
         for entry in self.entries.values_mut().filter(|e| only.is_none_or(|c| e.customer == *c)) {
-            let dropped = entry.drop_read(u64::MAX);
+            let dropped = entry.drop_read(u64::MAX, now);
             self.usage.sub(&entry.customer, dropped);
             left = left.saturating_sub(dropped);
             if left == 0 {
@@ -519,6 +533,11 @@
         left < size
     }
 
+    fn draw_number(&mut self) -> u64 {
+        self.next_number += 1;
+        self.next_number
+    }
+
     fn remove(&mut self, id: &RequestId) {
         let Some(entry) = self.entries.remove(id) else { return };
         self.usage.sub(&entry.customer, OVERHEAD + entry.buf.len() as u64);
@@ -560,8 +579,23 @@
         self.base + self.buf.len() as u64
     }
 
-    fn unread(&self) -> u64 {
-        self.length() - self.read_to.max(self.base)
+    /// Bytes that a reader still needs.
+    fn unread(&self, now: Millis) -> u64 {
+        self.length() - self.needed_from(now)
+    }
+
+    fn is_read(&self) -> bool {
+        self.read_to == self.length()
+    }
+
+    /// Offset from which bytes are still needed: that of the active reader that is furthest behind.
+    /// A reader that has stalled counts only when there is no active one, as its connection may be
+    /// dead.
+    fn needed_from(&self, now: Millis) -> u64 {
+        let active = self.readers.iter().filter(|reader| now - reader.active_at < RESUME_GRACE);
+        let active = active.map(|reader| reader.offset).min();
+        let stalled = || self.readers.iter().map(|reader| reader.offset).max();
+        active.or_else(stalled).unwrap_or(self.base).clamp(self.base, self.length())
     }
 
     fn append(&mut self, piece: &[u8]) {
@@ -575,8 +609,8 @@
     }
 
     /// Drops up to `size` bytes that were read; gives the number dropped.
-    fn drop_read(&mut self, size: u64) -> u64 {
-        let dropped = size.min(self.read_to.saturating_sub(self.base));
+    fn drop_read(&mut self, size: u64, now: Millis) -> u64 {
+        let dropped = size.min(self.needed_from(now) - self.base);
         self.buf.drain(..dropped as usize);
         self.buf.shrink_to(self.buf.len());
         self.base += dropped;
@@ -585,12 +619,12 @@
 
     /// Whether no reader would miss the finished answer.
     fn is_idle(&self, limits: &AnswerLimits, now: Millis) -> bool {
-        self.readers == 0 || now - self.last_read >= limits.stalled_after
+        self.readers.is_empty() || now - self.last_read >= limits.stalled_after
     }
 
     /// Reason to cancel the request for want of a reader.
     fn nobody_reads(&self, limits: &AnswerLimits, now: Millis) -> Option<Reason> {
-        let left = (self.readers == 0).then(|| now - self.last_reader_left);
+        let left = self.readers.is_empty().then(|| now - self.last_reader_left);
         let blocked = self.blocked_since.map(|since| now - since.max(self.last_read));
         match self.stage {
             Stage::Ended(_) => None,
--- a/crates/daemon/tests/agent/answers.rs
+++ b/crates/daemon/tests/agent/answers.rs
@@ -162,6 +162,27 @@
     assert_eq!(drain(&mut recent).0.len() as u64, KB);
 }
 
+/// Guards against bytes that are dropped while another reader still needs them: one that joined
+/// because the connection of the first is dead, or one that has yet to join.
+#[test_case(true ; "first reader stays")]
+#[test_case(false ; "first reader leaves")]
+#[tokio::test]
+async fn push_beyond_bound_keeps_bytes_for_next_reader(stays: bool) {
+    let answers = open(8 * KB, 1_000 * KB, 1_000 * KB);
+    let (answer, mut first) = begin(&answers, "r1", "reef");
+    fill(&answer, 1 << 10);
+    assert_eq!(drain(&mut first).0.len() as u64, 8 * KB);
+    let mut second = stays.then(|| join(&answers, "r1", "reef", 0).unwrap());
+    let first = stays.then_some(first);
+    let mut push = Box::pin(answer.push(&[9; 1 << 10]));
+    assert!(poll!(&mut push).is_pending());
+    let second = second.get_or_insert_with(|| join(&answers, "r1", "reef", 0).unwrap());
+    assert_eq!(drain(second).0.len() as u64, 8 * KB);
+    push.await.unwrap();
+    assert_eq!(drain(second).0, [9; 1 << 10]);
+    drop(first);
+}
+
 /// Guards against unread answers that are dropped while read ones are held.
 #[tokio::test]
 async fn evict_read_answers_first() {
