Keep the outcome of requests that run once beyond the hold time

A claim may be asked for long after its router died, but the answer was gone after the hold time and Resolve could only say unknown. Status and body of up to 4 KB, as claims keep, now stay with the id, within 4 MB for the process.

--- a/crates/daemon/src/agent/fences.rs
+++ b/crates/daemon/src/agent/fences.rs
@@ -5,9 +5,10 @@
     sync::{Arc, Mutex, MutexGuard},
 };
 
+use bytes::Bytes;
 use eelgrasswell_core::{
     hash::HashMap,
-    id::{Fence, RequestId},
+    id::{CustomerId, Fence, RequestId},
     refusal::{Reason, Refusal},
     unit::Millis,
 };
@@ -20,6 +21,14 @@
 /// Time for which ids are kept. Claims are kept as long, so no older id can be asked for.
 const KEEP: Millis = Millis(24 * 60 * 60 * 1_000);
 
+/// Largest body kept with the id of a request that runs only once; claims keep no larger ones.
+const MAX_BODY: usize = 4 << 10;
+/// Most bytes of such bodies; the oldest go first.
+const MAX_BODIES: usize = 4 << 20;
+
+/// Most outcomes kept, as small ones take memory besides their bodies.
+const MAX_OUTCOMES: usize = 8 << 10;
+
 /// What became of a request id in this incarnation.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Fate {
@@ -45,9 +54,23 @@
     ids: HashMap<RequestId, Fate>,
     /// Ids that ran or were barred, oldest first.
     old: VecDeque<(Millis, RequestId)>,
+    /// Status and body of requests that run only once, oldest first.
+    outcomes: VecDeque<(RequestId, Outcome)>,
+    outcome_bytes: usize,
     order_fence: Fence,
 }
 
+/// Answer to a request that runs only once.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Outcome {
+    /// Customer of the request.
+    pub customer: CustomerId,
+    /// HTTP status.
+    pub status: u32,
+    /// Whole body.
+    pub body: Bytes,
+}
+
 impl Fences {
     /// Starts without ids.
     pub fn open(clock: Clock) -> Self {
@@ -96,6 +119,28 @@
         self.lock().settle(id, Fate::Ended, now);
     }
 
+    /// Keeps the answer to a request that runs only once for longer than answers are held, so that
+    /// its outcome is known when its claim is asked for.
+    pub fn keep(&self, id: &RequestId, outcome: Outcome) {
+        if outcome.body.len() > MAX_BODY {
+            return;
+        }
+        let mut inner = self.lock();
+        inner.outcome_bytes += outcome.body.len();
+        inner.outcomes.push_back((id.clone(), outcome));
+        while inner.outcome_bytes > MAX_BODIES || inner.outcomes.len() > MAX_OUTCOMES {
+            let Some((_, oldest)) = inner.outcomes.pop_front() else { return };
+            inner.outcome_bytes -= oldest.body.len();
+        }
+    }
+
+    /// The answer that was kept for `customer`.
+    pub fn outcome(&self, id: &RequestId, customer: &CustomerId) -> Option<Outcome> {
+        let inner = self.lock();
+        let kept = inner.outcomes.iter().rev().find(|(kept, _)| kept == id).map(|(_, outcome)| outcome);
+        kept.filter(|outcome| outcome.customer == *customer).cloned()
+    }
+
     /// Bars an id from ever running, unless it runs or ran; the answer tells what became of it.
     pub fn bar(&self, id: &RequestId) -> Fate {
         let now = self.clock.now();
--- a/crates/daemon/src/agent/run.rs
+++ b/crates/daemon/src/agent/run.rs
@@ -8,7 +8,7 @@
 use eelgrasswell_core::{
     admission::{Ending, Sample},
     id::{CustomerId, RequestId},
-    refusal::{Outcome, Reason, Refusal},
+    refusal::{self, Reason, Refusal},
     unit::{Cost, Millis, Tokens},
 };
 use eelgrasswell_proto::v1::{BillRecord, ExecuteRequest, Failed, Finished, Head, execute_event::Event};
@@ -21,6 +21,7 @@
     answers::{self, Answer},
     backend::{self, CallError},
     checks::{Checked, Price},
+    fences::Outcome,
     gate::{Demand, Permit},
     meter::Meter,
 };
@@ -235,6 +236,12 @@
         let kind = if self.is_model() { "model" } else { "service" };
         metrics::counter!(telemetry::ANSWERS, "kind" => kind).increment(1);
         self.answer.end(Event::Finished(Finished { bill: Some(bill), length }));
+        if self.checked.once {
+            let customer = CustomerId::from(&*self.req.customer);
+            if let Some((status, body)) = self.agent.answers.whole(id, &customer) {
+                self.agent.fences.keep(id, Outcome { customer, status, body });
+            }
+        }
         self.agent.fences.end(id);
     }
 
@@ -246,7 +253,7 @@
             self.agent.bills.record(bill);
         }
         event!(Info, "request_failed", request_id = id, reason = reason);
-        let labels = [("reason", reason.to_string()), ("outcome", Outcome::Unknown.to_string())];
+        let labels = [("reason", reason.to_string()), ("outcome", refusal::Outcome::Unknown.to_string())];
         metrics::counter!(telemetry::REFUSALS, &labels).increment(1);
         self.answer.end(Event::Failed(Failed { reason: reason.to_string(), bill }));
         self.agent.fences.end(id);
--- a/crates/daemon/src/agent/service.rs
+++ b/crates/daemon/src/agent/service.rs
@@ -154,14 +154,14 @@
         match self.agent.fences.bar(id) {
             Fate::Barred => resolve_reply::Fate::Barred,
             Fate::Waiting | Fate::Running => resolve_reply::Fate::Running,
-            Fate::Ended => match self.agent.answers.whole(id, customer) {
-                Some((status, body)) => {
-                    reply.status = status;
-                    reply.body = body;
-                    resolve_reply::Fate::Finished
-                }
-                None => resolve_reply::Fate::Unknown,
-            },
+            Fate::Ended => {
+                let kept = self.agent.fences.outcome(id, customer).map(|outcome| (outcome.status, outcome.body));
+                let Some((status, body)) = kept.or_else(|| self.agent.answers.whole(id, customer)) else {
+                    return resolve_reply::Fate::Unknown;
+                };
+                (reply.status, reply.body) = (status, body);
+                resolve_reply::Fate::Finished
+            }
         }
     }
 }
--- a/crates/daemon/tests/agent/answers.rs
+++ b/crates/daemon/tests/agent/answers.rs
@@ -261,13 +261,6 @@
     let rig = Rig::start(MODELS, &limits(64 << 10, 300, 300)).await;
     let _link = rig.link(&config(1)).await;
     rig.run(model_request("r1", false, 1)).await.finished();
-    let gone = async {
-        loop {
-            let reply = read(rig.resume("r1", "reef", 0).await).await;
-            if matches!(&reply.end, Some(Event::Failed(failed)) if failed.reason == "answer_gone") {
-                return;
-            }
-        }
-    };
+    let gone = async { while !read(rig.resume("r1", "reef", 0).await).await.is_gone() {} };
     timeout(Duration::from_secs(10), gone).await.unwrap();
 }
--- a/crates/daemon/tests/agent/refuse.rs
+++ b/crates/daemon/tests/agent/refuse.rs
@@ -1,5 +1,7 @@
 //! Requests that the agent refuses, and what it does about ids that ran or are barred.
 
+use std::time::Duration;
+
 use eelgrasswell_core::refusal::Reason;
 use eelgrasswell_daemon::agent::{
     checks::{Place, check},
@@ -13,6 +15,7 @@
 use eelgrasswell_proto::v1::{ExecuteRequest, ResolveReply, ResolveRequest, resolve_reply::Fate};
 use eelgrasswell_testbed::engine::FaultsUpdate;
 use test_case::test_case;
+use tokio::time::timeout;
 
 use crate::rig::{Rig, booking_request, changed, config, eventually, model_request, page};
 
@@ -147,6 +150,19 @@
     assert_eq!(resolve(&rig, "b2", 0).await.fate(), Fate::Unknown);
 }
 
+/// Guards against the outcome of a booking that is forgotten as soon as its answer is.
+#[tokio::test]
+async fn resolve_after_hold_still_reports() {
+    let rig = Rig::start(RECORDS, "answers: {hold: 200, stalled_after: 200}\n").await;
+    let mut link = rig.link(&config(1)).await;
+    let incarnation = link.until(|_| true).await.incarnation;
+    let answer = rig.run(booking_request("b1")).await;
+    let gone = async { while !crate::rig::read(rig.resume("b1", "reef", 0).await).await.is_gone() {} };
+    timeout(Duration::from_secs(10), gone).await.unwrap();
+    let reply = resolve(&rig, "b1", incarnation).await;
+    assert_eq!((reply.fate(), reply.status, &reply.body[..]), (Fate::Finished, 200, &answer.body[..]));
+}
+
 /// Guards against "not run" after bytes were sent, and against "unknown" when none were.
 #[tokio::test]
 async fn execute_backend_down_refuses_or_fails() {
--- a/crates/daemon/tests/agent/rig.rs
+++ b/crates/daemon/tests/agent/rig.rs
@@ -232,6 +232,11 @@
         }
     }
 
+    /// Whether the answer is no longer held.
+    pub fn is_gone(&self) -> bool {
+        matches!(&self.end, Some(Event::Failed(failed)) if failed.reason == "answer_gone")
+    }
+
     /// Text of a model's answer.
     pub fn text(&self) -> String {
         if let Ok(whole) = serde_json::from_slice::<Value>(&self.body) {
