--- a/crates/daemon/tests/agent/answers.rs
+++ b/crates/daemon/tests/agent/answers.rs
@@ -1,5 +1,7 @@
 //! Answers in bounded memory: backpressure, another fetch, and readers that stall.
 
+use std::time::Duration;
+
 use eelgrasswell_core::{
     id::{CustomerId, RequestId},
     refusal::Reason,
@@ -13,7 +15,6 @@
 use eelgrasswell_proto::v1::{Accepted, Finished, Head, execute_event::Event};
 use eelgrasswell_testbed::engine::{Options, answer_text};
 use futures::{FutureExt, poll};
-use std::time::Duration;
 use test_case::test_case;
 use tokio::time::timeout;
 
--- a/crates/daemon/tests/agent/refuse.rs
+++ b/crates/daemon/tests/agent/refuse.rs
@@ -12,12 +12,12 @@
     manifest::{Drain, VersionState},
     settings::LoadedVersion,
 };
-use eelgrasswell_proto::v1::{ExecuteRequest, ResolveReply, ResolveRequest, resolve_reply::Fate};
+use eelgrasswell_proto::v1::{ExecuteRequest, ResolveReply, ResolveRequest, execute_event::Event, resolve_reply::Fate};
 use eelgrasswell_testbed::engine::FaultsUpdate;
 use test_case::test_case;
 use tokio::time::timeout;
 
-use crate::rig::{Rig, booking_request, changed, config, eventually, model_request, page};
+use crate::rig::{Reply, Rig, booking_request, changed, config, eventually, model_request, page};
 
 const MODELS: &str = "loan-models";
 const RECORDS: &str = "loan-records";
@@ -137,7 +137,6 @@
 async fn resolve_reports_what_ran() {
     let (rig, mut link) = Rig::configured(RECORDS, "", &config(1)).await;
     let incarnation = link.until(|_| true).await.incarnation;
-    let silent = |silent| FaultsUpdate { silent: Some(silent), ..FaultsUpdate::default() };
     rig.engine.fault(&silent(true)).await;
     let events = rig.execute(booking_request("b1")).await;
     eventually(|| (!rig.engine.runs().is_empty()).then_some(())).await;
@@ -175,7 +174,7 @@
     let mut tokens = 0;
     while tokens < 3 {
         let event = events.message().await.unwrap().unwrap().event;
-        tokens += u32::from(matches!(event, Some(eelgrasswell_proto::v1::execute_event::Event::Data(_))));
+        tokens += u32::from(matches!(event, Some(Event::Data(_))));
     }
     rig.engine.fault(&FaultsUpdate { down_ms: Some(60_000), ..FaultsUpdate::default() }).await;
     let reply = crate::rig::read_rest(events).await;
@@ -217,3 +216,76 @@
     let req = ExecuteRequest { version: version.to_owned(), pinned, ..model_request("r1", false, 1) };
     assert_eq!(check(&config, &place, &req).err(), reason);
 }
+
+fn silent(silent: bool) -> FaultsUpdate {
+    FaultsUpdate { silent: Some(silent), ..FaultsUpdate::default() }
+}
+
+/// Guards against two runs of one id that arrives twice at the same time.
+#[tokio::test]
+async fn execute_same_id_at_once_runs_once() {
+    let (rig, _link) = Rig::configured(RECORDS, "", &config(1)).await;
+    let replies = futures::future::join_all((0..20).map(|_| rig.run(booking_request("b1")))).await;
+    let ran = replies.iter().filter(|reply| reply.bill_or_none().is_some()).count();
+    assert_eq!((ran, rig.engine.runs().len()), (1, 1));
+    let others: Vec<_> = replies.iter().filter(|reply| reply.bill_or_none().is_none()).map(Reply::refusal).collect();
+    assert!(others.iter().all(|refusal| *refusal == ("barred", false)), "{others:?}");
+}
+
+/// Guards against work that was accepted before a change and starts after it.
+#[test_case(domain_out, "domain_out" ; "domain out")]
+#[test_case(|c| set_state(c, VersionState::Withdrawn), "version_withdrawn" ; "version withdrawn")]
+#[tokio::test]
+async fn execute_queued_through_change_refuses(change: fn(&mut Config), reason: &str) {
+    let (rig, mut link) = Rig::configured(MODELS, "", &config(1)).await;
+    rig.engine.fault(&silent(true)).await;
+    let ids: Vec<_> = (0..6).map(|number| format!("r{number}")).collect();
+    let mut streams = Vec::new();
+    for id in &ids {
+        streams.push(rig.execute(model_request(id, true, 5)).await);
+    }
+    // The cold limit is 4, so that 2 wait.
+    link.until(|beat| beat.load.is_some_and(|load| (load.running, load.queued) == (4, 2))).await;
+    link.configure(&changed(&config(1), change)).await;
+    rig.engine.fault(&silent(false)).await;
+    let replies = futures::future::join_all(streams.into_iter().map(crate::rig::read)).await;
+    replies[..4].iter().for_each(|reply| _ = reply.finished());
+    assert!(replies[4..].iter().all(|reply| reply.refusal() == (reason, true)));
+    assert_eq!(rig.engine.runs().len(), 4);
+}
+
+/// Guards against work that goes on after nobody can use its answer.
+#[tokio::test]
+async fn execute_past_deadline_is_cut() {
+    let (rig, _link) = Rig::configured(MODELS, "", &config(1)).await;
+    let req = ExecuteRequest { deadline_ms: 1_500, ..model_request("r1", true, 90_000) };
+    let mut events = rig.execute(req).await;
+    while !matches!(events.message().await.unwrap().unwrap().event, Some(Event::Data(_))) {}
+    rig.engine.fault(&silent(true)).await;
+    let mut progress = false;
+    let end = loop {
+        match events.message().await.unwrap().unwrap().event.unwrap() {
+            Event::Progress(_) => progress = true,
+            Event::Data(_) => {}
+            end => break end,
+        }
+    };
+    assert!(progress, "a reader must be able to tell a silent engine from a silent connection");
+    let Event::Failed(failed) = end else { panic!("ended with {end:?}") };
+    assert_eq!(failed.reason, "deadline");
+    assert!(failed.bill.is_some_and(|bill| bill.output_tokens > 0));
+    eventually(|| rig.engine.runs()[0].cancelled.then_some(())).await;
+}
+
+/// Guards against a booking whose outcome is lost because its deadline passed while it ran.
+#[tokio::test]
+async fn execute_once_past_deadline_goes_on() {
+    let (rig, _link) = Rig::configured(RECORDS, "", &config(1)).await;
+    rig.engine.fault(&silent(true)).await;
+    let req = ExecuteRequest { deadline_ms: 300, ..booking_request("b1") };
+    let mut events = rig.execute(req).await;
+    // The first sign of life comes after a second, when the deadline has passed.
+    while !matches!(events.message().await.unwrap().unwrap().event, Some(Event::Progress(_))) {}
+    rig.engine.fault(&silent(false)).await;
+    crate::rig::read_rest(events).await.finished();
+}
