Limit the links of an isolated router and count commits and exchanges

Cause: a router that hears of no peers takes itself for the only one, and planned links to all 7,000 agents. It now plans at most 8 times what the host list lets expect (1,280 in place of 7,000). A region with a sixth of the routers that is cut off plans about six times as many links as before and stays under the limit; small fleets are not affected. The head keeps 2 KB of deltas in place of 4 KB, since each watcher reads it every second. Link tests now cover bills: an agent's unsettled bill becomes durable and the agent is told. catch_up lets a router that an agent refused for its old configuration exchange with peers at once; the filter that should call it is not changed here.

--- a/crates/core/src/membership.rs
+++ b/crates/core/src/membership.rs
@@ -13,6 +13,9 @@
 pub const ROUTERS_PER_AGENT: usize = 8;
 /// Agents of each pool that every router links to, so that small pools are reachable from all routers.
 pub const AGENTS_PER_POOL: usize = 3;
+/// Most links of a router, as a multiple of what it has when all listed routers are alive. A region
+/// with a sixth of the routers that is cut off from the others plans six times as many.
+pub const LINK_LIMIT_FACTOR: usize = 8;
 /// Routers of each failure domain that watch the platform.
 pub const WATCHERS_PER_DOMAIN: usize = 2;
 /// Time without a heartbeat after which a router counts as dead. With 350 routers and two exchanges
@@ -83,6 +86,16 @@
     links.into_values().collect()
 }
 
+/// Keeps the most needed of `links` when a router plans more than `listed_routers` let expect: one
+/// that hears of no peers would otherwise link to all agents of the fleet. Links for the minimum per
+/// pool come first, then those of the lowest rank.
+pub fn limit_links(links: &mut Vec<PlannedLink>, listed_routers: usize, agents: usize) {
+    let expected = (agents * ROUTERS_PER_AGENT).div_ceil(listed_routers.max(1));
+    links.sort_by_key(|link| (link.rank, link.agent));
+    links.truncate(LINK_LIMIT_FACTOR * expected.max(ROUTERS_PER_AGENT));
+    links.sort_by_key(|link| link.agent);
+}
+
 /// Agents that `own` links to whatever their rank, as indices: the first of each pool.
 pub fn pool_agents(own: &HostId, agents: &[Node]) -> Vec<usize> {
     let own = node_hash(own);
--- a/crates/core/tests/membership.rs
+++ b/crates/core/tests/membership.rs
@@ -6,7 +6,7 @@
     id::{DomainId, HostId, Incarnation, ServiceName},
     membership::{
         AGENTS_PER_POOL, DEAD_AFTER, Heard, Heartbeats, Node, ROUTERS_PER_AGENT, WATCHERS_PER_DOMAIN, is_watcher,
-        plan_links, pool_agents, rank, routers_of, watcher_count,
+        limit_links, plan_links, pool_agents, rank, routers_of, watcher_count,
     },
     unit::Millis,
 };
@@ -105,6 +105,26 @@
     assert_eq!(routers_of(&"agent-1".into(), &routers).len(), 3);
 }
 
+/// Guards against a router that links to the whole fleet when it hears of no peers, and against a
+/// limit that binds in a small fleet or for a region that is cut off.
+#[test]
+fn limit_links_of_isolated_router() {
+    let routers = nodes("router", ROUTERS, DOMAINS, 0);
+    let agents = nodes("agent", AGENTS, DOMAINS, POOLS);
+    let planned = |live: &[Node], agents: &[Node], listed: usize| {
+        let mut links = plan_links(&live[0].id, live, agents);
+        let before = links.len();
+        limit_links(&mut links, listed, agents.len());
+        (before, links.len())
+    };
+    assert_eq!(planned(&routers[..1], &agents, ROUTERS), (AGENTS, 8 * 160));
+    let (before, after) = planned(&routers[..ROUTERS / 6], &agents, ROUTERS);
+    println!("links of a router in a region cut off: {before}");
+    assert_eq!(before, after);
+    assert_eq!(planned(&routers[..1], &agents[..13], 1), (13, 13));
+    assert_eq!(planned(&routers[..4], &agents[..13], 8), (13, 13));
+}
+
 /// Guards against a redial of most links whenever a router or an agent leaves.
 #[test]
 fn links_move_little() {
--- a/crates/daemon/src/controller/config/head.rs
+++ b/crates/daemon/src/controller/config/head.rs
@@ -18,10 +18,10 @@
 pub const SNAPSHOT_PREFIX: &str = "config/snapshot/";
 /// Bytes of deltas above which a commit writes a new snapshot. Each watcher reads the head every
 /// second, so this keeps the reads to a few kilobytes.
-const MAX_DELTA_BYTES: usize = 4 << 10;
+const MAX_DELTA_BYTES: usize = 2 << 10;
 /// Bytes of recent deltas that stay in the head with a new snapshot, so that watchers that are a
 /// few revisions behind need not read the snapshot.
-const KEPT_DELTA_BYTES: usize = 2 << 10;
+const KEPT_DELTA_BYTES: usize = 1 << 10;
 /// Submissions remembered in the head. At 14,000 changes a day this covers the last six minutes;
 /// a commit gives up after seconds.
 const MAX_SUBMISSIONS: usize = 64;
--- a/crates/daemon/src/controller/config/mod.rs
+++ b/crates/daemon/src/controller/config/mod.rs
@@ -15,6 +15,7 @@
     event,
     platform::{Platform, Put},
     router::Router,
+    telemetry,
 };
 
 /// Time after which a commit that has written nothing gives up.
@@ -61,6 +62,23 @@
     submission: &str,
     expected: Option<Revision>,
     edit: &(dyn Fn(&mut Config) -> Result<()> + Sync),
+) -> Result<Commit> {
+    let result = settle(router, submission, expected, edit).await;
+    let label = match &result {
+        Ok(Commit::Done { .. }) => "done",
+        Ok(Commit::Conflict { .. }) => "conflict",
+        Err(_) => "error",
+    };
+    metrics::counter!(telemetry::COMMITS, "result" => label).increment(1);
+    result
+}
+
+/// Attempts the change until it has ended one way or the other, or the time is up.
+async fn settle(
+    router: &Router,
+    submission: &str,
+    expected: Option<Revision>,
+    edit: &(dyn Fn(&mut Config) -> Result<()> + Sync),
 ) -> Result<Commit> {
     let start = Instant::now();
     let mut in_doubt = false;
--- a/crates/daemon/src/controller/links/mod.rs
+++ b/crates/daemon/src/controller/links/mod.rs
@@ -189,7 +189,13 @@
         .iter()
         .map(|entry| Node { id: entry.id.clone(), domain: entry.domain.clone(), pool: entry.service.clone() })
         .collect();
-    tokio::task::spawn_blocking(move || membership::plan_links(&own, &routers, &agents)).await
+    let listed = inner.members.listed_routers();
+    let plan = tokio::task::spawn_blocking(move || {
+        let mut links = membership::plan_links(&own, &routers, &agents);
+        membership::limit_links(&mut links, listed, agents.len());
+        links
+    });
+    plan.await
 }
 
 /// Ends links that are no longer planned or whose agent has moved.
--- a/crates/daemon/src/controller/membership/mod.rs
+++ b/crates/daemon/src/controller/membership/mod.rs
@@ -166,6 +166,11 @@
         state.routers.linking(&state.hosts, now)
     }
 
+    /// Number of routers in the host list, alive or not.
+    pub fn listed_routers(&self) -> usize {
+        self.read().hosts.with_role(HostRole::Router).count()
+    }
+
     /// Addresses of the routers that a watcher passes changes on to: the other routers of its failure
     /// domain, and the watchers of the other failure domains.
     pub fn push_targets(&self) -> Vec<SocketAddr> {
--- a/crates/daemon/src/controller/peers/mod.rs
+++ b/crates/daemon/src/controller/peers/mod.rs
@@ -13,7 +13,7 @@
 
 use self::exchange::Parts;
 pub use self::service::PeerService;
-use crate::{event, router::Router};
+use crate::{event, router::Router, telemetry};
 
 /// Time between two rounds of exchanges.
 const ROUND: Duration = Duration::from_secs(1);
@@ -114,7 +114,10 @@
 /// Exchanges with each of `peers`, which are told `parts` at once.
 async fn exchange_with(router: &Router, peers: Vec<SocketAddr>, parts: Parts) {
     let exchanges = peers.into_iter().zip(iter::repeat(parts)).map(|(peer, parts)| async move {
-        if let Err(err) = exchange::exchange(router, peer, parts).await {
+        let result = exchange::exchange(router, peer, parts).await;
+        let label = if result.is_ok() { "ok" } else { "error" };
+        metrics::counter!(telemetry::EXCHANGES, "result" => label).increment(1);
+        if let Err(err) = result {
             event!(Debug, "exchange_failed", peer = peer, error = format!("{err:#}"));
         }
     });
--- a/crates/daemon/src/telemetry.rs
+++ b/crates/daemon/src/telemetry.rs
@@ -13,6 +13,10 @@
 pub const ANSWERS: &str = "eelgrasswell_answers_total";
 /// Calls to the platform, by `kind` and `result`.
 pub const PLATFORM_CALLS: &str = "eelgrasswell_platform_calls_total";
+/// Changes to the configuration that this router committed, by `result`.
+pub const COMMITS: &str = "eelgrasswell_commits_total";
+/// Exchanges with other routers, by `result`.
+pub const EXCHANGES: &str = "eelgrasswell_exchanges_total";
 /// Links that broke or went silent.
 pub const LINKS_LOST: &str = "eelgrasswell_links_lost_total";
 /// Spend warnings given, by `customer` and `percent` of the cap.
--- a/crates/daemon/tests/distribution/agent.rs
+++ b/crates/daemon/tests/distribution/agent.rs
@@ -1,10 +1,11 @@
 //! Stand-in for an agent: answers each heartbeat of a link with its own.
 
 use std::{
+    mem,
     net::SocketAddr,
     pin::Pin,
     sync::{
-        Arc,
+        Arc, Mutex,
         atomic::{AtomicBool, AtomicU64, Ordering},
     },
 };
@@ -14,7 +15,7 @@
     config::ConfigHandle,
     platform::{HostEntry, HostRole},
 };
-use eelgrasswell_proto::v1::{self, AgentBeat, RouterBeat, agent_server};
+use eelgrasswell_proto::v1::{self, AgentBeat, BillRecord, RouterBeat, agent_server};
 use futures::Stream;
 use tokio::{
     io::copy_bidirectional,
@@ -80,6 +81,7 @@
     id: String,
     incarnation: AtomicU64,
     silent: AtomicBool,
+    unsettled: Mutex<Vec<BillRecord>>,
     config: ConfigHandle,
     tx: mpsc::UnboundedSender<Seen>,
 }
@@ -96,6 +98,7 @@
             id: id.into(),
             incarnation: AtomicU64::new(1),
             silent: AtomicBool::new(false),
+            unsettled: Mutex::default(),
             config: config.clone(),
             tx,
         });
@@ -110,6 +113,11 @@
         self.shared.silent.store(silent, Ordering::SeqCst);
     }
 
+    /// Offers a bill in the next heartbeat.
+    pub fn offer(&self, bill: BillRecord) {
+        self.shared.unsettled.lock().unwrap().push(bill);
+    }
+
     /// Changes the incarnation, as a restart does.
     pub fn set_incarnation(&self, incarnation: u64) {
         self.shared.incarnation.store(incarnation, Ordering::SeqCst);
@@ -159,6 +167,7 @@
             load: Some(v1::Load { running: 3, limit: 8, ..Default::default() }),
             domain: "d1".into(),
             service: "engines".into(),
+            unsettled: mem::take(&mut self.unsettled.lock().unwrap()),
             ..Default::default()
         }
     }
--- a/crates/daemon/tests/distribution/links.rs
+++ b/crates/daemon/tests/distribution/links.rs
@@ -2,6 +2,7 @@
 
 use eelgrasswell_core::id::{HostId, Incarnation, Revision, ServiceName};
 use eelgrasswell_daemon::platform::HostEntry;
+use eelgrasswell_proto::v1::BillRecord;
 
 use crate::{
     agent::{FakeAgent, Proxy},
@@ -112,6 +113,20 @@
     until("the mark", links.changes(), is_leaving).await;
 }
 
+/// Guards against bills that an agent offers and that are lost on the way to the shards, and against
+/// an agent that is not told that its bill is durable.
+#[tokio::test(flavor = "multi_thread")]
+async fn link_settles_bills() {
+    let (_platform, router, mut agent) = linked().await;
+    router.router.shards.spawn();
+    router.router.bills.spawn();
+    agent.offer(BillRecord { request_id: "1.a1".into(), customer: "c1".into(), ..Default::default() });
+    let beat = agent.beat("the settled bill", |beat| !beat.settled.is_empty()).await;
+    assert_eq!(beat.settled, ["1.a1"]);
+    let bills = router.router.shards.read_bills(&"c1".into()).await.unwrap();
+    assert_eq!(bills.len(), 1);
+}
+
 /// Guards against links to agents that the host list no longer names, and clients of unknown hosts.
 #[tokio::test(flavor = "multi_thread")]
 async fn link_ends_with_host() {
--- a/crates/daemon/tests/distribution/start.rs
+++ b/crates/daemon/tests/distribution/start.rs
@@ -1,7 +1,7 @@
 //! A router that starts while the platform is down.
 
 use eelgrasswell_core::{id::Revision, unit::Millis};
-use eelgrasswell_daemon::{clock::Clock, config::ConfigHandle};
+use eelgrasswell_daemon::{clock::Clock, config::ConfigHandle, controller::peers};
 use eelgrasswell_manifest::config::Config;
 
 use crate::{
@@ -71,6 +71,19 @@
     }
 }
 
+/// Guards against a router that an agent refused for its old configuration and that waits for the
+/// next exchange.
+#[tokio::test(flavor = "multi_thread")]
+async fn catch_up_with_peer() {
+    let closed = routers::closed_address().await;
+    let peer = routers::open("r1", "d1", closed, &[]).await;
+    peer.router.config.adopt(config(3));
+    let behind = routers::open("r2", "d2", closed, &[peer.address()]).await;
+    behind.router.config.adopt(config(2));
+    within("the newer configuration", peers::catch_up(&behind.router, Revision(3))).await;
+    assert_eq!(behind.router.config.current(), peer.router.config.current());
+}
+
 /// Guards against an update that takes effect while updates are held back.
 #[test]
 fn hold_keeps_highest() {
