Test a head write that takes effect after its time-out

Guards against a change applied twice: the first write lands after the router has given the call up, and the next attempt must find its submission in the head. Passed at the first run; no change to the program.

--- a/crates/daemon/tests/distribution/commit.rs
+++ b/crates/daemon/tests/distribution/commit.rs
@@ -1,5 +1,7 @@
 //! Commits to the head: lost answers, races and repetition.
 
+use std::time::Duration;
+
 use eelgrasswell_core::id::Revision;
 use eelgrasswell_daemon::controller::config::{
     self, Commit,
@@ -44,6 +46,27 @@
     assert_eq!((head.revision, head.submissions.len()), (Revision(2), 2));
 }
 
+/// Guards against a change that is applied twice when its first write takes effect only after the
+/// router has given it up.
+#[tokio::test(flavor = "multi_thread")]
+async fn commit_late_effect() {
+    let platform = FakePlatform::open().await;
+    let router = routers::open("r1", "d1", platform.address, &[]).await;
+    let edit = |config: &mut Config| {
+        // The head has been read and is not yet written. The limit of a call is 2 s.
+        platform.set_slow(Duration::from_millis(2_500));
+        config.manifest.domains.insert("d1".into(), domain());
+        Ok(())
+    };
+    let commit = config::commit(&router.router, "s1", None, &edit);
+    let (commit, ()) = tokio::join!(commit, async {
+        platform.keys(HEAD_KEY, |keys| !keys.is_empty()).await;
+        platform.set_slow(Duration::ZERO);
+    });
+    assert_eq!(commit.unwrap(), done(1));
+    assert_eq!(head(&platform).submissions.len(), 1);
+}
+
 /// Guards against a lost answer being taken for one's own success when another change came next.
 #[tokio::test]
 async fn commit_lost_answer_then_other_change() {
--- a/crates/daemon/tests/distribution/platform.rs
+++ b/crates/daemon/tests/distribution/platform.rs
@@ -42,6 +42,11 @@
         });
     }
 
+    /// Delays the effect of each call. Calls that their caller has given up take effect all the same.
+    pub fn set_slow(&self, delay: Duration) {
+        self.served.fault(|faults| faults.slow_ms = delay.as_millis() as u64);
+    }
+
     /// Whether the answer to be lost has been lost.
     pub fn has_lost_answer(&self) -> bool {
         let mut left = 0;
