Add the fault matrix, and process tests of security and bad input

Each row of crates/testbed/tests/matrix.rs is a set of faults, each step in flight a cell; crates/testbed/src/cells.rs runs all steps of a row in one fleet, with fault links in front of agents, routers and the platform. After a row: audit, no broken invariant in any log, no process that ended by itself, no revision that fell, and no forbidden run after a change was in force everywhere. A request counts as billed per request and not per attempt, as a killed agent's request runs again under the same uuid.

Sessions are part of the load now.

--- a/crates/daemon/tests/distribution/start.rs
+++ b/crates/daemon/tests/distribution/start.rs
@@ -146,3 +146,12 @@
         until("both routers", members.changes(), || members.routers().len() == 2).await;
     }
 }
+
+/// Guards against a late answer of a peer or of the platform that puts an older revision in force (P12).
+#[tokio::test]
+async fn adopt_older_revision_changes_nothing() {
+    let handle = ConfigHandle::open(Clock::start());
+    assert!(handle.adopt(config(5)));
+    assert!(!handle.adopt(config(5)) && !handle.adopt(config(4)));
+    assert_eq!(handle.revision(), Revision(5));
+}
--- a/crates/daemon/tests/filters.rs
+++ b/crates/daemon/tests/filters.rs
@@ -14,7 +14,7 @@
     filter::choose,
 };
 use eelgrasswell_manifest::config::Weighted;
-use eelgrasswell_proto::v1::resolve_reply::Fate;
+use eelgrasswell_proto::v1::{execute_event::Event, resolve_reply::Fate};
 
 use fake::{Bench, Script, data, failed, finished, head, refused};
 
@@ -49,11 +49,15 @@
     assert_eq!(reply.trailers.get("x-cost-micros").unwrap(), "11");
 }
 
-/// Guards against a lost tail when a stream breaks: it goes on at the next byte, and nothing runs twice.
+/// Guards against a lost tail when a stream breaks, against a hole when bytes are missing, and against an
+/// early end: the answer goes on at the next byte, and nothing runs twice.
+#[test_case(&[]; "stream ends")]
+#[test_case(&[data(5, "f"), finished(6)]; "bytes missing")]
+#[test_case(&[finished(6)]; "tail missing")]
 #[tokio::test]
-async fn resumes_broken_stream_at_offset() {
+async fn resumes_broken_stream_at_offset(after: &[Event]) {
     let bench = Bench::open(1).await;
-    push(&bench, 0, Script::End(vec![head(), data(0, "abc")]));
+    push(&bench, 0, Script::End([&[head(), data(0, "abc")], after].concat()));
     let rest = Script::End(vec![head(), data(3, "def"), finished(6)]);
     bench.agents[0].resume.lock().unwrap().push_back(rest);
     let reply = bench.chat(json!({"model": "small", "stream": true})).await;
--- a/crates/testbed/src/fault_link.rs
+++ b/crates/testbed/src/fault_link.rs
@@ -33,6 +33,8 @@
     Silent,
     /// Forwards towards the target only.
     RequestsOnly,
+    /// Forwards towards the listener's side only.
+    AnswersOnly,
     /// Delays each chunk.
     Slow(Duration),
 }
@@ -129,13 +131,14 @@
             _ if generation < state.silenced_before => false,
             LinkMode::Silent => false,
             LinkMode::RequestsOnly => direction == Direction::Request,
+            LinkMode::AnswersOnly => direction == Direction::Answer,
             LinkMode::Forward | LinkMode::Cut | LinkMode::Slow(_) => true,
         };
         let Ok(state) = rx.wait_for(passes).await.map(|state| *state) else { return };
         match state.mode {
             LinkMode::Cut => return,
             LinkMode::Slow(delay) => sleep(delay).await,
-            LinkMode::Forward | LinkMode::Silent | LinkMode::RequestsOnly => {}
+            LinkMode::Forward | LinkMode::Silent | LinkMode::RequestsOnly | LinkMode::AnswersOnly => {}
         }
         if to.write_all(&buf[..len]).await.is_err() {
             return;
--- a/crates/testbed/src/fleet.rs
+++ b/crates/testbed/src/fleet.rs
@@ -1,6 +1,7 @@
 //! A fleet on loopback: platform stand-in, routers, agents and engine stand-ins as separate processes.
 
 use std::{
+    collections::HashSet,
     env, fs,
     net::{IpAddr, Ipv4Addr, SocketAddr},
     path::{Path, PathBuf},
@@ -15,6 +16,7 @@
 use tokio::time::sleep;
 
 use crate::{
+    fault_link::FaultLink,
     http::{Http, Reply},
     plan::{AgentPlan, FleetPlan},
     process::{Process, Signal},
@@ -28,6 +30,10 @@
 const OPERATORS_PORT: u16 = 7003;
 /// Port of a stand-in.
 const STAND_IN_PORT: u16 = 7004;
+/// Port of the fault link in front of an inner endpoint.
+const INNER_LINK_PORT: u16 = 7005;
+/// Port of the fault link between a router and the platform.
+const PLATFORM_LINK_PORT: u16 = 7006;
 /// Longest time that a fleet may take to become ready.
 const READY_TIMEOUT: Duration = Duration::from_secs(30);
 /// Time between two looks at a condition that other processes bring about.
@@ -47,6 +53,21 @@
     pub agents: Vec<AgentProcess>,
     /// Client without credentials.
     pub http: Http,
+    /// Fault links, if the plan asks for them.
+    pub links: Option<Links>,
+    moves: usize,
+}
+
+/// Fault links of a fleet. Calls between shard owners go past them, because a router announces the
+/// address that it is bound to.
+#[derive(Debug)]
+pub struct Links {
+    /// From all routers to each agent.
+    pub agents: Vec<FaultLink>,
+    /// From the other routers to each router.
+    pub routers: Vec<FaultLink>,
+    /// From each router to the platform.
+    pub platform: Vec<FaultLink>,
 }
 
 /// A stand-in process.
@@ -171,7 +192,12 @@
             routers: routers.collect(),
             agents: agents.collect(),
             http: Http::open(),
+            links: None,
+            moves: 0,
         };
+        if plan.fault_links {
+            fleet.links = Some(fleet.open_links().await?);
+        }
         fs::write(fleet.dir.join("engine.args"), plan.engine_args.join("\n"))?;
         fleet.start_platform()?;
         let platform = fleet.platform.address;
@@ -180,6 +206,48 @@
         Ok(fleet)
     }
 
+    async fn open_links(&self) -> Result<Links> {
+        let mut links = Links { agents: Vec::new(), routers: Vec::new(), platform: Vec::new() };
+        for agent in &self.agents {
+            links.agents.push(inner_link(agent.inner).await?);
+        }
+        for router in &self.routers {
+            links.routers.push(inner_link(router.inner).await?);
+            let listen = SocketAddr::new(router.inner.ip(), PLATFORM_LINK_PORT);
+            links.platform.push(FaultLink::open(listen, self.platform.address).await?);
+        }
+        Ok(links)
+    }
+
+    /// Gives a stopped agent a new address; the host list names it after `publish_hosts`.
+    pub async fn move_agent(&mut self, agent: usize) -> Result<()> {
+        let inner = self.new_inner();
+        self.agents[agent].inner = inner;
+        if let Some(links) = &mut self.links {
+            links.agents[agent] = inner_link(inner).await?;
+        }
+        Ok(())
+    }
+
+    /// Gives a stopped router a new inner address; callers and operators find it where it was.
+    pub async fn move_router(&mut self, router: usize) -> Result<()> {
+        let inner = self.new_inner();
+        self.routers[router].inner = inner;
+        if let Some(links) = &mut self.links {
+            links.routers[router] = inner_link(inner).await?;
+        }
+        Ok(())
+    }
+
+    /// An inner address that no process of this fleet had before.
+    fn new_inner(&mut self) -> SocketAddr {
+        /// First spare address that moved hosts take; tests use those before it.
+        const FIRST: usize = 10;
+        let slot = FIRST + self.moves;
+        self.moves += 1;
+        SocketAddr::new(self.spare_address(slot).ip(), INNER_PORT)
+    }
+
     /// Starts the platform stand-in; its objects are empty.
     pub fn start_platform(&mut self) -> Result<()> {
         let listen = self.platform.address.to_string();
@@ -220,14 +288,15 @@
 
     /// Puts all routers and agents on the platform's host list.
     pub async fn publish_hosts(&self) -> Result<()> {
-        let routers = self
-            .routers
-            .iter()
-            .map(|router| json!({"id": router.id, "role": "router", "domain": router.domain, "address": router.inner}));
-        let agents = self.agents.iter().map(|agent| {
+        let routers = self.routers.iter().enumerate().map(|(i, router)| {
+            let address = self.links.as_ref().map_or(router.inner, |links| links.routers[i].address());
+            json!({"id": router.id, "role": "router", "domain": router.domain, "address": address})
+        });
+        let agents = self.agents.iter().enumerate().map(|(i, agent)| {
+            let address = self.links.as_ref().map_or(agent.inner, |links| links.agents[i].address());
             json!({
                 "id": agent.id, "role": "agent", "domain": agent.plan.domain,
-                "address": agent.inner, "service": agent.plan.service,
+                "address": address, "service": agent.plan.service,
             })
         });
         let hosts = json!({"hosts": routers.chain(agents).collect::<Vec<_>>()});
@@ -333,6 +402,29 @@
         Ok(())
     }
 
+    /// Status as a router reports it.
+    pub async fn status(&self, router: usize) -> Result<Value> {
+        self.get_operators(router, "/v1/status").await?.json()
+    }
+
+    /// Waits until all started routers and agents have at least this revision.
+    pub async fn in_force(&self, revision: u64) -> Result<()> {
+        self.until(&format!("revision {revision} is in force everywhere"), async |fleet| {
+            let mut agents = HashSet::new();
+            for router in (0..fleet.routers.len()).filter(|&router| fleet.routers[router].process.is_some()) {
+                let Ok(status) = fleet.status(router).await else { return false };
+                if status["revision"].as_u64().is_none_or(|own| own < revision) {
+                    return false;
+                }
+                let links = status["links"].as_array().into_iter().flatten();
+                let current = links.filter(|link| link["revision"].as_u64().is_some_and(|own| own >= revision));
+                agents.extend(current.filter_map(|link| link["id"].as_str().map(str::to_owned)));
+            }
+            fleet.agents.iter().all(|agent| agent.process.is_none() || agents.contains(&agent.id))
+        })
+        .await
+    }
+
     /// Polls until `holds` is true; `what` names the condition in the error.
     pub async fn until(&self, what: &str, holds: impl AsyncFn(&Self) -> bool) -> Result<()> {
         let start = Instant::now();
@@ -374,6 +466,25 @@
         Ok(())
     }
 
+    /// Routers and agents that ended by themselves, and lines about broken invariants in all logs.
+    pub fn failures(&mut self) -> Vec<String> {
+        let routers = self.routers.iter_mut().map(|router| (&router.id, &mut router.process));
+        let agents = self.agents.iter_mut().map(|agent| (&agent.id, &mut agent.process));
+        let ended = routers.chain(agents).filter_map(|(id, process)| {
+            let status = process.as_mut()?.ended()?;
+            Some(format!("{id} ended with {status}"))
+        });
+        let mut failures: Vec<String> = ended.collect();
+        for entry in fs::read_dir(&self.dir).into_iter().flatten().flatten() {
+            let text = fs::read(entry.path()).unwrap_or_default();
+            let text = String::from_utf8_lossy(&text);
+            let name = entry.file_name().to_string_lossy().into_owned();
+            let broken = text.lines().filter(|line| line.contains("invariant_broken") || line.contains("panicked at"));
+            failures.extend(broken.map(|line| format!("{name}: {line}")));
+        }
+        failures
+    }
+
     /// Processor time used so far by all routers and all agents.
     pub fn cpu_seconds(&self) -> Result<CpuSeconds> {
         let sum = |processes: Vec<&Process>| processes.into_iter().map(Process::cpu_seconds).sum::<Result<f64>>();
@@ -409,14 +520,15 @@
         Process::spawn_with(id, "eelgrasswelld", &[role, "--settings", &path], &self.log(id), &variables)
     }
 
-    fn router_settings(&self, router: usize) -> Value {
-        let router = &self.routers[router];
+    fn router_settings(&self, index: usize) -> Value {
+        let router = &self.routers[index];
+        let platform = self.links.as_ref().map_or(self.platform.address, |links| links.platform[index].address());
         json!({
             "host": self.host_settings(&router.id, router.domain, router.inner),
             "callers": router.callers,
             "operators": router.operators,
             "operator_credential": self.operator_credential(),
-            "platform": self.platform.address,
+            "platform": platform,
             "seeds": self.routers.iter().map(|other| other.inner).collect::<Vec<_>>(),
         })
     }
@@ -442,6 +554,10 @@
     }
 }
 
+async fn inner_link(inner: SocketAddr) -> Result<FaultLink> {
+    FaultLink::open(SocketAddr::new(inner.ip(), INNER_LINK_PORT), inner).await
+}
+
 /// Processor time in seconds.
 #[derive(Clone, Copy, Debug)]
 pub struct CpuSeconds {
--- a/crates/testbed/src/http.rs
+++ b/crates/testbed/src/http.rs
@@ -11,7 +11,11 @@
     rt::TokioExecutor,
 };
 use serde_json::Value;
-use tokio::time::timeout;
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpStream,
+    time::{sleep, timeout},
+};
 
 /// Longest time that a call of a test may take.
 const CALL_TIMEOUT: Duration = Duration::from_secs(60);
@@ -97,6 +101,55 @@
     }
 }
 
+/// Sends bytes over a connection of its own and reads until the other side closes it, at most for the
+/// given time. Errors of the exchange end it, because the other side may close before it has read all.
+pub async fn raw(address: SocketAddr, parts: impl IntoIterator<Item = Bytes>, limit: Duration) -> Result<Vec<u8>> {
+    let stream = TcpStream::connect(address).await.wrap_err_with(|| format!("could not connect to {address}"))?;
+    let (mut rx, mut tx) = stream.into_split();
+    let mut answer = Vec::new();
+    let write = async {
+        for part in parts {
+            if tx.write_all(&part).await.is_err() {
+                break;
+            }
+        }
+        // The connection stays open for its answer.
+        std::future::pending::<()>().await;
+    };
+    let read = async {
+        let mut buf = [0; 4 << 10];
+        while let Ok(len @ 1..) = rx.read(&mut buf).await {
+            answer.extend_from_slice(&buf[..len]);
+        }
+    };
+    tokio::select! {
+        () = write => {}
+        () = read => {}
+        () = sleep(limit) => {}
+    }
+    Ok(answer)
+}
+
+/// Status of a gRPC call with an empty message, sent with this `authorization`.
+pub async fn grpc_status(address: SocketAddr, path: &str, authorization: Option<&str>) -> Result<u32> {
+    const EMPTY_MESSAGE: &[u8] = &[0; 5];
+    let client = Client::builder(TokioExecutor::new()).http2_only(true).build_http();
+    let mut req = Request::post(format!("http://{address}{path}"))
+        .header("content-type", "application/grpc")
+        .header("te", "trailers");
+    if let Some(authorization) = authorization {
+        req = req.header("authorization", authorization);
+    }
+    let response = client.request(req.body(Full::new(Bytes::from_static(EMPTY_MESSAGE)))?).await?;
+    let (head, body) = response.into_parts();
+    let trailers = match head.headers.get("grpc-status") {
+        Some(_) => head.headers,
+        None => body.collect().await?.trailers().cloned().unwrap_or_default(),
+    };
+    let status = trailers.get("grpc-status").ok_or_else(|| eyre::eyre!("{path} gave no gRPC status"))?;
+    Ok(status.to_str()?.parse()?)
+}
+
 impl Reply {
     /// The body as text.
     pub fn text(&self) -> String {
--- a/crates/testbed/src/lib.rs
+++ b/crates/testbed/src/lib.rs
@@ -1,7 +1,9 @@
 //! Stand-ins, a harness that runs the system as separate processes, and helpers for experiments.
 
+pub mod cells;
 pub mod engine;
 pub mod experiment;
+pub mod fault;
 pub mod fault_link;
 pub mod fleet;
 pub mod http;
@@ -9,3 +11,4 @@
 pub mod plan;
 pub mod platform;
 pub mod process;
+pub mod soak;
--- a/crates/testbed/src/load/audit.rs
+++ b/crates/testbed/src/load/audit.rs
@@ -31,6 +31,10 @@
     pub broken: Vec<String>,
     /// Requests that ran and have no bill.
     pub unbilled: Vec<String>,
+    /// Requests with more than one bill.
+    pub billed_twice: Vec<String>,
+    /// Requests whose answer broke off and was fetched again.
+    pub cut: Vec<String>,
     /// Requests whose caller got nothing definite or an unknown outcome.
     pub unanswered: Vec<String>,
 }
@@ -65,7 +69,9 @@
             audit.check_booking(record, runs_by_key.get(&record.key).copied().unwrap_or(0));
         }
     }
+    let mut bills_by_request: HashMap<&str, usize> = HashMap::new();
     for (id, bills) in &bills {
+        *bills_by_request.entry(request(id)).or_default() += bills.len();
         if bills.len() > 1 {
             audit.broken.push(format!("{id} is billed {} times", bills.len()));
         }
@@ -73,10 +79,19 @@
             audit.broken.push(format!("{id} is billed but did not run"));
         }
     }
-    audit.unbilled = ran.iter().filter(|id| !bills.contains_key(*id)).cloned().collect();
+    // A request that ran again after an agent was lost has one bill for all its attempts.
+    audit.unbilled = ran.iter().filter(|id| !bills_by_request.contains_key(request(id))).cloned().collect();
+    let twice = bills_by_request.iter().filter(|(_, bills)| **bills > 1);
+    audit.billed_twice = twice.map(|(request, bills)| format!("request {request} has {bills} bills")).collect();
+    audit.cut = records.iter().filter(|record| record.cut).map(|record| record.answered.clone()).collect();
     Ok(audit)
 }
 
+/// The part of an attempt's id that all attempts of one request at one router share.
+fn request(id: &str) -> &str {
+    id.split('.').next().unwrap_or_default()
+}
+
 /// Reads the bills until each run has one or the time is over.
 async fn settled_bills(fleet: &Fleet, router: usize, ran: &HashSet<String>) -> Result<HashMap<String, Vec<Bill>>> {
     let started = Instant::now();
@@ -94,7 +109,8 @@
                 bills.entry(id).or_default().push(Bill { customer, cost });
             }
         }
-        let missing = ran.iter().any(|id| !bills.contains_key(id));
+        let billed: HashSet<&str> = bills.keys().map(|id| request(id)).collect();
+        let missing = ran.iter().any(|id| !billed.contains(request(id)));
         let late = started.elapsed() > BILLS_TIMEOUT;
         if late || (readable && !missing) {
             eyre::ensure!(readable, "could not read the bills within {BILLS_TIMEOUT:?}");
@@ -144,9 +160,8 @@
         if !matches!(record.verdict, Verdict::NotRun(_)) || record.kind == CallKind::Booking {
             return;
         }
-        let uuid = |id: &str| id.split('.').next().unwrap_or_default().to_owned();
-        let Some(last) = record.request_ids.last().map(|id| uuid(id)) else { return };
-        if ran.iter().any(|id| uuid(id) == last) {
+        let Some(last) = record.request_ids.last().map(|id| request(id)) else { return };
+        if ran.iter().any(|id| request(id) == last) {
             self.broken.push(format!("{last} was refused as not run, and ran"));
         }
     }
--- a/crates/testbed/src/load/caller.rs
+++ b/crates/testbed/src/load/caller.rs
@@ -1,6 +1,7 @@
 //! Callers that send a seeded mix of requests and keep a record of every answer.
 
 use std::{
+    collections::HashMap,
     net::SocketAddr,
     sync::{
         Arc,
@@ -17,6 +18,7 @@
 use rand_chacha::ChaCha8Rng;
 use serde_json::{Value, json};
 use tokio::{
+    sync::watch,
     task::JoinHandle,
     time::{Instant, sleep, timeout},
 };
@@ -30,7 +32,7 @@
 /// Longest time that a caller waits for one answer before it asks another router.
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(20);
 /// Longest time that a caller goes on trying one request.
-const GIVE_UP: Duration = Duration::from_secs(40);
+const GIVE_UP: Duration = Duration::from_secs(30);
 /// Time between two attempts.
 const PAUSE: Duration = Duration::from_millis(100);
 
@@ -54,6 +56,8 @@
     Stream,
     /// Chat in one piece.
     Whole,
+    /// Chat in one piece within a session.
+    Session,
     /// Idempotent call of the plain service.
     Read,
     /// Non-idempotent call of the plain service.
@@ -94,6 +98,12 @@
     pub attempts: u32,
     /// Whether each attempt was refused as not run.
     pub always_not_run: bool,
+    /// Whether the answer broke off and its rest was fetched again.
+    pub cut: bool,
+    /// When it was first sent.
+    pub sent: Instant,
+    /// When it ended.
+    pub ended: Instant,
     /// How it ended.
     pub verdict: Verdict,
 }
@@ -101,6 +111,7 @@
 /// Running callers.
 pub struct Load {
     stop: Arc<AtomicBool>,
+    completed: watch::Receiver<u64>,
     tasks: Vec<JoinHandle<Vec<Record>>>,
 }
 
@@ -108,20 +119,31 @@
     /// Starts the callers.
     pub fn spawn(plan: &LoadPlan) -> Self {
         let stop = Arc::new(AtomicBool::new(false));
+        let (tx, completed) = watch::channel(0);
+        let tx = Arc::new(tx);
         let tasks = (0..plan.callers).map(|index| {
-            let (plan, stop) = (plan.clone(), Arc::clone(&stop));
+            let (plan, stop, tx) = (plan.clone(), Arc::clone(&stop), Arc::clone(&tx));
             tokio::spawn(async move {
                 let mut caller = Caller::new(&plan, index);
                 let mut records = Vec::new();
                 while !stop.load(Ordering::Relaxed) {
                     records.push(caller.request().await);
+                    tx.send_modify(|completed| *completed += 1);
                     sleep(plan.pause).await;
                 }
                 records
             })
         });
         let tasks = tasks.collect();
-        Self { stop, tasks }
+        Self { stop, completed, tasks }
+    }
+
+    /// Waits until `requests` more requests have ended.
+    pub async fn progress(&self, requests: u64) -> Result<()> {
+        let mut completed = self.completed.clone();
+        let goal = *completed.borrow() + requests;
+        completed.wait_for(|completed| *completed >= goal).await?;
+        Ok(())
     }
 
     /// Lets the callers finish their requests and returns all records.
@@ -141,6 +163,8 @@
     sent: u64,
     seed: u64,
     routers: Vec<SocketAddr>,
+    /// Session id and version by customer.
+    sessions: HashMap<&'static str, (String, String)>,
 }
 
 /// What came of one attempt.
@@ -162,7 +186,7 @@
 impl Caller {
     fn new(plan: &LoadPlan, index: usize) -> Self {
         let rng = ChaCha8Rng::seed_from_u64(plan.seed.wrapping_mul(1_000).wrapping_add(index as u64));
-        Self { rng, index, sent: 0, seed: plan.seed, routers: plan.routers.clone() }
+        Self { rng, index, sent: 0, seed: plan.seed, routers: plan.routers.clone(), sessions: HashMap::new() }
     }
 
     async fn request(&mut self) -> Record {
@@ -171,12 +195,13 @@
         let (customer, api_key) = [("savusavu", SAVUSAVU_KEY), ("labasa", LABASA_KEY)][self.rng.random_range(0..2)];
         let kind = match self.rng.random_range(0..10) {
             0..4 => CallKind::Stream,
-            4..6 => CallKind::Whole,
+            4 => CallKind::Whole,
+            5 => CallKind::Session,
             6..8 => CallKind::Read,
             _ => CallKind::Booking,
         };
         let key = if kind == CallKind::Booking { format!("key-{name}") } else { String::new() };
-        let call = self.build(kind, &name, &key, api_key);
+        let call = self.build(kind, &name, &key, customer, api_key);
         let mut record = Record {
             kind,
             customer,
@@ -186,6 +211,9 @@
             cost: None,
             attempts: 0,
             always_not_run: true,
+            cut: false,
+            sent: Instant::now(),
+            ended: Instant::now(),
             verdict: Verdict::Silence("not sent".to_owned()),
         };
         let started = Instant::now();
@@ -201,10 +229,11 @@
             }
             sleep(PAUSE).await;
         }
+        record.ended = Instant::now();
         record
     }
 
-    fn build(&mut self, kind: CallKind, name: &str, key: &str, api_key: &str) -> Call {
+    fn build(&mut self, kind: CallKind, name: &str, key: &str, customer: &'static str, api_key: &str) -> Call {
         let http = Http::open().with("authorization", &format!("Bearer {api_key}"));
         let tokens = self.rng.random_range(5..60);
         let prompt = format!("request {name}");
@@ -216,7 +245,9 @@
         };
         let (method, path, body) = match kind {
             CallKind::Stream => (Method::POST, "/v1/chat/completions".to_owned(), chat(true).to_string()),
-            CallKind::Whole => (Method::POST, "/v1/chat/completions".to_owned(), chat(false).to_string()),
+            CallKind::Whole | CallKind::Session => {
+                (Method::POST, "/v1/chat/completions".to_owned(), chat(false).to_string())
+            }
             CallKind::Read => (Method::GET, format!("/services/loan-records/status/{name}"), String::new()),
             CallKind::Booking => {
                 let body = json!({"dispatch": name}).to_string();
@@ -224,6 +255,11 @@
             }
         };
         let http = if key.is_empty() { http } else { http.with("idempotency-key", key) };
+        let http = match (kind, self.sessions.get(customer)) {
+            (CallKind::Session, Some((session, _))) => http.with("x-session", session),
+            (CallKind::Session, None) => http.with("x-session", "new"),
+            _ => http,
+        };
         Call { kind, method, path, body: body.into(), prompt, tokens, http }
     }
 
@@ -241,6 +277,9 @@
         }
         let (bytes, trailers, whole) = read(body).await;
         if parts.status != StatusCode::OK {
+            if call.kind == CallKind::Session && String::from_utf8_lossy(&bytes).contains("version_withdrawn") {
+                self.sessions.remove(record.customer);
+            }
             return refused(parts.status, &bytes, record);
         }
         record.cost = cost(&parts.headers).or_else(|| cost(&trailers));
@@ -248,12 +287,21 @@
         let bytes = if whole {
             bytes
         } else {
+            record.cut = true;
             match self.fetch_rest(call, &request_id, bytes).await {
                 Ok(bytes) => bytes,
                 Err(err) => return Attempt::Done(Verdict::Silence(format!("answer cut, {err:#}"))),
             }
         };
-        Attempt::Done(check(call, &bytes, &header(&parts.headers, "x-version")))
+        let version = header(&parts.headers, "x-version");
+        if call.kind == CallKind::Session {
+            let session = header(&parts.headers, "x-session");
+            let (_, pinned) = self.sessions.entry(record.customer).or_insert_with(|| (session, version.clone()));
+            if *pinned != version {
+                return Attempt::Done(Verdict::Wrong(format!("session of {pinned} was served by {version}")));
+            }
+        }
+        Attempt::Done(check(call, &bytes, &version))
     }
 
     /// Fetches the rest of a cut answer through any router, from the byte after the last one read.
@@ -296,6 +344,8 @@
         record.request_ids.push(id.to_owned());
     }
     match error["outcome"].as_str() {
+        // The session ends with its version, so that another attempt would be refused as well.
+        Some("not_run") if error["reason"] == "version_withdrawn" => Attempt::Done(Verdict::NotRun(reason)),
         Some("not_run") => Attempt::Again(Verdict::NotRun(reason)),
         _ if record.kind == CallKind::Booking => Attempt::Again(Verdict::Unknown(reason)),
         _ => Attempt::Done(Verdict::Unknown(reason)),
@@ -323,7 +373,7 @@
     let expected = answer_text("plan-small", version, &call.prompt, call.tokens);
     let right = match call.kind {
         CallKind::Stream => streamed_text(&text).is_some_and(|content| content == expected),
-        CallKind::Whole => {
+        CallKind::Whole | CallKind::Session => {
             let answer: Value = serde_json::from_slice(bytes).unwrap_or_default();
             answer["choices"][0]["message"]["content"] == expected.as_str()
         }
--- a/crates/testbed/src/plan.rs
+++ b/crates/testbed/src/plan.rs
@@ -13,6 +13,8 @@
     pub engine_args: Vec<String>,
     /// Worker threads of each router; the number of cores when not given.
     pub worker_threads: Option<u32>,
+    /// Whether a fault link lies in front of each inner endpoint, and between each router and the platform.
+    pub fault_links: bool,
     /// Manifest that is submitted at the start.
     pub manifest: Value,
 }
@@ -51,6 +53,7 @@
             agents: vec![engine("lautoka"), engine("nadi"), engine("ba"), plain("lautoka"), plain("sigatoka")],
             engine_args: Vec::new(),
             worker_threads: None,
+            fault_links: false,
             manifest: manifest(),
         }
     }
--- a/crates/testbed/src/process.rs
+++ b/crates/testbed/src/process.rs
@@ -74,6 +74,13 @@
         Ok(())
     }
 
+    /// Ends the process without notice and waits for its end.
+    pub fn kill(&mut self) -> Result<()> {
+        self.child.kill().wrap_err_with(|| format!("could not kill {}", self.name))?;
+        self.child.wait().wrap_err_with(|| format!("could not wait for {}", self.name))?;
+        Ok(())
+    }
+
     /// Waits until the process has ended.
     pub async fn wait(&mut self) -> Result<ExitStatus> {
         const POLL: Duration = Duration::from_millis(10);
--- a/crates/testbed/tests/processes.rs
+++ b/crates/testbed/tests/processes.rs
@@ -60,7 +60,10 @@
 /// Guards against requests cut, doubled or unbilled when every process is restarted in turn.
 #[tokio::test]
 async fn rolling_restart_cuts_no_request() -> Result<()> {
-    let mut fleet = Fleet::start(fleet_plan()).await?;
+    let mut plan = fleet_plan();
+    // Answers last up to 5 s, longer than the 2 s that a process waits for open streams at its end.
+    plan.engine_args = ["--token-us", "80000"].map(str::to_owned).to_vec();
+    let mut fleet = Fleet::start(plan).await?;
     let load = Load::spawn(&load_plan(&fleet, seed(11), 8));
     sleep(Duration::from_secs(2)).await;
     for router in 0..fleet.routers.len() {
@@ -78,6 +81,7 @@
     report(&audit);
     ensure!(audit.broken.is_empty(), "{:#?}", audit.broken);
     ensure!(audit.unbilled.is_empty(), "{:#?}", audit.unbilled);
+    ensure!(audit.cut.is_empty(), "answers were cut: {:#?}", audit.cut);
     ensure!(audit.unanswered.is_empty(), "{:#?}", audit.unanswered);
     Ok(())
 }
