--- a/crates/daemon/src/controller/budgets/account.rs
+++ b/crates/daemon/src/controller/budgets/account.rs
@@ -65,8 +65,6 @@
     exhausted_until: Millis,
     failing: bool,
     open: Option<OpenDraw>,
-    /// Sum of all routers' shares when the owner last answered.
-    committed: Cost,
 }
 
 impl Account {
@@ -78,16 +76,6 @@
         self.cap = cap;
     }
 
-    /// Period of the shares.
-    pub fn period(&self) -> &str {
-        &self.period
-    }
-
-    /// The cap, and the sum of all routers' shares when the owner last answered.
-    pub fn commitment(&self) -> (Cost, Cost) {
-        (self.cap, self.committed)
-    }
-
     /// Money that can be reserved.
     pub fn available(&self) -> Cost {
         self.available
@@ -154,14 +142,13 @@
     }
 
     /// Takes in the owner's answer to a draw.
-    pub fn granted(&mut self, draw: &OpenDraw, granted: Cost, committed: Cost, now: Millis) {
+    pub fn granted(&mut self, draw: &OpenDraw, granted: Cost, now: Millis) {
         if self.open.as_ref().is_none_or(|open| open.id != draw.id) {
             return;
         }
         self.open = None;
         self.failing = false;
         self.confirmed = draw.sent;
-        self.committed = committed;
         self.credit(granted);
         if granted < draw.amount {
             self.exhausted_until = now + EXHAUSTED_FOR;
--- a/crates/daemon/src/controller/budgets/mod.rs
+++ b/crates/daemon/src/controller/budgets/mod.rs
@@ -57,21 +57,6 @@
     rounds: watch::Sender<u64>,
 }
 
-/// How much of a customer's cap is handed out, as far as this router has heard.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Spending {
-    /// The customer.
-    pub customer: CustomerId,
-    /// Period of the budget.
-    pub period: CompactString,
-    /// The cap.
-    pub cap: Cost,
-    /// Sum of all routers' shares.
-    pub committed: Cost,
-    /// Part of it that this router holds and has not spent.
-    pub available: Cost,
-}
-
 /// Money reserved for one request. Dropping it without `settle` keeps the whole amount as spent,
 /// since the request may have run.
 pub struct Reservation {
@@ -130,23 +115,6 @@
         }
     }
 
-    /// Spending of the customers that this router has served, for the operators' status.
-    pub fn spending(&self) -> Vec<Spending> {
-        let purses = lock(&self.inner.purses);
-        let spending = purses.values().map(|purse| {
-            let account = lock(&purse.account);
-            let (cap, committed) = account.commitment();
-            Spending {
-                customer: purse.customer.clone(),
-                period: account.period().into(),
-                cap,
-                committed,
-                available: account.available(),
-            }
-        });
-        spending.collect()
-    }
-
     /// Hands all unspent shares back for a graceful shutdown, within `limit`.
     pub async fn release(&self, limit: Millis) {
         let purses: Vec<_> = lock(&self.inner.purses).values().cloned().collect();
@@ -181,7 +149,7 @@
         {
             let mut account = lock(&purse.account);
             match &grant {
-                Some(grant) => account.granted(draw, grant.granted, grant.committed, self.clock.now()),
+                Some(grant) => account.granted(draw, grant.granted, self.clock.now()),
                 None => account.failed(draw),
             }
         }
--- a/crates/daemon/src/controller/shards/keeper.rs
+++ b/crates/daemon/src/controller/shards/keeper.rs
@@ -32,8 +32,11 @@
 const FREE_RANK_DELAY: Millis = Millis(1_000);
 /// Routers that observe a lease.
 const OBSERVERS: usize = 2;
-/// Size of a fleet in which all routers observe: of few routers, both observers may be gone.
-const SMALL_FLEET: usize = 4;
+/// Size of a fleet in which all routers observe: of few routers, both observers may be gone, and the
+/// next one would learn that only after 8 s.
+const SMALL_FLEET: usize = 8;
+/// Interval at which the further observers of a small fleet read the lease.
+const FURTHER_POLL_INTERVAL: Duration = Duration::from_secs(1);
 /// Pause after a failed renewal.
 const RETRY_PAUSE: Duration = Duration::from_millis(250);
 /// Time for which another router must rank first before a shard is handed to it.
@@ -49,6 +52,7 @@
     shard: ShardId,
     releasing: watch::Receiver<bool>,
     observer: LeaseObserver,
+    poll: Duration,
     /// Router that a shard was handed to, and when.
     handed: Option<(HostId, Instant)>,
 }
@@ -62,7 +66,7 @@
 impl Keeper {
     /// Makes the keeper of `shard`; it ends once `releasing` is true.
     pub fn new(inner: Arc<Inner>, shard: ShardId, releasing: watch::Receiver<bool>) -> Self {
-        Self { inner, shard, releasing, observer: LeaseObserver::default(), handed: None }
+        Self { inner, shard, releasing, observer: LeaseObserver::default(), poll: POLL_INTERVAL, handed: None }
     }
 
     /// Runs until the router releases its shards.
@@ -73,7 +77,7 @@
                 self.observer.reset();
                 continue;
             }
-            let _ = timeout(POLL_INTERVAL, self.releasing.wait_for(|releasing| *releasing)).await;
+            let _ = timeout(self.poll, self.releasing.wait_for(|releasing| *releasing)).await;
         }
     }
 
@@ -85,6 +89,7 @@
             self.observer.reset();
             return None;
         }
+        self.poll = if rank < OBSERVERS { POLL_INTERVAL } else { FURTHER_POLL_INTERVAL };
         let found = read_lease(&self.inner.platform, self.shard).await.ok()?;
         let version = found.as_ref().map_or(0, |(version, _)| *version);
         self.observer.observe(version, self.inner.clock.now());
@@ -92,7 +97,7 @@
             self.inner.owners.learn_lease(self.shard, lease);
         }
         let free = found.as_ref().is_none_or(|(_, lease)| lease.released || self.is_own(lease));
-        let rank = rank as u64;
+        let rank = rank.min(OBSERVERS) as u64;
         let wait = if free { Millis(FREE_RANK_DELAY.0 * rank) } else { LEASE_EXPIRY + Millis(RANK_DELAY.0 * rank) };
         if self.observer.unchanged_for() < wait {
             return None;
