--- a/crates/daemon/tests/agent/refuse.rs
+++ b/crates/daemon/tests/agent/refuse.rs
@@ -277,6 +277,14 @@
     eventually(|| rig.engine.runs()[0].cancelled.then_some(())).await;
 }
 
+/// Guards against a request that waits for ever for an engine that has gone silent.
+#[tokio::test]
+async fn execute_silent_engine_fails() {
+    let (rig, _link) = Rig::configured(MODELS, "", &config(1)).await;
+    rig.engine.fault(&silent(true)).await;
+    assert_eq!(rig.run(model_request("r1", true, 5)).await.failure(), ("connection_lost", None));
+}
+
 /// Guards against a booking whose outcome is lost because its deadline passed while it ran.
 #[tokio::test]
 async fn execute_once_past_deadline_goes_on() {
