--- a/crates/daemon/src/agent/gate.rs
+++ b/crates/daemon/src/agent/admission.rs
@@ -25,7 +25,7 @@
 
 /// Shared handle on the admission.
 #[derive(Clone)]
-pub struct Gate {
+pub struct AdmissionHandle {
     service: ServiceName,
     domain: DomainId,
     clock: Clock,
@@ -43,7 +43,7 @@
 
 /// What a request asks for.
 #[derive(Clone, Debug)]
-pub struct Demand {
+pub struct AdmissionRequest {
     /// Customer of the request.
     pub customer: CustomerId,
     /// Share of the customer relative to others.
@@ -58,7 +58,7 @@
     pub deadline: Option<Millis>,
 }
 
-impl Gate {
+impl AdmissionHandle {
     /// Starts cold and with the limits of an empty configuration.
     pub fn open(service: ServiceName, domain: DomainId, clock: Clock, config: ConfigHandle) -> Self {
         let inner = Inner {
@@ -71,14 +71,14 @@
     }
 
     /// Waits for the turn of a request. A caller that stops waiting gives up its place.
-    pub async fn enter(&self, demand: Demand) -> Result<Permit, Refusal> {
+    pub async fn enter(&self, ask: AdmissionRequest) -> Result<Permit, Refusal> {
         let ticket = Ticket(self.tickets.fetch_add(1, Ordering::Relaxed));
         let (tx, rx) = oneshot::channel();
         // Gives the place back when this future is dropped while it waits.
-        let mut permit = Permit { gate: self.clone(), ticket, ending: Ending::Cut, entered: false };
+        let mut permit = Permit { handle: self.clone(), ticket, ending: Ending::Cut, entered: false };
         self.change(|inner, now| {
             inner.waiters.insert(ticket, tx);
-            let Demand { customer, weight, priority, tokens, output, deadline } = demand;
+            let AdmissionRequest { customer, weight, priority, tokens, output, deadline } = ask;
             inner.admission.arrive(Job { ticket, customer, weight, priority, tokens, output, deadline }, now);
         });
         rx.await.unwrap_or(Err(Refusal::not_run(Reason::Internal)))?;
@@ -172,7 +172,7 @@
 
 /// A place among the running requests, given back on drop.
 pub struct Permit {
-    gate: Gate,
+    handle: AdmissionHandle,
     ticket: Ticket,
     /// How the request ended; it counts as cut until this is set.
     pub ending: Ending,
@@ -182,14 +182,14 @@
 impl Permit {
     /// Takes in a measured service time of the request.
     pub fn observe(&self, sample: Sample, micros: u64) {
-        self.gate.change(|inner, now| inner.admission.observe(self.ticket, sample, micros, now));
+        self.handle.change(|inner, now| inner.admission.observe(self.ticket, sample, micros, now));
     }
 }
 
 impl Drop for Permit {
     fn drop(&mut self) {
         let (ticket, ending, entered) = (self.ticket, self.ending, self.entered);
-        self.gate.change(|inner, now| {
+        self.handle.change(|inner, now| {
             inner.waiters.remove(&ticket);
             if !entered {
                 inner.admission.withdraw(ticket);
--- a/crates/daemon/src/agent/bills.rs
+++ b/crates/daemon/src/agent/bills.rs
@@ -29,7 +29,7 @@
 struct Inner {
     unsettled: HashMap<String, Unsettled>,
     /// Set when the process leaves: records are offered at once.
-    hurry: bool,
+    leaving: bool,
 }
 
 struct Unsettled {
@@ -46,7 +46,7 @@
     /// Keeps a record until it is settled.
     pub fn record(&self, bill: &BillRecord) {
         let mut inner = self.lock();
-        let wait = if inner.hurry { Millis::ZERO } else { SETTLE_TIME };
+        let wait = if inner.leaving { Millis::ZERO } else { SETTLE_TIME };
         let entry = Unsettled { bill: bill.clone(), offer_at: self.clock.now() + wait };
         let earlier = inner.unsettled.insert(bill.request_id.clone(), entry);
         invariant::check(Promise::Billed, earlier.is_none(), || format!("request {} billed twice", bill.request_id));
@@ -83,9 +83,9 @@
     }
 
     /// Offers all records at once from now on, because the process leaves.
-    pub fn hurry(&self) {
+    pub fn offer_all(&self) {
         let mut inner = self.lock();
-        inner.hurry = true;
+        inner.leaving = true;
         inner.unsettled.values_mut().for_each(|entry| entry.offer_at = Millis::ZERO);
     }
 
--- a/crates/daemon/src/agent/link.rs
+++ b/crates/daemon/src/agent/link.rs
@@ -32,7 +32,7 @@
 
 async fn serve(agent: &Agent, mut beats: Streaming<RouterBeat>, tx: &mpsc::Sender<Result<AgentBeat, Status>>) {
     let mut ticks = interval_at(Instant::now() + BEAT_INTERVAL, BEAT_INTERVAL);
-    let mut hurried = interval_at(Instant::now() + LEAVING_INTERVAL, LEAVING_INTERVAL);
+    let mut bill_ticks = interval_at(Instant::now() + LEAVING_INTERVAL, LEAVING_INTERVAL);
     let (mut leaving, mut closing) = (agent.leaving.subscribe(), agent.closing.subscribe());
     let mut leaves = false;
     let mut heard = None;
@@ -46,7 +46,7 @@
                 true
             }
             _ = ticks.tick() => heard.is_some(),
-            _ = hurried.tick(), if leaves => heard.is_some() && agent.bills.has_overdue(),
+            _ = bill_ticks.tick(), if leaves => heard.is_some() && agent.bills.has_overdue(),
             _ = leaving.wait_for(|leaving| *leaving), if !leaves => {
                 leaves = true;
                 heard.is_some()
@@ -73,7 +73,7 @@
 impl Agent {
     /// The next heartbeat, with the bills that are due for another router.
     fn beat(&self) -> AgentBeat {
-        let LoadReport { running, queued, limit, tokens_held, tokens_limit, cold } = self.gate.report();
+        let LoadReport { running, queued, limit, tokens_held, tokens_limit, cold } = self.admission.report();
         AgentBeat {
             agent: self.settings.host.id.to_string(),
             incarnation: self.incarnation.0,
--- a/crates/daemon/src/agent/mod.rs
+++ b/crates/daemon/src/agent/mod.rs
@@ -1,11 +1,12 @@
 //! The agent: the only way to its backend server.
 
+pub mod admission;
 pub mod answers;
 pub mod backend;
 pub mod bills;
 pub mod checks;
 pub mod fences;
-pub mod gate;
+
 pub mod link;
 pub mod loaded;
 pub mod meter;
@@ -28,7 +29,8 @@
 };
 
 use self::{
-    answers::Answers, backend::Backend, bills::Bills, fences::Fences, gate::Gate, loaded::Loaded, service::AgentService,
+    admission::AdmissionHandle, answers::Answers, backend::Backend, bills::Bills, fences::Fences, loaded::Loaded,
+    service::AgentService,
 };
 use crate::{
     clock::{self, Clock},
@@ -64,7 +66,7 @@
     /// Renders the metrics.
     pub metrics: PrometheusHandle,
     /// Admission to the backend server.
-    pub gate: Gate,
+    pub admission: AdmissionHandle,
     /// Client of the backend server.
     pub backend: Backend,
     /// Running and held answers.
@@ -91,7 +93,12 @@
         Ok(Self {
             incarnation: clock::draw_incarnation(),
             clock,
-            gate: Gate::open(settings.service.clone(), settings.host.domain.clone(), clock, config.clone()),
+            admission: AdmissionHandle::open(
+                settings.service.clone(),
+                settings.host.domain.clone(),
+                clock,
+                config.clone(),
+            ),
             config,
             secret,
             metrics,
@@ -127,7 +134,7 @@
         let tasks = [
             tokio::spawn(operators::serve(self.clone(), operators)),
             tokio::spawn(poll::run(self.clone())),
-            tokio::spawn(self.gate.clone().follow_config()),
+            tokio::spawn(self.admission.clone().follow_config()),
             tokio::spawn(self.answers.clone().sweep()),
         ];
         event!(
@@ -154,7 +161,7 @@
     async fn drain(&self) {
         let limit = Duration::from(self.settings.host.drain);
         self.leaving.send_replace(true);
-        self.bills.hurry();
+        self.bills.offer_all();
         let id = &self.settings.host.id;
         event!(Info, "agent_leaving", id = id, running = self.answers.unfinished());
         if timeout(limit, self.answers.idle()).await.is_err() {
--- a/crates/daemon/src/agent/poll.rs
+++ b/crates/daemon/src/agent/poll.rs
@@ -16,7 +16,7 @@
     loop {
         ticks.tick().await;
         match agent.backend.load().await {
-            Ok(load) => agent.gate.engine_report(load.start_id, load.cold),
+            Ok(load) => agent.admission.engine_report(load.start_id, load.cold),
             Err(err) => event!(Debug, "load_not_read", error = format!("{err:#}")),
         }
     }
--- a/crates/daemon/src/agent/run.rs
+++ b/crates/daemon/src/agent/run.rs
@@ -1,4 +1,4 @@
-//! The course of one request: its turn, the call of the backend server, the answer and the bill.
+//! One request: its turn, the call of the backend server, the answer and the bill.
 
 use std::{
     pin::pin,
@@ -18,11 +18,11 @@
 
 use super::{
     Agent,
+    admission::{AdmissionRequest, Permit},
     answers::{self, Answer},
     backend::{self, CallError},
     checks::{Checked, Price},
     fences::Outcome,
-    gate::{Demand, Permit},
     meter::Meter,
 };
 use crate::{
@@ -51,9 +51,9 @@
     };
     answer.start(checked.once);
     let meter = Meter::new(req.stream);
-    let mut course = Course { agent: &agent, req: &req, checked: &checked, permit, answer, meter };
-    let ended = course.call(deadline).await;
-    course.conclude(&id, ended).await;
+    let mut attempt = Attempt { agent: &agent, req: &req, checked: &checked, permit, answer, meter };
+    let ended = attempt.call(deadline).await;
+    attempt.conclude(&id, ended).await;
 }
 
 /// Counts and logs a refusal.
@@ -70,7 +70,7 @@
     answer: &Answer,
     deadline: Option<Millis>,
 ) -> Result<Permit, Refusal> {
-    let demand = Demand {
+    let ask = AdmissionRequest {
         customer: CustomerId::from(&*req.customer),
         weight: checked.weight,
         priority: req.priority,
@@ -81,7 +81,7 @@
     let mut leaving = agent.leaving.subscribe();
     tokio::select! {
         biased;
-        permit = agent.gate.enter(demand) => permit,
+        permit = agent.admission.enter(ask) => permit,
         reason = answer.cancelled() => Err(Refusal::not_run(reason)),
         () = until(agent, deadline) => Err(Refusal::not_run(Reason::Deadline)),
         _ = leaving.wait_for(|leaving| *leaving) => Err(Refusal::not_run(Reason::Leaving)),
@@ -115,7 +115,7 @@
 }
 
 /// A request from the call of the backend server on.
-struct Course<'a> {
+struct Attempt<'a> {
     agent: &'a Agent,
     req: &'a ExecuteRequest,
     checked: &'a Checked,
@@ -125,7 +125,7 @@
 }
 
 /// How a call ended that did not give a whole answer.
-enum Broken {
+enum CallFailure {
     /// Nothing was sent.
     NotSent(Reason),
     /// The backend server failed.
@@ -134,41 +134,41 @@
     Cut(Reason),
 }
 
-impl Course<'_> {
+impl Attempt<'_> {
     /// Calls the backend server and passes its answer on; gives the status.
-    async fn call(&mut self, deadline: Option<Millis>) -> Result<u16, Broken> {
+    async fn call(&mut self, deadline: Option<Millis>) -> Result<u16, CallFailure> {
         // A request that runs only once goes on to its end, so that its outcome is known.
         let deadline = deadline.filter(|_| !self.checked.once);
         let agent = self.agent;
         tokio::select! {
             ended = self.exchange() => ended,
-            () = until(agent, deadline) => Err(Broken::Cut(Reason::Deadline)),
+            () = until(agent, deadline) => Err(CallFailure::Cut(Reason::Deadline)),
         }
     }
 
-    async fn exchange(&mut self) -> Result<u16, Broken> {
+    async fn exchange(&mut self) -> Result<u16, CallFailure> {
         let started = Instant::now();
         let silence = if self.req.stream { STREAM_SILENCE } else { WHOLE_SILENCE };
         let call = timeout(silence, self.agent.backend.call(self.req));
         let response = tokio::select! {
-            response = call => response.map_err(|_| Broken::Backend(Reason::ConnectionLost))?,
-            reason = self.answer.cancelled() => return Err(Broken::Cut(reason)),
+            response = call => response.map_err(|_| CallFailure::Backend(Reason::ConnectionLost))?,
+            reason = self.answer.cancelled() => return Err(CallFailure::Cut(reason)),
         };
         let response = response.map_err(|err| match err {
-            CallError::NotSent(reason) => Broken::NotSent(reason),
+            CallError::NotSent(reason) => CallFailure::NotSent(reason),
             CallError::Lost(detail) => {
                 event!(Warn, "backend_call_lost", request_id = self.req.request_id, error = detail);
-                Broken::Backend(Reason::ConnectionLost)
+                CallFailure::Backend(Reason::ConnectionLost)
             }
         })?;
         let status = response.status().as_u16();
         if self.is_model() && status >= 500 {
-            return Err(Broken::Backend(Reason::BackendError));
+            return Err(CallFailure::Backend(Reason::BackendError));
         }
         self.answer.head(Head { status: status.into(), headers: backend::answer_headers(&response) });
         self.pass_on(response).await?;
         if self.is_model() && status < 400 && !self.meter.is_complete() {
-            return Err(Broken::Backend(Reason::BackendError));
+            return Err(CallFailure::Backend(Reason::BackendError));
         }
         if !self.req.stream {
             let units = if self.is_model() { self.meter.delivered().0.max(1) } else { 1 };
@@ -177,49 +177,49 @@
         Ok(status)
     }
 
-    async fn pass_on(&mut self, response: Response<Incoming>) -> Result<(), Broken> {
+    async fn pass_on(&mut self, response: Response<Incoming>) -> Result<(), CallFailure> {
         let (is_model, stream) = (self.is_model(), self.req.stream);
         let Self { permit, answer, meter, .. } = self;
         let mut body = response.into_body();
-        let mut pace = Pace::default();
+        let mut timer = TokenTimer::default();
         let mut cancelled = pin!(answer.cancelled());
         loop {
             let frame = tokio::select! {
                 frame = timeout(STREAM_SILENCE, body.frame()) => frame,
-                reason = &mut cancelled => return Err(Broken::Cut(reason)),
+                reason = &mut cancelled => return Err(CallFailure::Cut(reason)),
             };
-            let Some(frame) = frame.map_err(|_| Broken::Backend(Reason::ConnectionLost))? else { return Ok(()) };
-            let frame = frame.map_err(|_| Broken::Backend(Reason::ConnectionLost))?;
+            let Some(frame) = frame.map_err(|_| CallFailure::Backend(Reason::ConnectionLost))? else { return Ok(()) };
+            let frame = frame.map_err(|_| CallFailure::Backend(Reason::ConnectionLost))?;
             let Ok(bytes) = frame.into_data() else { continue };
             if is_model {
                 meter.feed(&bytes);
             }
-            if let Some(micros) = pace.sample(meter.delivered().0).filter(|_| stream) {
+            if let Some(micros) = timer.sample(meter.delivered().0).filter(|_| stream) {
                 permit.observe(Sample::Token, micros);
             }
             let pushed = Instant::now();
-            answer.push(&bytes).await.map_err(Broken::Cut)?;
-            pace.excuse(pushed.elapsed());
+            answer.push(&bytes).await.map_err(CallFailure::Cut)?;
+            timer.exclude(pushed.elapsed());
         }
     }
 
-    async fn conclude(mut self, id: &RequestId, ended: Result<u16, Broken>) {
+    async fn conclude(mut self, id: &RequestId, ended: Result<u16, CallFailure>) {
         match ended {
             Ok(status) => {
                 self.permit.ending = if status < 500 { Ending::Success } else { Ending::Failure };
                 self.finish(id, status);
             }
-            Err(Broken::NotSent(reason)) => {
+            Err(CallFailure::NotSent(reason)) => {
                 self.permit.ending = Ending::Failure;
                 let empty = self.answer.length() == 0;
                 invariant::check(Promise::NotRun, empty, || format!("request {id} has an answer"));
                 refuse(self.agent, id, self.answer, &Refusal::not_run(reason));
             }
-            Err(Broken::Backend(reason)) => {
+            Err(CallFailure::Backend(reason)) => {
                 self.permit.ending = Ending::Failure;
                 self.fail(id, reason);
             }
-            Err(Broken::Cut(reason)) => {
+            Err(CallFailure::Cut(reason)) => {
                 // The place is given back once the engine has stopped, as it may still be working.
                 if self.is_model() {
                     self.agent.backend.cancel(id.as_str()).await;
@@ -246,7 +246,7 @@
     }
 
     fn fail(self, id: &RequestId, reason: Reason) {
-        // A model's answer is billed for what was delivered; a broken call of a service is not.
+        // A model's answer is billed for what was delivered; a failure call of a service is not.
         let delivered = self.is_model() && self.answer.length() > 0;
         let bill = (delivered || self.req.prior_cost_micros > 0).then(|| self.bill(delivered));
         if let Some(bill) = &bill {
@@ -287,13 +287,13 @@
 
 /// Time per token of a stream, measured in short runs of tokens.
 #[derive(Default)]
-struct Pace {
+struct TokenTimer {
     /// Begin of the run and tokens delivered before it; none before the first token, which takes
     /// longer, in proportion to the prompt.
     run: Option<(Instant, u64)>,
 }
 
-impl Pace {
+impl TokenTimer {
     /// Microseconds per token when a run is complete.
     fn sample(&mut self, delivered: u64) -> Option<u64> {
         if delivered == 0 {
@@ -309,7 +309,7 @@
     }
 
     /// Leaves out time that a slow reader took.
-    fn excuse(&mut self, time: Duration) {
+    fn exclude(&mut self, time: Duration) {
         self.run.iter_mut().for_each(|(since, _)| *since += time);
     }
 }
--- a/crates/testbed/src/engine/serve.rs
+++ b/crates/testbed/src/engine/serve.rs
@@ -181,7 +181,7 @@
             (&Method::POST, path) if path.starts_with("/cancel/") => self.cancel(&path["/cancel/".len()..]),
             _ => {
                 let run = self.start(&head, body.len() as u64);
-                self.audible().await;
+                self.wait_while_silent().await;
                 match path.as_str() {
                     "/v1/chat/completions" => self.chat(run, &body).await,
                     _ => self.call(run, &head.method, &body).await,
@@ -192,7 +192,7 @@
     }
 
     /// Waits while the fault `silent` is on.
-    async fn audible(&self) {
+    async fn wait_while_silent(&self) {
         let _ = self.shared.faults.subscribe().wait_for(|faults| !faults.silent).await;
     }
 
@@ -218,8 +218,8 @@
 
     /// Service time under the current concurrency and faults.
     fn time(&self, base: Duration) -> Duration {
-        let crowd = f64::from(self.state().running) / f64::from(self.shared.options.slots.max(1));
-        base.mul_f64(crowd.max(1.0) * self.shared.faults.borrow().time_factor())
+        let concurrency = f64::from(self.state().running) / f64::from(self.shared.options.slots.max(1));
+        base.mul_f64(concurrency.max(1.0) * self.shared.faults.borrow().time_factor())
     }
 
     async fn chat(&self, mut run: RunGuard, body: &[u8]) -> Response<Body> {
@@ -243,7 +243,7 @@
             let mut text = String::new();
             for index in 0..req.max_tokens {
                 pause(self.time(self.shared.options.token)).await;
-                self.audible().await;
+                self.wait_while_silent().await;
                 if run.cancelled() {
                     return error(StatusCode::INTERNAL_SERVER_ERROR, "cancelled");
                 }
@@ -265,7 +265,7 @@
                 if index > 0 {
                     pause(engine.time(engine.shared.options.token)).await;
                 }
-                engine.audible().await;
+                engine.wait_while_silent().await;
                 let event = if index == req.max_tokens {
                     run.finish();
                     model::last_chunks(&id, &req.model, &model::usage(input, req.max_tokens))
@@ -282,7 +282,7 @@
 
     async fn call(&self, run: RunGuard, method: &Method, body: &[u8]) -> Response<Body> {
         pause(self.time(self.shared.options.first)).await;
-        self.audible().await;
+        self.wait_while_silent().await;
         if self.shared.faults.borrow().is_error(&run.run.version, &run.run.request_id) {
             return error(StatusCode::INTERNAL_SERVER_ERROR, "the service failed");
         }
