--- a/crates/daemon/tests/agent/refuse.rs
+++ b/crates/daemon/tests/agent/refuse.rs
@@ -4,7 +4,7 @@
 
 use eelgrasswell_core::refusal::Reason;
 use eelgrasswell_daemon::agent::{
-    checks::{Place, check},
+    checks::{AgentState, check},
     loaded::Loaded,
 };
 use eelgrasswell_manifest::{
@@ -205,7 +205,7 @@
         config.rollouts.insert("loan-desk/v2".parse().unwrap(), status);
     });
     let loaded = ["v1", "v2"].map(|version| LoadedVersion { model: "loan-desk".into(), version: version.into() });
-    let place = Place {
+    let state = AgentState {
         host: &"worker-1".into(),
         domain: &"nadi".into(),
         service: &MODELS.into(),
@@ -214,7 +214,7 @@
         stale: true,
     };
     let req = ExecuteRequest { version: version.to_owned(), pinned, ..model_request("r1", false, 1) };
-    assert_eq!(check(&config, &place, &req).err(), reason);
+    assert_eq!(check(&config, &state, &req).err(), reason);
 }
 
 fn silent(silent: bool) -> FaultsUpdate {
@@ -277,6 +277,14 @@
     eventually(|| rig.engine.runs()[0].cancelled.then_some(())).await;
 }
 
+/// Guards against a request that waits for ever for an engine that has gone silent.
+#[tokio::test]
+async fn execute_silent_engine_fails() {
+    let (rig, _link) = Rig::configured(MODELS, "", &config(1)).await;
+    rig.engine.fault(&silent(true)).await;
+    assert_eq!(rig.run(model_request("r1", true, 5)).await.failure(), ("connection_lost", None));
+}
+
 /// Guards against a booking whose outcome is lost because its deadline passed while it ran.
 #[tokio::test]
 async fn execute_once_past_deadline_goes_on() {
