Recover from silent connections to owners and to the platform

A claim at another router waited its whole 2 s on a connection that had gone silent. Silent connections to the platform cost all 16 leases: idle ones are taken from the pool one by one, each for 2 s, and the lease expires after 6 s.

A call to an owner now gives an attempt up after 1 s and asks for a new connection. The platform client replaces all its connections when a call times out. Ruled out: a shorter time limit of platform calls, which a slow platform would break. The look-up of the owner counts against the limit of the call.

Agents offer only unsettled bills; the test does so now and checks that exactly the rest settles.

--- a/crates/daemon/src/controller/shards/calls.rs
+++ b/crates/daemon/src/controller/shards/calls.rs
@@ -1,10 +1,10 @@
 //! Calls to the owner of a shard, wherever it is.
 
-use std::time::Duration;
+use std::{net::SocketAddr, time::Duration};
 
 use eelgrasswell_core::id::ShardId;
 use eelgrasswell_proto::v1::{self, ShardOwner, claim_reply, shard_client::ShardClient};
-use tokio::time::{Instant, sleep, timeout};
+use tokio::time::{Instant, sleep, timeout, timeout_at};
 use tonic::{Status, service::interceptor::InterceptedService, transport::Channel};
 
 use super::{Inner, log::read_lease};
@@ -13,8 +13,11 @@
 /// Client of the owner of a shard.
 pub type Client = ShardClient<InterceptedService<Channel, Present>>;
 
-/// Longest time for one attempt.
-const ATTEMPT_LIMIT: Duration = Duration::from_secs(2);
+/// Longest time for one attempt, unless the call as a whole has more than four times as long. An
+/// owner answers within a batch; a longer silence is one of the connection.
+const ATTEMPT_LIMIT: Duration = Duration::from_secs(1);
+/// Attempts that fit into the time of a long call.
+const ATTEMPTS: u32 = 4;
 /// First pause between attempts; it doubles up to the longest.
 const FIRST_PAUSE: Duration = Duration::from_millis(25);
 /// Longest pause between attempts.
@@ -30,6 +33,13 @@
     Remote(Box<Client>),
 }
 
+/// Which owner a call goes to.
+struct Found {
+    fence: u64,
+    /// None in this process.
+    address: Option<SocketAddr>,
+}
+
 /// What a reply means for the caller's next step.
 pub enum Verdict<'a> {
     /// It is the result.
@@ -65,8 +75,8 @@
         let until = Instant::now() + limit;
         let mut pause = FIRST_PAUSE;
         loop {
-            if let Some((target, fence)) = self.find(shard).await {
-                let left = until.saturating_duration_since(Instant::now()).min(ATTEMPT_LIMIT);
+            if let Ok(Some((target, owner))) = timeout_at(until, self.find(shard)).await {
+                let left = until.saturating_duration_since(Instant::now()).min(ATTEMPT_LIMIT.max(limit / ATTEMPTS));
                 let attempt = async {
                     match target {
                         Target::Local => req.clone().local(self).await,
@@ -78,7 +88,13 @@
                     Ok(Ok(Verdict::Done)) => return reply.ok()?.ok(),
                     Ok(Ok(Verdict::NotOwner(Some(known)))) if self.owners.learn(known) => pause = FIRST_PAUSE,
                     Ok(Ok(Verdict::Unavailable)) => {}
-                    Ok(Ok(Verdict::NotOwner(_)) | Err(_)) | Err(_) => self.owners.doubt(shard, fence),
+                    Ok(Ok(Verdict::NotOwner(_)) | Err(_)) => self.owners.doubt(shard, owner.fence),
+                    Err(_) => {
+                        self.owners.doubt(shard, owner.fence);
+                        if let Some(address) = owner.address {
+                            self.members.reconnect(address);
+                        }
+                    }
                 }
             }
             if Instant::now() + pause >= until {
@@ -89,10 +105,10 @@
         }
     }
 
-    /// The owner with its fence; none while nobody is known to serve the shard.
-    async fn find(&self, shard: ShardId) -> Option<(Target, u64)> {
+    /// The owner; none while nobody is known to serve the shard.
+    async fn find(&self, shard: ShardId) -> Option<(Target, Found)> {
         if let Some(handle) = self.handle(shard) {
-            return Some((Target::Local, handle.fence.0));
+            return Some((Target::Local, Found { fence: handle.fence.0, address: None }));
         }
         if self.owners.wants_read(shard)
             && let Ok(Some((_, lease))) = read_lease(&self.platform, shard).await
@@ -103,9 +119,10 @@
         if owner.incarnation == self.incarnation.0 {
             return None;
         }
-        let (channel, present) = self.members.channel(owner.address.parse().ok()?);
+        let address = owner.address.parse().ok()?;
+        let (channel, present) = self.members.channel(address);
         let client = ShardClient::with_interceptor(channel, present).max_decoding_message_size(MAX_REPLY);
-        Some((Target::Remote(Box::new(client)), owner.fence))
+        Some((Target::Remote(Box::new(client)), Found { fence: owner.fence, address: Some(address) }))
     }
 }
 
--- a/crates/daemon/src/platform.rs
+++ b/crates/daemon/src/platform.rs
@@ -1,6 +1,10 @@
 //! Client of the platform's object API.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
 
 use bytes::Bytes;
 use compact_str::CompactString;
@@ -27,7 +31,16 @@
 #[derive(Clone, Debug)]
 pub struct Platform {
     address: SocketAddr,
+    pool: Arc<Mutex<Pool>>,
+}
+
+/// Connections to the platform. They are replaced together when a call times out: idle ones may have
+/// gone silent with it, and each would cost another call its time limit.
+#[derive(Clone, Debug)]
+struct Pool {
     client: Client<HttpConnector, Full<Bytes>>,
+    /// Number of pools before this one.
+    generation: u64,
 }
 
 /// An object with its version; versions start at 1 and rise with every write.
@@ -101,7 +114,7 @@
 impl Platform {
     /// Opens a client; connects on the first call.
     pub fn open(address: SocketAddr) -> Self {
-        Self { address, client: Client::builder(TokioExecutor::new()).build_http() }
+        Self { address, pool: Arc::new(Mutex::new(Pool::open(0))) }
     }
 
     /// Reads an object; none when it does not exist.
@@ -183,21 +196,43 @@
             req = req.header("if-version", version);
         }
         let req = req.body(Full::new(body)).wrap_err("could not build a platform call")?;
-        let reply = timeout(limit, self.exchange(req)).await;
-        let reply = reply.unwrap_or_else(|_| bail!("timed out after {} ms", limit.as_millis()));
+        let pool = self.lock().clone();
+        let reply = timeout(limit, exchange(&pool.client, req)).await;
+        let reply = reply.unwrap_or_else(|_| {
+            self.replace(pool.generation);
+            bail!("timed out after {} ms", limit.as_millis())
+        });
         let result = if reply.is_ok() { "ok" } else { "error" };
         metrics::counter!(telemetry::PLATFORM_CALLS, "kind" => kind, "result" => result).increment(1);
         reply.wrap_err_with(|| format!("could not {kind} {path} at platform {}", self.address))
     }
 
-    async fn exchange(&self, req: Request<Full<Bytes>>) -> Result<Reply> {
-        let response = self.client.request(req).await?;
-        let status = response.status();
-        let version = response.headers().get("x-version").and_then(|v| v.to_str().ok()?.parse().ok()).unwrap_or(0);
-        let body = response.into_body().collect().await?.to_bytes();
-        if status.is_server_error() {
-            bail!("status {status}");
+    /// Drops the connections of pool `generation` once they are idle; new calls open others.
+    fn replace(&self, generation: u64) {
+        let mut pool = self.lock();
+        if pool.generation == generation {
+            *pool = Pool::open(generation + 1);
         }
-        Ok(Reply { status, version, body })
     }
+
+    fn lock(&self) -> MutexGuard<'_, Pool> {
+        self.pool.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Pool {
+    fn open(generation: u64) -> Self {
+        Self { client: Client::builder(TokioExecutor::new()).build_http(), generation }
+    }
+}
+
+async fn exchange(client: &Client<HttpConnector, Full<Bytes>>, req: Request<Full<Bytes>>) -> Result<Reply> {
+    let response = client.request(req).await?;
+    let status = response.status();
+    let version = response.headers().get("x-version").and_then(|v| v.to_str().ok()?.parse().ok()).unwrap_or(0);
+    let body = response.into_body().collect().await?.to_bytes();
+    if status.is_server_error() {
+        bail!("status {status}");
+    }
+    Ok(Reply { status, version, body })
 }
--- a/crates/daemon/tests/shards.rs
+++ b/crates/daemon/tests/shards.rs
@@ -12,9 +12,13 @@
     unit::{Cost, Millis},
 };
 use eelgrasswell_daemon::controller::shards::{ClaimCall, ClaimEnd, ClaimResult, SHARDS};
-use eelgrasswell_testbed::platform::{Faults, Platform};
+use eelgrasswell_testbed::{
+    fault_link::FaultLink,
+    platform::{Faults, Platform},
+};
 use futures::future::join_all;
 use support::{CAP, Node, bill};
+use tokio::net::TcpListener;
 
 const LIMIT: Millis = Millis(20_000);
 
@@ -322,17 +326,20 @@
     platform.fault(|faults| faults.down = true);
     let a = Node::start("a", platform.address()).await;
     let agent = "agent-1".into();
-    let bills: Vec<_> = in_shard("bill", None).take(OFFERED).map(|id| bill(&id, 1)).collect();
-    bills.iter().for_each(|bill| a.parts.bills.push(&agent, bill.clone()));
+    let mut unsettled: Vec<_> = in_shard("bill", None).take(OFFERED).collect();
+    let offer = |ids: &[String]| ids.iter().for_each(|id| a.parts.bills.push(&agent, bill(id, 1)));
+    offer(&unsettled);
     platform.fault(|faults| faults.down = false);
     a.run(|parts| async move { parts.bills.flush(LIMIT).await }).await;
-    let taken = a.parts.bills.take_settled(&agent).len();
-    assert!(0 < taken && taken < OFFERED, "{taken} of {OFFERED}");
+    let settled: BTreeSet<_> = a.parts.bills.take_settled(&agent).into_iter().collect();
+    assert!(!settled.is_empty() && settled.len() < OFFERED, "{} of {OFFERED}", settled.len());
 
-    bills.iter().for_each(|bill| a.parts.bills.push(&agent, bill.clone()));
-    a.run(|parts| async move { parts.bills.flush(LIMIT).await }).await;
-    bills.iter().for_each(|bill| a.parts.bills.push(&agent, bill.clone()));
+    // The agent offers again what was not settled.
+    unsettled.retain(|id| !settled.contains(id));
+    offer(&unsettled);
     a.run(|parts| async move { parts.bills.flush(LIMIT).await }).await;
+    let again = a.parts.bills.take_settled(&agent);
+    assert_eq!(again.into_iter().collect::<BTreeSet<_>>(), unsettled.into_iter().collect());
     let found = a.run(|parts| async move { parts.shards.read_bills(&"open".into()).await }).await.unwrap();
     assert_eq!(found.len(), OFFERED);
 }
@@ -363,3 +370,38 @@
     platform.until(|platform| leases(platform).iter().all(|lease| lease.owner.as_str() == "a")).await;
     assert_eq!(claim_until_settled(&a, claim("k", "r3")).await, pending("r1"));
 }
+
+/// Guards against a router that keeps calling an owner on a connection that has gone silent.
+#[tokio::test]
+async fn owner_connection_silent() {
+    let platform = platform().await;
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let link = FaultLink::open("127.0.0.1:0".parse().unwrap(), listener.local_addr().unwrap()).await.unwrap();
+    let _a = Node::start_at("a", platform.address(), listener, link.address()).await;
+    platform.until(|platform| owns_all(platform, "a")).await;
+    let b = Node::start("b", platform.address()).await;
+    assert!(matches!(claim_at(&b, claim("before", "r0")).await, ClaimResult::Granted(_)));
+    link.silence_open_connections();
+    assert!(matches!(claim_at(&b, claim("k", "r1")).await, ClaimResult::Granted(_)));
+}
+
+/// Guards against leases lost because the connections to the platform have gone silent.
+#[tokio::test]
+async fn platform_connections_silent() {
+    let platform = platform().await;
+    let link = FaultLink::open("127.0.0.1:0".parse().unwrap(), platform.address()).await.unwrap();
+    let a = Node::start("a", link.address()).await;
+    platform.until(|platform| owns_all(platform, "a")).await;
+    let _b = Node::start("b", platform.address()).await;
+    let versions = |platform: &Platform| -> Vec<u64> {
+        let keys = platform.keys("lease/");
+        keys.iter().map(|key| platform.object(key).unwrap().version).collect()
+    };
+    // Renewals at the same time leave many connections open.
+    platform.until(|platform| versions(platform).iter().all(|version| *version >= 2)).await;
+    link.silence_open_connections();
+    let silenced = versions(&platform);
+    platform.until(|platform| versions(platform).iter().zip(&silenced).all(|(now, then)| *now >= then + 2)).await;
+    assert!(leases(&platform).iter().all(|lease| lease.owner.as_str() == "a"), "{:?}", leases(&platform));
+    assert!(matches!(claim_until_settled(&a, claim("k", "r1")).await, ClaimResult::Granted(_)));
+}
--- a/crates/daemon/tests/support/mod.rs
+++ b/crates/daemon/tests/support/mod.rs
@@ -62,14 +62,22 @@
 impl Node {
     /// Starts a router called `id`.
     pub async fn start(id: &str, platform: SocketAddr) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        Self::start_at(id, platform, listener, address).await
+    }
+
+    /// Starts a router that others reach at `address`.
+    pub async fn start_at(id: &str, platform: SocketAddr, listener: TcpListener, address: SocketAddr) -> Self {
         let id = id.to_owned();
+        let listener = listener.into_std().unwrap();
         let (ready, parts) = oneshot::channel();
         let (stop, stopped) = oneshot::channel::<()>();
         thread::spawn(move || {
             let runtime = Builder::new_current_thread().enable_all().build().unwrap();
             let handle = runtime.handle().clone();
             runtime.block_on(async {
-                let parts = open(&id, platform).await;
+                let parts = open(settings(&id, address, platform), TcpListener::from_std(listener).unwrap()).await;
                 let _ = ready.send((parts, handle));
                 let _ = stopped.await;
             });
@@ -125,16 +133,15 @@
     BillRecord { request_id: request_id.into(), customer: "open".into(), cost_micros: cost, ..BillRecord::default() }
 }
 
-async fn open(id: &str, platform: SocketAddr) -> Parts {
-    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-    let settings = Arc::new(settings(id, listener.local_addr().unwrap(), platform));
+async fn open(settings: RouterSettings, listener: TcpListener) -> Parts {
+    let settings = Arc::new(settings);
     let secret = settings::read_secret(&settings.host.inner_credential).unwrap();
     let clock = Clock::start();
     let incarnation = clock::draw_incarnation();
     let config = ConfigHandle::open(clock);
     config.adopt(Config { revision: Revision(1), manifest: manifest(), ..Config::default() });
     let members = Members::open(Arc::clone(&settings), incarnation, clock, Present::new(&secret).unwrap());
-    let platform = Platform::open(platform);
+    let platform = Platform::open(settings.platform);
     let shards = Shards::open(Arc::clone(&settings), incarnation, clock, platform, members.clone(), config.clone());
     let bills = Bills::open(shards.clone());
     let budgets = Budgets::open(settings.host.id.clone(), incarnation, config, shards.clone());
