--- a/crates/daemon/tests/agent/answers.rs
+++ b/crates/daemon/tests/agent/answers.rs
@@ -1,5 +1,7 @@
 //! Answers in bounded memory: backpressure, another fetch, and readers that stall.
 
+use std::time::Duration;
+
 use eelgrasswell_core::{
     id::{CustomerId, RequestId},
     refusal::Reason,
@@ -13,7 +15,6 @@
 use eelgrasswell_proto::v1::{Accepted, Finished, Head, execute_event::Event};
 use eelgrasswell_testbed::engine::{Options, answer_text};
 use futures::{FutureExt, poll};
-use std::time::Duration;
 use test_case::test_case;
 use tokio::time::timeout;
 
@@ -162,6 +163,27 @@
     assert_eq!(drain(&mut recent).0.len() as u64, KB);
 }
 
+/// Guards against bytes that are dropped while another reader still needs them: one that joined
+/// because the connection of the first is dead, or one that has yet to join.
+#[test_case(true ; "first reader stays")]
+#[test_case(false ; "first reader leaves")]
+#[tokio::test]
+async fn push_beyond_bound_keeps_bytes_for_next_reader(stays: bool) {
+    let answers = open(8 * KB, 1_000 * KB, 1_000 * KB);
+    let (answer, mut first) = begin(&answers, "r1", "reef");
+    fill(&answer, 1 << 10);
+    assert_eq!(drain(&mut first).0.len() as u64, 8 * KB);
+    let mut second = stays.then(|| join(&answers, "r1", "reef", 0).unwrap());
+    let first = stays.then_some(first);
+    let mut push = Box::pin(answer.push(&[9; 1 << 10]));
+    assert!(poll!(&mut push).is_pending());
+    let second = second.get_or_insert_with(|| join(&answers, "r1", "reef", 0).unwrap());
+    assert_eq!(drain(second).0.len() as u64, 8 * KB);
+    push.await.unwrap();
+    assert_eq!(drain(second).0, [9; 1 << 10]);
+    drop(first);
+}
+
 /// Guards against unread answers that are dropped while read ones are held.
 #[tokio::test]
 async fn evict_read_answers_first() {
@@ -240,13 +262,6 @@
     let rig = Rig::start(MODELS, &limits(64 << 10, 300, 300)).await;
     let _link = rig.link(&config(1)).await;
     rig.run(model_request("r1", false, 1)).await.finished();
-    let gone = async {
-        loop {
-            let reply = read(rig.resume("r1", "reef", 0).await).await;
-            if matches!(&reply.end, Some(Event::Failed(failed)) if failed.reason == "answer_gone") {
-                return;
-            }
-        }
-    };
+    let gone = async { while !read(rig.resume("r1", "reef", 0).await).await.is_gone() {} };
     timeout(Duration::from_secs(10), gone).await.unwrap();
 }
