Decide in core when a router's shares may be taken back

The rule was in the daemon's loop, where only a wait of hours could test it. It is unchanged: 180 s after another incarnation runs on the router's host, or 2 h without a word. Six cases cover it.

--- a/crates/core/src/budget.rs
+++ b/crates/core/src/budget.rs
@@ -6,8 +6,9 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
+    hash::HashMap,
     id::{CustomerId, HostId, Incarnation},
-    unit::Cost,
+    unit::{Cost, Millis},
 };
 
 /// Shares of the cap, in percent, at which a warning is due.
@@ -18,6 +19,13 @@
 /// Periods remembered per customer.
 const REMEMBERED_PERIODS: usize = 3;
 
+/// Time after which a router counts as dead whose host runs another incarnation. Its last requests
+/// (deadline 120 s by default) have ended by then and agents have handed their bills on.
+pub const REPLACED_AFTER: Millis = Millis(180_000);
+/// Time after which an absent router counts as dead without such proof. It may only be cut off, and
+/// spends from a share that no owner has confirmed for up to 90 minutes.
+pub const ABSENT_AFTER: Millis = Millis(2 * 3_600_000);
+
 /// A router's request for a share.
 #[derive(Clone, Debug)]
 pub struct DrawAsk {
@@ -126,6 +134,31 @@
     pub incarnation: Incarnation,
 }
 
+/// Since when an owner has not heard of routers that hold shares.
+#[derive(Clone, Debug, Default)]
+pub struct Absences {
+    since: HashMap<Incarnation, Millis>,
+}
+
+impl Absences {
+    /// The `holders` that count as dead at `now`, when the routers `live` are heard of.
+    pub fn dead(
+        &mut self,
+        mut holders: Vec<OpenShares>,
+        live: &[(HostId, Incarnation)],
+        now: Millis,
+    ) -> Vec<OpenShares> {
+        holders.retain(|holder| live.iter().all(|(_, incarnation)| *incarnation != holder.incarnation));
+        self.since.retain(|incarnation, _| holders.iter().any(|holder| holder.incarnation == *incarnation));
+        holders.retain(|holder| {
+            let since = *self.since.entry(holder.incarnation).or_insert(now);
+            let replaced = live.iter().any(|(id, _)| *id == holder.router);
+            now.saturating_sub(since) >= if replaced { REPLACED_AFTER } else { ABSENT_AFTER }
+        });
+        holders
+    }
+}
+
 impl Budgets {
     /// Decides on a draw under `cap` without changing anything. The grant is cut to what is left.
     pub fn decide(&self, ask: &DrawAsk, cap: Cost) -> DrawDecision {
--- a/crates/core/tests/budget.rs
+++ b/crates/core/tests/budget.rs
@@ -1,9 +1,9 @@
 //! Spend shares.
 
 use eelgrasswell_core::{
-    budget::{BudgetOp, Budgets, DrawAsk, DrawDecision},
+    budget::{ABSENT_AFTER, Absences, BudgetOp, Budgets, DrawAsk, DrawDecision, REPLACED_AFTER},
     id::Incarnation,
-    unit::Cost,
+    unit::{Cost, Millis},
 };
 use test_case::test_case;
 
@@ -112,3 +112,23 @@
     }
     assert_eq!(warnings, [None, Some(50), None, Some(80), Some(95), None]);
 }
+
+/// Guards against taking money back from a router that is only cut off, and against waiting hours for
+/// one that was replaced. Each sighting is a time with the incarnation that runs on the router's host.
+#[test_case(&[(0, None), (ABSENT_AFTER.0 - 1, None)], false; "cut off")]
+#[test_case(&[(0, None), (ABSENT_AFTER.0, None)], true; "absent for long")]
+#[test_case(&[(0, Some(9)), (REPLACED_AFTER.0 - 1, Some(9))], false; "replaced lately")]
+#[test_case(&[(0, Some(9)), (REPLACED_AFTER.0, Some(9))], true; "replaced")]
+#[test_case(&[(0, None), (1_000, Some(1)), (ABSENT_AFTER.0, None)], false; "heard of in between")]
+#[test_case(&[(0, None), (ABSENT_AFTER.0, Some(1))], false; "heard of again")]
+fn absences_dead(sightings: &[(u64, Option<u64>)], expected: bool) {
+    let mut budgets = Budgets::default();
+    granted(&mut budgets, &ask("a", 1, 60, 0));
+    let mut absences = Absences::default();
+    let mut dead = Vec::new();
+    for (at, incarnation) in sightings {
+        let live: Vec<_> = incarnation.map(|incarnation| ("1".into(), Incarnation(incarnation))).into_iter().collect();
+        dead = absences.dead(budgets.open_shares(), &live, Millis(*at));
+    }
+    assert_eq!(dead.len(), usize::from(expected));
+}
--- a/crates/daemon/src/controller/shards/reconcile.rs
+++ b/crates/daemon/src/controller/shards/reconcile.rs
@@ -3,11 +3,10 @@
 use std::time::Duration;
 
 use eelgrasswell_core::{
-    budget::{BudgetOp, OpenShares},
-    hash::HashMap,
+    budget::{Absences, BudgetOp, OpenShares},
     id::{CustomerId, Incarnation},
     shard::{Op, ShardState},
-    unit::{Cost, Millis},
+    unit::Cost,
 };
 use tokio::{sync::watch, time::timeout};
 
@@ -16,42 +15,26 @@
 
 /// Interval between looks at the routers that hold shares.
 const INTERVAL: Duration = Duration::from_secs(30);
-/// Time after which a router counts as dead whose host runs another incarnation. Its last requests
-/// (deadline 120 s by default) have ended by then and agents have handed their bills on.
-const REPLACED_AFTER: Millis = Millis(180_000);
-/// Time after which an absent router counts as dead without such proof. It may only be cut off, and
-/// it spends from a share that no owner has confirmed for up to `SHARE_LIFETIME`, 90 minutes.
-const ABSENT_AFTER: Millis = Millis(2 * 3_600_000);
-
 /// Runs until the router releases its shards.
 pub async fn run(shards: Shards, mut releasing: watch::Receiver<bool>) {
-    let mut absent: HashMap<Incarnation, Millis> = HashMap::default();
+    let mut absences = Absences::default();
     while timeout(INTERVAL, releasing.wait_for(|releasing| *releasing)).await.is_err() {
-        for holder in dead_holders(&shards, &mut absent).await {
+        for holder in dead_holders(&shards, &mut absences).await {
             reconcile(&shards, holder).await;
         }
     }
 }
 
-/// Holders of shares in owned shards that have been absent for long enough.
-async fn dead_holders(shards: &Shards, absent: &mut HashMap<Incarnation, Millis>) -> Vec<OpenShares> {
-    let now = shards.inner.clock.now();
-    let live = shards.inner.members.routers();
-    let mut missing = Vec::new();
+/// Holders of shares in owned shards that count as dead.
+async fn dead_holders(shards: &Shards, absences: &mut Absences) -> Vec<OpenShares> {
+    let mut holders = Vec::new();
     for shard in self::shards() {
         let Some(handle) = shards.inner.handle(shard) else { continue };
         let read = handle.submit(false, |state: &ShardState| (Vec::new(), state.budgets.open_shares()));
-        missing.extend(read.await.unwrap_or_default());
+        holders.extend(read.await.unwrap_or_default());
     }
-    missing.retain(|holder| live.iter().all(|router| router.incarnation != holder.incarnation));
-    absent.retain(|incarnation, _| missing.iter().any(|holder| holder.incarnation == *incarnation));
-    missing.retain(|holder| {
-        let since = *absent.entry(holder.incarnation).or_insert(now);
-        let replaced = live.iter().any(|router| router.id == holder.router);
-        let limit = if replaced { REPLACED_AFTER } else { ABSENT_AFTER };
-        now.saturating_sub(since) >= limit
-    });
-    missing
+    let live = shards.inner.members.routers().into_iter().map(|router| (router.id, router.incarnation));
+    absences.dead(holders, &live.collect::<Vec<_>>(), shards.inner.clock.now())
 }
 
 async fn reconcile(shards: &Shards, holder: OpenShares) {
