Bound the memory for stalled callers

Cause: nothing bounded what callers that do not read hold in a router. The kernel took whole answers into its send buffers, so the stall was not even seen; and once the send buffer was bounded, the router held 282 KB for each.

The endpoint now bounds the kernel's send buffer, hands answers to hyper in copies of at most 1 KiB (hyper keeps up to 16 frames of a full connection, and a slice kept alive the whole buffer that it was received in), and takes 16 KiB of unread bytes for each answer from an agent. Above 512 stalled callers it cuts off the HTTP/1.1 connections of further ones, which may fetch the rest from the agent. Leaving the agent's stream instead, as before, did not bound anything: the buffers of the connection stayed, and the agent could drop bytes that it counted as read.

HTTP/2 connections are not cut off, since other answers share them.

--- a/crates/daemon/src/controller/membership/channels.rs
+++ b/crates/daemon/src/controller/membership/channels.rs
@@ -17,7 +17,7 @@
 const KEEP_ALIVE_TIMEOUT: Duration = Duration::from_secs(3);
 /// Unread bytes of one call that a connection takes. More of them would sit in memory for each answer
 /// whose caller does not read.
-const STREAM_WINDOW: u32 = 32 << 10;
+const STREAM_WINDOW: u32 = 16 << 10;
 /// Unread bytes of all calls on a connection, the most that HTTP/2 allows: the answers of callers that
 /// do not read must not hold up the others.
 const CONNECTION_WINDOW: u32 = (1 << 31) - 1;
--- a/crates/daemon/src/filter/answer.rs
+++ b/crates/daemon/src/filter/answer.rs
@@ -16,11 +16,15 @@
     header::{HeaderName, HeaderValue, TRAILER},
     http::response::Builder,
 };
-use tokio::{sync::mpsc, time::timeout};
+use tokio::{
+    sync::mpsc::{self, error::SendError},
+    time::timeout,
+};
 use tokio_stream::wrappers::ReceiverStream;
 
 use super::{
     Body, Chain, claim,
+    endpoint::Cut,
     events::{self, Event, Events},
     execute::Run,
     failure::{Failure, full},
@@ -37,6 +41,8 @@
 /// next event is not read before the caller has taken the last.
 const FRAMES: usize = 1;
 
+/// Largest frame. hyper keeps up to 16 frames for a connection that is full.
+const FRAME: usize = 1 << 10;
 /// Time after which a caller that does not read counts as stalled.
 const STALLED_AFTER: Duration = Duration::from_secs(2);
 /// Bytes up to which an answer is read to its end after its caller has gone away. It is less than
@@ -45,10 +51,12 @@
 /// Callers that stopped reading, counted once for each stall.
 const STALLS: &str = "eelgrasswell_stalled_callers_total";
 
-type Sender = mpsc::Sender<eyre::Result<Frame<Bytes>>>;
+type Part = eyre::Result<Frame<Bytes>>;
+type Sender = mpsc::Sender<Part>;
+type Permit<'a> = mpsc::Permit<'a, Part>;
 
 /// Sends an answer that has begun or is complete.
-pub async fn send(run: Run) -> Response<Body> {
+pub async fn send(run: Run, cut: Option<Cut>) -> Response<Body> {
     let Run { head, body, finished, events, settlement, session } = run;
     let status = status(&head);
     let mut response = with_head(&head).header(REQUEST_ID, settlement.request_id.as_str());
@@ -69,7 +77,7 @@
         None => {
             let (tx, body) = channel(body);
             let chain = settlement.chain.clone();
-            chain.spawn(forward(events, settlement, status, tx));
+            chain.spawn(forward(events, settlement, status, Caller { tx, cut }));
             response.header(TRAILER, COST.as_str()).body(body)
         }
     };
@@ -84,11 +92,12 @@
 
 /// Forwards the rest of an answer at the caller's pace. When the caller goes away, short answers
 /// are read to their end, so that the bill settles the budget.
-async fn forward(mut events: Events, settlement: Settlement, status: u16, tx: Sender) {
+async fn forward(mut events: Events, settlement: Settlement, status: u16, caller: Caller) {
+    let tx = &caller.tx;
     loop {
         match events.next().await {
             Ok(Event::Data(chunk)) => {
-                if !deliver(&settlement.chain, &mut events, chunk, &tx).await && events.offset() > MAX_UNREAD {
+                if !caller.take(&settlement.chain, chunk).await && events.offset() > MAX_UNREAD {
                     return;
                 }
             }
@@ -99,54 +108,75 @@
                 return;
             }
             Ok(Event::Failed(failed)) => {
-                break_off(&settlement.request_id, events::reason(&failed.reason), &tx).await;
+                break_off(&settlement.request_id, events::reason(&failed.reason), tx).await;
                 settlement.failed(failed.bill);
                 return;
             }
             Ok(Event::Refused(refused)) => {
-                return break_off(&settlement.request_id, events::reason(&refused.reason), &tx).await;
+                return break_off(&settlement.request_id, events::reason(&refused.reason), tx).await;
             }
-            Err(lost) => return break_off(&settlement.request_id, lost.reason(), &tx).await,
+            Err(lost) => return break_off(&settlement.request_id, lost.reason(), tx).await,
         }
     }
 }
 
-/// Hands a chunk to the caller; false when the caller has gone away. When too many callers do not
-/// read, the agent's stream is left, so that the memory for them does not grow further; the agent
-/// holds the answer as long as it has room.
-async fn deliver(chain: &Chain, events: &mut Events, chunk: Bytes, tx: &Sender) -> bool {
-    if tx.is_closed() {
-        return false;
-    }
-    let slot = match timeout(STALLED_AFTER, tx.reserve()).await {
-        Ok(slot) => slot,
-        Err(_) => {
-            metrics::counter!(STALLS).increment(1);
-            let held = chain.stalled.try_acquire();
-            if held.is_err() {
-                events.leave();
+/// Where an answer goes.
+struct Caller {
+    tx: Sender,
+    /// Cuts off the connection; none for HTTP/2, where other answers share it.
+    cut: Option<Cut>,
+}
+
+impl Caller {
+    /// Hands over a chunk; false when the caller has gone away, or was cut off because too many
+    /// others do not read either.
+    async fn take(&self, chain: &Chain, chunk: Bytes) -> bool {
+        for part in chunk.chunks(FRAME) {
+            if self.tx.is_closed() || !self.take_part(chain, part).await {
+                return false;
             }
-            tx.reserve().await
         }
-    };
-    let Ok(slot) = slot else {
-        metrics::counter!(telemetry::REFUSALS, "reason" => Reason::Cancelled.as_str(), "outcome" => "unknown")
-            .increment(1);
-        return false;
-    };
-    slot.send(Ok(Frame::data(chunk)));
-    true
+        true
+    }
+
+    async fn take_part(&self, chain: &Chain, part: &[u8]) -> bool {
+        let slot = match timeout(STALLED_AFTER, self.tx.reserve()).await {
+            Ok(slot) => slot,
+            Err(_) => self.wait_stalled(chain).await,
+        };
+        let Ok(slot) = slot else {
+            count_refusal(Reason::Cancelled);
+            return false;
+        };
+        // A copy, since a slice would keep alive the whole buffer that it was received in.
+        slot.send(Ok(Frame::data(Bytes::copy_from_slice(part))));
+        true
+    }
+
+    async fn wait_stalled(&self, chain: &Chain) -> Result<Permit<'_>, SendError<()>> {
+        metrics::counter!(STALLS).increment(1);
+        let kept = chain.stalled.try_acquire();
+        if let (Err(_), Some(cut)) = (&kept, &self.cut) {
+            count_refusal(Reason::SlowReader);
+            cut.now();
+        }
+        self.tx.reserve().await
+    }
+}
+
+fn count_refusal(reason: Reason) {
+    metrics::counter!(telemetry::REFUSALS, "reason" => reason.as_str(), "outcome" => "unknown").increment(1);
 }
 
 /// Ends an answer so that the caller sees that it is incomplete.
 async fn break_off(request_id: &RequestId, reason: Reason, tx: &Sender) {
-    metrics::counter!(telemetry::REFUSALS, "reason" => reason.as_str(), "outcome" => "unknown").increment(1);
+    count_refusal(reason);
     event!(Warn, "answer_broken_off", request = request_id, reason = reason);
     let _ = tx.send(Err(eyre::eyre!("the answer to {request_id} broke off: {reason}"))).await;
 }
 
 /// Sends an answer that an agent holds, from an offset on.
-pub async fn fetch(chain: &Chain, fetch: Fetch) -> Result<Response<Body>, Failure> {
+pub async fn fetch(chain: &Chain, fetch: Fetch, cut: Option<Cut>) -> Result<Response<Body>, Failure> {
     let Fetch { customer, request_id, offset } = fetch;
     let gone = |reason: Reason| {
         let message = format!("the answer to {request_id} could not be fetched: {reason}");
@@ -186,7 +216,7 @@
         response.header(COST, cost.unwrap_or_default().0).body(full(Bytes::new()))
     } else {
         let (tx, body) = channel(body);
-        tokio::spawn(forward_held(chain.clone(), agent, request_id.clone(), events, tx));
+        tokio::spawn(forward_held(chain.clone(), agent, request_id.clone(), events, Caller { tx, cut }));
         response.header(TRAILER, COST.as_str()).body(body)
     };
     built.map_err(|err| Failure::from(Refusal::unknown(Reason::Internal)).with_message(err.to_string()))
@@ -194,7 +224,8 @@
 
 /// Forwards the rest of a held answer. Its bill is pushed again, since the router that ran the
 /// request may be gone; a repeated bill counts once.
-async fn forward_held(chain: Chain, agent: HostId, request_id: RequestId, mut events: Events, tx: Sender) {
+async fn forward_held(chain: Chain, agent: HostId, request_id: RequestId, mut events: Events, caller: Caller) {
+    let tx = &caller.tx;
     loop {
         let next = tokio::select! {
             next = events.next() => next,
@@ -202,7 +233,7 @@
         };
         match next {
             Ok(Event::Data(chunk)) => {
-                if !deliver(&chain, &mut events, chunk, &tx).await {
+                if !caller.take(&chain, chunk).await {
                     return;
                 }
             }
@@ -215,9 +246,9 @@
                 }
                 return;
             }
-            Ok(Event::Failed(failed)) => return break_off(&request_id, events::reason(&failed.reason), &tx).await,
-            Ok(Event::Refused(refused)) => return break_off(&request_id, events::reason(&refused.reason), &tx).await,
-            Err(lost) => return break_off(&request_id, lost.reason(), &tx).await,
+            Ok(Event::Failed(failed)) => return break_off(&request_id, events::reason(&failed.reason), tx).await,
+            Ok(Event::Refused(refused)) => return break_off(&request_id, events::reason(&refused.reason), tx).await,
+            Err(lost) => return break_off(&request_id, lost.reason(), tx).await,
         }
     }
 }
--- a/crates/daemon/src/filter/claim.rs
+++ b/crates/daemon/src/filter/claim.rs
@@ -125,7 +125,7 @@
             }
             ClaimResult::Done { request_id, .. } => {
                 let fetch = Fetch { customer: call.customer.clone(), request_id, offset: 0 };
-                return answer::fetch(chain, fetch).await.map(Claimed::Replay);
+                return answer::fetch(chain, fetch, None).await.map(Claimed::Replay);
             }
             ClaimResult::KeyReused => {
                 return Err(Failure::not_run(Reason::KeyReused, "the key was used for another request"));
--- a/crates/daemon/src/filter/endpoint.rs
+++ b/crates/daemon/src/filter/endpoint.rs
@@ -1,17 +1,18 @@
 //! The callers' endpoint: accepts connections and serves HTTP/1.1 and HTTP/2 on each.
 
-use std::{convert::Infallible, sync::Arc, time::Duration};
+use std::{convert::Infallible, net::SocketAddr, sync::Arc, time::Duration};
 
 use eelgrasswell_manifest::settings::CallerLimits;
-use eyre::Result;
-use hyper::service::service_fn;
+use eyre::{Result, WrapErr};
+use futures::future::BoxFuture;
+use hyper::{Request, Version, body::Incoming, service::service_fn};
 use hyper_util::{
     rt::{TokioExecutor, TokioIo, TokioTimer},
     server::{conn::auto::Builder, graceful::GracefulShutdown},
 };
 use tokio::{
-    net::{TcpListener, TcpStream},
-    sync::Semaphore,
+    net::{TcpListener, TcpSocket, TcpStream},
+    sync::{Notify, Semaphore},
     time::{sleep, timeout},
 };
 
@@ -30,6 +31,36 @@
 /// Most answer bytes buffered for one HTTP/2 stream, so that stalled readers cost little memory.
 const SEND_BUFFER: usize = 32 << 10;
 
+/// Unread bytes of an answer that the kernel takes for one caller; by itself it takes megabytes. Linux
+/// counts its own overhead and so doubles the value.
+const KERNEL_BUFFER: u32 = 32 << 10;
+/// Connections that may wait to be accepted.
+const BACKLOG: u32 = 1_024;
+
+/// Cuts off the HTTP/1.1 connection of a caller that does not read. While it is full, hyper does not
+/// ask for more of the answer, so an error in the answer would not reach it.
+#[derive(Clone, Default)]
+pub struct Cut(Arc<Notify>);
+
+impl Cut {
+    /// Closes the connection.
+    pub fn now(&self) {
+        self.0.notify_one();
+    }
+}
+
+/// Binds the callers' endpoint.
+pub fn bind(address: SocketAddr) -> Result<TcpListener> {
+    let open = || {
+        let socket = if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+        socket.set_reuseaddr(true)?;
+        socket.set_send_buffer_size(KERNEL_BUFFER)?;
+        socket.bind(address)?;
+        socket.listen(BACKLOG)
+    };
+    open().wrap_err_with(|| format!("could not bind the callers' endpoint to {address}"))
+}
+
 /// Serves `chain` on `listener` until `stop` is ready and the running requests have finished, at
 /// most for the drain time of the settings.
 pub async fn run(chain: Chain, listener: TcpListener, stop: impl Future<Output = ()>) -> Result<()> {
@@ -54,10 +85,15 @@
             },
             () = &mut stop => break,
         };
-        let connection = serve_connection(&builder, chain.clone(), stream);
+        let cut = Cut::default();
+        let connection = serve_connection(&builder, chain.clone(), stream, cut.clone());
         let connection = graceful.watch(connection);
         tokio::spawn(async move {
-            if let Err(err) = connection.await {
+            let ended = tokio::select! {
+                ended = connection => ended,
+                () = cut.0.notified() => Err("cut off".into()),
+            };
+            if let Err(err) = ended {
                 event!(Debug, "caller_connection_failed", error = err);
             }
             drop(slot);
@@ -82,7 +118,7 @@
         .http1()
         .timer(TokioTimer::new())
         .header_read_timeout(HEAD_TIMEOUT)
-        .max_buf_size(header_bytes.saturating_mul(2).max(MIN_HEADER_BUFFER));
+        .max_buf_size(header_bytes.max(MIN_HEADER_BUFFER));
     builder
         .http2()
         .timer(TokioTimer::new())
@@ -96,13 +132,19 @@
     builder: &Builder<TokioExecutor>,
     chain: Chain,
     stream: TcpStream,
+    cut: Cut,
 ) -> impl hyper_util::server::graceful::GracefulConnection<Error = Box<dyn std::error::Error + Send + Sync>> + Send + 'static
 {
     // Tokens are small writes; waiting for more would add up to 40 ms to each.
     let _ = stream.set_nodelay(true);
-    let service = service_fn(move |req| {
+    let service = service_fn(move |mut req: Request<Incoming>| {
         let chain = chain.clone();
-        async move { Ok::<_, Infallible>(chain.handle(req).await) }
+        if req.version() < Version::HTTP_2 {
+            req.extensions_mut().insert(cut.clone());
+        }
+        // Boxed, since a connection keeps room for the future of a request while it is idle, too.
+        let answer: BoxFuture<_> = Box::pin(async move { Ok::<_, Infallible>(chain.handle(req).await) });
+        answer
     });
     builder.serve_connection(TokioIo::new(stream), service).into_owned()
 }
--- a/crates/daemon/src/filter/events.rs
+++ b/crates/daemon/src/filter/events.rs
@@ -152,13 +152,6 @@
         self.next
     }
 
-    /// Leaves the stream; the next call of `next` joins the answer again. The agent holds what is
-    /// not read meanwhile.
-    pub fn leave(&mut self) {
-        self.stream = None;
-        self.resumes = 0;
-    }
-
     /// Filters one message: drops repetitions, and leaves the connection when bytes are missing.
     fn take(&mut self, message: ExecuteEvent) -> Result<Option<Event>, Lost> {
         use execute_event::Event as Message;
--- a/crates/daemon/src/filter/mod.rs
+++ b/crates/daemon/src/filter/mod.rs
@@ -32,18 +32,19 @@
 use self::{
     backends::{Backends, Live},
     claim::Claimed,
+    endpoint::Cut,
     failure::Failure,
     parse::Parsed,
 };
 use crate::{router::Router, shutdown::Shutdown, telemetry};
 
-pub use self::endpoint::run;
+pub use self::endpoint::{bind, run};
 
 /// Retries that the retry budget has denied, by `reason`.
 const RETRIES_DENIED: &str = "eelgrasswell_retries_denied_total";
 
-/// Stalled callers whose answers may stay on the connection to the agent. With 32 KiB of window for
-/// each they hold at most 16 MiB; the answers of further ones stay at the agents.
+/// Stalled callers that a router keeps. Each was measured at 150 KB with its connection, so this bounds
+/// them at 77 MB. Further ones are cut off and may fetch the rest of their answers from the agents.
 const MAX_STALLED: usize = 512;
 
 /// Tasks that may outlive their callers; more than there can be requests.
@@ -66,7 +67,7 @@
     backends: Arc<dyn Backends>,
     retries: Arc<Mutex<RetryBudget>>,
     memory: Arc<Mutex<route::Memory>>,
-    /// Stalled callers whose answers may stay on the connection to the agent.
+    /// One permit for each stalled caller that is kept.
     stalled: Arc<Semaphore>,
     /// One permit is taken for each task that may outlive its caller.
     tasks: Arc<Semaphore>,
@@ -86,7 +87,7 @@
         }
     }
 
-    /// Sets the number of stalled callers whose answers may stay on the connection to the agent.
+    /// Sets the number of stalled callers that are kept.
     pub fn max_stalled(self, limit: usize) -> Self {
         Self { stalled: Arc::new(Semaphore::new(limit)), ..self }
     }
@@ -129,10 +130,11 @@
     }
 
     async fn filter(&self, id: Uuid, req: Request<Incoming>) -> Result<Response<Body>, Failure> {
+        let cut = req.extensions().get::<Cut>().cloned();
         let caller = authenticate::check(self, req.headers())?;
         let call = match parse::read(self, id, caller, req).await? {
             Parsed::Call(call) => call,
-            Parsed::Fetch(fetch) => return answer::fetch(self, fetch).await,
+            Parsed::Fetch(fetch) => return answer::fetch(self, fetch, cut).await,
         };
         let pin = session::verify(self, &call)?;
         let plan = choose::plan(self, &call, pin.as_ref())?;
@@ -153,7 +155,7 @@
         let chain = self.clone();
         let rest = async move {
             let run = execute::start(&chain, call, pin, plan, held, claim).await?;
-            Ok(answer::send(run).await)
+            Ok(answer::send(run, cut).await)
         };
         if !claimed {
             return rest.await;
--- a/crates/daemon/src/router.rs
+++ b/crates/daemon/src/router.rs
@@ -101,7 +101,7 @@
     pub async fn serve(self, mut shutdown: Shutdown) -> Result<()> {
         let secret = settings::read_secret(&self.settings.host.inner_credential)?;
         let inner = bind(self.settings.host.inner, "inner endpoint").await?;
-        let callers = bind(self.settings.callers, "callers' endpoint").await?;
+        let callers = filter::bind(self.settings.callers)?;
         let operators = bind(self.settings.operators, "operators' endpoint").await?;
         self.spawn_controllers();
         let require = Require::new(secret);
