--- a/crates/core/src/claim.rs
+++ b/crates/core/src/claim.rs
@@ -31,10 +31,13 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Attempt {
     /// Id of the attempt.
+    #[serde(rename = "r")]
     pub request: RequestId,
     /// Agent that shall run it.
+    #[serde(rename = "a")]
     pub agent: HostId,
     /// Incarnation of that agent.
+    #[serde(rename = "i")]
     pub agent_incarnation: Incarnation,
 }
 
@@ -143,13 +146,19 @@
 /// A claim as kept in a snapshot.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct ClaimRecord {
+    #[serde(rename = "k")]
     key: ClaimKey,
+    #[serde(rename = "d")]
     digest: Fingerprint,
+    #[serde(rename = "a")]
     attempt: Attempt,
+    #[serde(rename = "f")]
     fence: Fence,
+    #[serde(rename = "s")]
     state: ClaimState,
     /// Rest of the retention when the snapshot was taken. A restored claim is kept for at least
     /// that long, whatever the clocks of the two owners show.
+    #[serde(rename = "t")]
     rest: Millis,
 }
 
@@ -178,6 +187,12 @@
         }
     }
 
+    /// The attempt whose outcome is not known yet, if the claim is held by one.
+    pub fn pending(&self, key: ClaimKey) -> Option<&Attempt> {
+        let claim = self.claims.get(&key).filter(|claim| claim.state == ClaimState::Pending)?;
+        Some(&claim.attempt)
+    }
+
     /// The change that ends the claim of an attempt; none when it has been made already, or when
     /// another attempt holds the claim.
     pub fn end(&self, key: ClaimKey, request: &RequestId, state: ClaimState) -> Option<ClaimOp> {
--- a/crates/core/src/membership.rs
+++ b/crates/core/src/membership.rs
@@ -4,7 +4,7 @@
 use std::{cmp::Reverse, collections::BTreeMap};
 
 use crate::{
-    hash::{HashMap, stable_hash},
+    hash::stable_hash,
     id::{DomainId, HostId, Incarnation, ServiceName},
     unit::Millis,
 };
@@ -13,6 +13,9 @@
 pub const ROUTERS_PER_AGENT: usize = 8;
 /// Agents of each pool that every router links to, so that small pools are reachable from all routers.
 pub const AGENTS_PER_POOL: usize = 3;
+/// Most links of a router, as a multiple of what it has when all listed routers are alive. A region
+/// with a sixth of the routers that is cut off from the others plans six times as many.
+pub const LINK_LIMIT_FACTOR: usize = 8;
 /// Routers of each failure domain that watch the platform.
 pub const WATCHERS_PER_DOMAIN: usize = 2;
 /// Time without a heartbeat after which a router counts as dead. With 350 routers and two exchanges
@@ -83,6 +86,16 @@
     links.into_values().collect()
 }
 
+/// Keeps the most needed of `links` when a router plans more than `listed_routers` let expect: one
+/// that hears of no peers would otherwise link to all agents of the fleet. Links for the minimum per
+/// pool come first, then those of the lowest rank.
+pub fn limit_links(links: &mut Vec<PlannedLink>, listed_routers: usize, agents: usize) {
+    let expected = (agents * ROUTERS_PER_AGENT).div_ceil(listed_routers.max(1));
+    links.sort_by_key(|link| (link.rank, link.agent));
+    links.truncate(LINK_LIMIT_FACTOR * expected.max(ROUTERS_PER_AGENT));
+    links.sort_by_key(|link| link.agent);
+}
+
 /// Agents that `own` links to whatever their rank, as indices: the first of each pool.
 pub fn pool_agents(own: &HostId, agents: &[Node]) -> Vec<usize> {
     let own = node_hash(own);
@@ -124,19 +137,21 @@
     /// Takes up to `count` nodes round-robin over the failure domains: first the best of each domain
     /// in falling order of weight, then the second best of each, and so on.
     fn pick(&self, key: u64, count: usize) -> Vec<usize> {
-        let mut ranked: Vec<(usize, Reverse<u64>, usize)> = Vec::with_capacity(self.domains.len() * 2);
-        let mut best: Vec<(Reverse<u64>, usize)> = Vec::with_capacity(count + 1);
+        // Rounds that are needed; with many domains one suffices, and only the best of each is sought.
+        let supplied = |rounds: usize| self.domains.iter().map(|domain| domain.len().min(rounds)).sum::<usize>();
+        let rounds = (1..count).find(|&rounds| supplied(rounds) >= count).unwrap_or(count);
+        let mut ranked: Vec<(usize, Reverse<u64>, usize)> = Vec::with_capacity(self.domains.len() * rounds);
+        let mut best: Vec<(Reverse<u64>, usize)> = Vec::with_capacity(rounds + 1);
         for domain in &self.domains {
             best.clear();
-            let depth = count.min(domain.len());
             for &(hash, i) in domain {
                 let entry = (Reverse(weight(key, hash)), i);
-                if best.len() == depth && entry >= best[depth - 1] {
+                if best.len() == rounds && entry >= best[rounds - 1] {
                     continue;
                 }
                 let at = best.partition_point(|other| *other < entry);
                 best.insert(at, entry);
-                best.truncate(depth);
+                best.truncate(rounds);
             }
             ranked.extend(best.iter().enumerate().map(|(round, &(weight, i))| (round, weight, i)));
         }
@@ -161,7 +176,7 @@
 /// Heartbeats of routers, heard directly or through others. `T` is what is known of a router.
 #[derive(Clone, Debug)]
 pub struct Heartbeats<T> {
-    heard: HashMap<HostId, Heard<T>>,
+    heard: BTreeMap<HostId, Heard<T>>,
 }
 
 /// The newest heartbeat of a router.
@@ -179,7 +194,7 @@
 
 impl<T> Default for Heartbeats<T> {
     fn default() -> Self {
-        Self { heard: HashMap::default() }
+        Self { heard: BTreeMap::new() }
     }
 }
 
@@ -201,15 +216,17 @@
 
     /// Drops routers that count as dead at `now`.
     pub fn expire(&mut self, now: Millis) {
-        self.heard.retain(|_, heard| now.saturating_sub(heard.at) < DEAD_AFTER);
+        self.heard.retain(|_, heard| heard.is_live(now));
     }
 
     /// Routers that are alive at `now`, leaving ones included, in order of id.
-    pub fn live(&self, now: Millis) -> Vec<(&HostId, &Heard<T>)> {
-        let mut live: Vec<_> =
-            self.heard.iter().filter(|(_, heard)| now.saturating_sub(heard.at) < DEAD_AFTER).collect();
-        live.sort_by_key(|(id, _)| *id);
-        live
+    pub fn live(&self, now: Millis) -> impl Iterator<Item = (&HostId, &Heard<T>)> {
+        self.heard.iter().filter(move |(_, heard)| heard.is_live(now))
+    }
+
+    /// Like `live`; for heartbeats of routers that are known already, which only raise `at`.
+    pub fn live_mut(&mut self, now: Millis) -> impl Iterator<Item = (&HostId, &mut Heard<T>)> {
+        self.heard.iter_mut().filter(move |(_, heard)| heard.is_live(now))
     }
 
     /// What is known of the router at `id`.
@@ -217,3 +234,9 @@
         self.heard.get(id)
     }
 }
+
+impl<T> Heard<T> {
+    fn is_live(&self, now: Millis) -> bool {
+        now.saturating_sub(self.at) < DEAD_AFTER
+    }
+}
--- a/crates/daemon/src/agent/service.rs
+++ b/crates/daemon/src/agent/service.rs
@@ -5,6 +5,7 @@
 use eelgrasswell_core::{
     id::{CustomerId, Fence, RequestId},
     refusal::{Reason, Refusal},
+    unit::Millis,
 };
 use eelgrasswell_proto::v1::{
     Accepted, AgentBeat, ExecuteEvent, ExecuteRequest, OrderReply, OrderRequest, ResolveReply, ResolveRequest,
@@ -44,12 +45,13 @@
         if id.is_empty() {
             return Err(Refusal::not_run(Reason::BadRequest));
         }
+        let deadline = (req.deadline_ms > 0).then(|| agent.clock.now() + Millis(req.deadline_ms));
         let checked = agent.check(&req).await?;
         agent.fences.reserve(&id)?;
         let accepted = Accepted { revision: agent.config.revision().0, agent_incarnation: agent.incarnation.0 };
         let begun = agent.answers.begin(&id, &CustomerId::from(&*req.customer), accepted);
         let (answer, reader) = begun.inspect_err(|_| agent.fences.release(&id))?;
-        tokio::spawn(run::run(agent.clone(), req, checked, answer));
+        tokio::spawn(run::run(agent.clone(), req, checked, deadline, answer));
         Ok(reader)
     }
 
@@ -152,14 +154,14 @@
         match self.agent.fences.bar(id) {
             Fate::Barred => resolve_reply::Fate::Barred,
             Fate::Waiting | Fate::Running => resolve_reply::Fate::Running,
-            Fate::Ended => match self.agent.answers.whole(id, customer) {
-                Some((status, body)) => {
-                    reply.status = status;
-                    reply.body = body;
-                    resolve_reply::Fate::Finished
-                }
-                None => resolve_reply::Fate::Unknown,
-            },
+            Fate::Ended => {
+                let kept = self.agent.fences.outcome(id, customer).map(|outcome| (outcome.status, outcome.body));
+                let Some((status, body)) = kept.or_else(|| self.agent.answers.whole(id, customer)) else {
+                    return resolve_reply::Fate::Unknown;
+                };
+                (reply.status, reply.body) = (status, body);
+                resolve_reply::Fate::Finished
+            }
         }
     }
 }
--- a/crates/daemon/tests/distribution/agent.rs
+++ b/crates/daemon/tests/distribution/agent.rs
@@ -1,10 +1,11 @@
 //! Stand-in for an agent: answers each heartbeat of a link with its own.
 
 use std::{
+    mem,
     net::SocketAddr,
     pin::Pin,
     sync::{
-        Arc,
+        Arc, Mutex,
         atomic::{AtomicBool, AtomicU64, Ordering},
     },
 };
@@ -14,12 +15,51 @@
     config::ConfigHandle,
     platform::{HostEntry, HostRole},
 };
-use eelgrasswell_proto::v1::{self, AgentBeat, RouterBeat, agent_server};
+use eelgrasswell_proto::v1::{self, AgentBeat, BillRecord, RouterBeat, agent_server};
 use futures::Stream;
-use tokio::{net::TcpListener, sync::mpsc};
+use tokio::{
+    io::copy_bidirectional,
+    net::{TcpListener, TcpStream},
+    sync::{mpsc, watch},
+};
 use tokio_stream::wrappers::{ReceiverStream, TcpListenerStream};
 use tonic::{Request, Response, Status, Streaming};
 
+/// Forwards connections to an agent until it is frozen. Frozen connections stay open and carry
+/// nothing; new ones work.
+pub struct Proxy {
+    pub address: SocketAddr,
+    frozen: watch::Sender<u64>,
+}
+
+impl Proxy {
+    pub async fn open(target: SocketAddr) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let frozen = watch::channel(0).0;
+        let freezes = frozen.clone();
+        tokio::spawn(async move {
+            loop {
+                let (mut near, _) = listener.accept().await.unwrap();
+                let mut freeze = freezes.subscribe();
+                tokio::spawn(async move {
+                    let mut far = TcpStream::connect(target).await.unwrap();
+                    tokio::select! {
+                        _ = copy_bidirectional(&mut near, &mut far) => {}
+                        _ = freeze.changed() => std::future::pending().await,
+                    }
+                });
+            }
+        });
+        Self { address, frozen }
+    }
+
+    /// Freezes all open connections.
+    pub fn freeze(&self) {
+        self.frozen.send_modify(|n| *n += 1);
+    }
+}
+
 /// What the agent sees.
 #[derive(Debug)]
 pub enum Seen {
@@ -41,6 +81,7 @@
     id: String,
     incarnation: AtomicU64,
     silent: AtomicBool,
+    unsettled: Mutex<Vec<BillRecord>>,
     config: ConfigHandle,
     tx: mpsc::UnboundedSender<Seen>,
 }
@@ -57,6 +98,7 @@
             id: id.into(),
             incarnation: AtomicU64::new(1),
             silent: AtomicBool::new(false),
+            unsettled: Mutex::default(),
             config: config.clone(),
             tx,
         });
@@ -71,6 +113,11 @@
         self.shared.silent.store(silent, Ordering::SeqCst);
     }
 
+    /// Offers a bill in the next heartbeat.
+    pub fn offer(&self, bill: BillRecord) {
+        self.shared.unsettled.lock().unwrap().push(bill);
+    }
+
     /// Changes the incarnation, as a restart does.
     pub fn set_incarnation(&self, incarnation: u64) {
         self.shared.incarnation.store(incarnation, Ordering::SeqCst);
@@ -120,6 +167,7 @@
             load: Some(v1::Load { running: 3, limit: 8, ..Default::default() }),
             domain: "d1".into(),
             service: "engines".into(),
+            unsettled: mem::take(&mut self.unsettled.lock().unwrap()),
             ..Default::default()
         }
     }
--- a/crates/daemon/tests/distribution/fleet.rs
+++ b/crates/daemon/tests/distribution/fleet.rs
@@ -1,9 +1,18 @@
 //! Several routers: election of watchers, spreading of changes, and a router that leaves.
 
-use eelgrasswell_core::id::{Revision, ShardId};
+use std::time::Instant;
+
+use eelgrasswell_core::{
+    id::{Revision, ShardId},
+    unit::Millis,
+};
+use eelgrasswell_daemon::controller::membership::Gossip;
+use eelgrasswell_proto::v1::{HostInfo, HostSection, RouterInfo, SyncReply};
+use prost::Message;
 use tokio::runtime::Runtime;
 
 use crate::{
+    agent::FakeAgent,
     platform::FakePlatform,
     routers::{self, TestRouter},
     until, within,
@@ -16,7 +25,7 @@
         let domain = format!("d{}", i % domains);
         fleet.push(routers::open(&format!("r{i}"), &domain, platform.address, &[]).await);
     }
-    platform.set_hosts(fleet.iter().map(TestRouter::entry).collect());
+    platform.set_hosts(fleet.iter().map(TestRouter::entry).collect()).await;
     fleet.iter().for_each(TestRouter::start);
     for router in &fleet {
         let members = &router.router.members;
@@ -26,24 +35,89 @@
 }
 
 /// Guards against reads of the platform that grow with the fleet: at most two routers of each
-/// failure domain watch, and a change still reaches all.
+/// failure domain watch, and changes of configuration and host list still reach all.
 #[tokio::test(flavor = "multi_thread")]
 async fn fleet_elects_watchers() {
+    const COMMITS: u64 = 5;
     let platform = FakePlatform::open().await;
     let fleet = fleet(&platform, 3, 5).await;
     let watchers = fleet.iter().filter(|router| router.router.members.is_watcher()).count();
     assert_eq!(watchers, 6);
-    let reader = fleet.iter().find(|router| !router.router.members.is_watcher()).unwrap();
-    reader.add_domain("s1", "d1").await;
+    let mut agent = FakeAgent::open("a1").await;
+    platform.set_hosts(fleet.iter().map(TestRouter::entry).chain([agent.entry()]).collect()).await;
     for router in &fleet {
-        within("the change", router.router.config.reached(Revision(1))).await;
-        within("the confirmation", async {
-            while router.router.config.is_stale() {
-                let _ = platform.changes().changed().await;
-            }
-        })
-        .await;
+        let members = &router.router.members;
+        until("the agent in the host list", members.changes(), || members.agents().len() == 1).await;
+    }
+    agent.opened().await;
+    let writer = fleet.iter().find(|router| !router.router.members.is_watcher()).unwrap();
+    for i in 1..=COMMITS {
+        let start = Instant::now();
+        writer.add_domain(&format!("s{i}"), &format!("d{i}")).await;
+        for router in &fleet {
+            within("the change", router.router.config.reached(Revision(i))).await;
+        }
+        let routers = start.elapsed();
+        within("the change at the agent", agent.config.reached(Revision(i))).await;
+        println!("change {i} at {} routers after {routers:?}, at the agent after {:?}", fleet.len(), start.elapsed());
     }
+    within("the confirmation at all routers", async {
+        while fleet.iter().any(|router| router.router.config.is_stale()) {
+            platform.reads(1).await;
+        }
+    })
+    .await;
+}
+
+/// Guards against control messages that grow beyond the budget of a node at the size of the
+/// largest fleet: the exchanges may take a third of the 13 KB/s, since links take most of it.
+#[tokio::test]
+async fn fleet_gossip_size() {
+    const ROUTERS: usize = 350;
+    let router = routers::open("r0", "d0", routers::closed_address().await, &[]).await;
+    let infos = (1..ROUTERS).map(|i| RouterInfo {
+        id: format!("router-{i}"),
+        domain: format!("domain-{}", i % 15),
+        address: format!("10.0.{}.{}:7000", i / 256, i % 256),
+        incarnation: i as u64,
+        leaving: false,
+        heard_ms_ago: 500,
+    });
+    let hosts = (0..15).map(|i| HostSection {
+        domain: format!("domain-{i}"),
+        digest: 1,
+        observed_ms_ago: 1_500,
+        complete: true,
+        entries: vec![HostInfo {
+            id: format!("agent-{i}"),
+            router: false,
+            address: "10.1.0.1:7000".into(),
+            service: "engines".into(),
+            leaving: false,
+        }],
+    });
+    let members = &router.router.members;
+    let theirs = Gossip { routers: infos.collect(), hosts: hosts.collect(), ..Gossip::default() };
+    members.receive(None, &theirs, Millis(0));
+    assert_eq!(members.routers().len(), ROUTERS);
+
+    let gossip = members.gossip();
+    let reply = members.reply_to(&gossip);
+    assert!(reply.routers.is_empty() && reply.hosts.is_empty(), "nothing to learn");
+    let message = SyncReply {
+        from: Some(members.own_info()),
+        revision: 14_000,
+        confirmed_ms_ago: 500,
+        routers_digest: reply.routers_digest,
+        heard: reply.heard,
+        hosts_digest: reply.hosts_digest,
+        owners_digest: u64::MAX,
+        ..SyncReply::default()
+    };
+    let size = message.encoded_len();
+    println!("a message of {ROUTERS} routers that know the same: {size} bytes");
+    // Two exchanges a second that the router starts and two that others start, two messages each.
+    assert!(8 * size < 13_000 / 3, "{size} bytes");
 }
 
 /// Guards against shards that go to a router which is leaving.
@@ -77,7 +151,7 @@
     let opened = process.spawn(async move { routers::open("r2", "d1", address, &[]).await });
     let second = opened.await.unwrap();
     first.start();
-    platform.set_hosts(vec![first.entry(), second.entry()]);
+    platform.set_hosts(vec![first.entry(), second.entry()]).await;
     until("the second router", members.changes(), || members.routers().len() == 2).await;
     process.shutdown_background();
     until("the second router to be dropped", members.changes(), || members.routers().len() == 1).await;
--- a/crates/daemon/tests/distribution/links.rs
+++ b/crates/daemon/tests/distribution/links.rs
@@ -1,9 +1,11 @@
 //! Links between a router and an agent.
 
 use eelgrasswell_core::id::{HostId, Incarnation, Revision, ServiceName};
+use eelgrasswell_daemon::platform::HostEntry;
+use eelgrasswell_proto::v1::BillRecord;
 
 use crate::{
-    agent::FakeAgent,
+    agent::{FakeAgent, Proxy},
     platform::FakePlatform,
     routers::{self, TestRouter},
     until, within,
@@ -13,7 +15,7 @@
     let platform = FakePlatform::open().await;
     let agent = FakeAgent::open("a1").await;
     let router = routers::open("r1", "d1", platform.address, &[]).await;
-    platform.set_hosts(vec![router.entry(), agent.entry()]);
+    platform.set_hosts(vec![router.entry(), agent.entry()]).await;
     router.start();
     candidate(&router).await;
     (platform, router, agent)
@@ -66,6 +68,23 @@
     candidate(&router).await;
 }
 
+/// Guards against a link that is opened again over the connection which has gone silent, while new
+/// connections work.
+#[tokio::test(flavor = "multi_thread")]
+async fn link_connection_goes_silent() {
+    let platform = FakePlatform::open().await;
+    let agent = FakeAgent::open("a1").await;
+    let proxy = Proxy::open(agent.address).await;
+    let router = routers::open("r1", "d1", platform.address, &[]).await;
+    platform.set_hosts(vec![router.entry(), HostEntry { address: proxy.address, ..agent.entry() }]).await;
+    router.start();
+    candidate(&router).await;
+    proxy.freeze();
+    let links = &router.router.links;
+    until("the link to be dropped", links.changes(), || candidates(&router) == 0).await;
+    candidate(&router).await;
+}
+
 /// Guards against work of an earlier incarnation of an agent being counted for the new one.
 #[tokio::test(flavor = "multi_thread")]
 async fn link_agent_restarts() {
@@ -86,21 +105,35 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn link_host_leaves() {
     let (platform, router, mut agent) = linked().await;
-    let leaving = eelgrasswell_daemon::platform::HostEntry { leaving: true, ..agent.entry() };
-    platform.set_hosts(vec![router.entry(), leaving]);
+    let leaving = HostEntry { leaving: true, ..agent.entry() };
+    platform.set_hosts(vec![router.entry(), leaving]).await;
     agent.beat("a heartbeat that says so", |beat| beat.leaving).await;
     let links = &router.router.links;
     let is_leaving = || links.candidates(&ServiceName::from("engines"))[0].1.leaving;
     until("the mark", links.changes(), is_leaving).await;
 }
 
+/// Guards against bills that an agent offers and that are lost on the way to the shards, and against
+/// an agent that is not told that its bill is durable.
+#[tokio::test(flavor = "multi_thread")]
+async fn link_settles_bills() {
+    let (_platform, router, mut agent) = linked().await;
+    router.router.shards.spawn();
+    router.router.bills.spawn();
+    agent.offer(BillRecord { request_id: "1.a1".into(), customer: "c1".into(), ..Default::default() });
+    let beat = agent.beat("the settled bill", |beat| !beat.settled.is_empty()).await;
+    assert_eq!(beat.settled, ["1.a1"]);
+    let bills = router.router.shards.read_bills(&"c1".into()).await.unwrap();
+    assert_eq!(bills.len(), 1);
+}
+
 /// Guards against links to agents that the host list no longer names, and clients of unknown hosts.
 #[tokio::test(flavor = "multi_thread")]
 async fn link_ends_with_host() {
     let (platform, router, _agent) = linked().await;
     let links = &router.router.links;
     assert!(links.client(&HostId::from("a1")).is_some());
-    platform.set_hosts(vec![router.entry()]);
+    platform.set_hosts(vec![router.entry()]).await;
     until("the link to end", links.changes(), || candidates(&router) == 0).await;
     assert!(links.client(&HostId::from("a1")).is_none());
 }
--- a/crates/testbed/src/plan.rs
+++ b/crates/testbed/src/plan.rs
@@ -11,6 +11,10 @@
     pub agents: Vec<AgentPlan>,
     /// Extra arguments of the engine stand-ins.
     pub engine_args: Vec<String>,
+    /// Worker threads of each router; the number of cores when not given.
+    pub worker_threads: Option<u32>,
+    /// Whether a fault link lies in front of each inner endpoint, and between each router and the platform.
+    pub fault_links: bool,
     /// Manifest that is submitted at the start.
     pub manifest: Value,
 }
@@ -48,6 +52,8 @@
             routers: vec!["lautoka", "nadi"],
             agents: vec![engine("lautoka"), engine("nadi"), engine("ba"), plain("lautoka"), plain("sigatoka")],
             engine_args: Vec::new(),
+            worker_threads: None,
+            fault_links: false,
             manifest: manifest(),
         }
     }
