Bill a request once over its attempts, and bill what a dead agent delivered

Cause of the first: the ledger was keyed by the id of the attempt, <uuid>.<host>. Ledger and shard of a bill now go by the uuid; the bill that comes first counts. The router now bills the tokens that it passed on, one per event; if the agent lives after all, the first of both bills counts, so the amount may be that of the part. Ruled out: parsing each event at the router as the agent's meter does, because of its cost at 75,000 tokens/s; not measured.

The audit tells apart what reached a caller and has no bill (never allowed) from what ran on a lost agent without any byte to a caller.

--- a/crates/core/src/ledger.rs
+++ b/crates/core/src/ledger.rs
@@ -70,8 +70,8 @@
 /// The bills of one shard.
 #[derive(Clone, Debug, Default)]
 pub struct Ledger {
-    /// Bills that are in no sealed segment.
-    recent: HashMap<RequestId, BillOp>,
+    /// Bills that are in no sealed segment, by [`request_of`].
+    recent: HashMap<CompactString, BillOp>,
     /// Ids of sealed bills, with the time at which they are forgotten.
     sealed: HashMap<BillId, Millis>,
     totals: HashMap<(CustomerId, CompactString), Total>,
@@ -91,9 +91,9 @@
 }
 
 impl Ledger {
-    /// Whether the bill of `request` is recorded.
+    /// Whether an attempt of the same request is recorded.
     pub fn contains(&self, request: &RequestId) -> bool {
-        self.recent.contains_key(request) || self.sealed.contains_key(&bill_id(request))
+        self.recent.contains_key(request_of(request.as_str())) || self.sealed.contains_key(&bill_id(request))
     }
 
     /// Adds a bill; false when its request has one already, which stays.
@@ -104,7 +104,7 @@
         let total = self.totals.entry((op.bill.customer.clone(), op.period.clone())).or_default();
         total.bills += 1;
         total.cost += op.bill.cost;
-        self.recent.insert(op.bill.request.clone(), op.clone());
+        self.recent.insert(request_of(op.bill.request.as_str()).into(), op.clone());
         true
     }
 
@@ -131,7 +131,7 @@
     /// Notes that these bills are kept in a segment; only their ids stay in memory.
     pub fn seal(&mut self, bills: &[Bill], now: Millis) {
         for bill in bills {
-            if self.recent.remove(&bill.request).is_some() {
+            if self.recent.remove(request_of(bill.request.as_str())).is_some() {
                 self.sealed.insert(bill_id(&bill.request), now + BILL_ID_RETENTION);
             }
         }
@@ -170,14 +170,21 @@
             let expires = now + rest;
             sealed.extend(ids.chunks_exact(16).filter_map(|id| Some((BillId::try_from(id).ok()?, expires))));
         }
-        let recent = record.recent.into_iter().map(|op| (op.bill.request.clone(), op)).collect();
+        let recent = record.recent.into_iter().map(|op| (request_of(op.bill.request.as_str()).into(), op)).collect();
         let totals = record.totals.into_iter().map(|(customer, period, total)| ((customer, period), total)).collect();
         Some(Self { recent, sealed, totals })
     }
 }
 
+/// The part of an attempt's id `<uuid>.<host>` that all attempts of its request share. A request that
+/// ran again, after the connection to an agent that lives was lost, has bills of two attempts.
+pub fn request_of(attempt: &str) -> &str {
+    attempt.split_once('.').map_or(attempt, |(request, _)| request)
+}
+
 fn bill_id(request: &RequestId) -> BillId {
-    let low = stable_hash(&["bill", request.as_str()]);
-    let high = stable_hash(&[request.as_str(), "bill"]);
+    let request = request_of(request.as_str());
+    let low = stable_hash(&["bill", request]);
+    let high = stable_hash(&[request, "bill"]);
     (u128::from(high) << 64 | u128::from(low)).to_be_bytes()
 }
--- a/crates/core/tests/ledger.rs
+++ b/crates/core/tests/ledger.rs
@@ -16,13 +16,15 @@
     Ledger::restore(serde_json::from_str(&json).unwrap(), now).unwrap()
 }
 
-/// Guards against a bill that counts twice: sent by both holders, from a sealed segment, or after a
-/// takeover.
-#[test_case(false, false; "in memory")]
-#[test_case(true, false; "sealed")]
-#[test_case(false, true; "restored")]
-#[test_case(true, true; "sealed and restored")]
-fn apply_duplicate(seal: bool, restore: bool) {
+/// Guards against a bill that counts twice: sent by both holders, from a sealed segment, after a takeover,
+/// or for two attempts of a request.
+#[test_case(false, false, "r1"; "in memory")]
+#[test_case(true, false, "r1"; "sealed")]
+#[test_case(false, true, "r1"; "restored")]
+#[test_case(true, true, "r1"; "sealed and restored")]
+#[test_case(false, false, "r1.host-2"; "other attempt")]
+#[test_case(true, true, "r1.host-2"; "other attempt sealed and restored")]
+fn apply_duplicate(seal: bool, restore: bool, again: &str) {
     let mut ledger = Ledger::default();
     assert!(ledger.apply(&op("r1", "p")));
     if seal {
@@ -31,7 +33,7 @@
     if restore {
         ledger = restored(&ledger, Millis(10), Millis(1));
     }
-    assert!(!ledger.apply(&op("r1", "later")));
+    assert!(!ledger.apply(&op(again, "later")));
     assert_eq!(ledger.total(&"c".into(), "p"), Total { bills: 1, cost: Cost(5) });
     assert_eq!(ledger.total(&"c".into(), "later"), Total::default());
     assert_eq!(ledger.recent().count(), usize::from(!seal));
--- a/crates/daemon/src/controller/shards/mod.rs
+++ b/crates/daemon/src/controller/shards/mod.rs
@@ -29,6 +29,7 @@
     claim::MAX_KEPT_ANSWER,
     hash::{HashMap, stable_hash},
     id::{CustomerId, Fence, HostId, Incarnation, RequestId, ShardId},
+    ledger::request_of,
     unit::{Cost, Millis},
 };
 use eelgrasswell_manifest::settings::RouterSettings;
@@ -392,9 +393,10 @@
     shard_of_hash(stable_hash(&["claim", customer, key]))
 }
 
-/// The shard of a bill. Bills of one customer are spread, since a few customers are large.
+/// The shard of a bill, the same for all attempts of a request. Bills of one customer are spread, since
+/// a few customers are large.
 pub(super) fn shard_of_bill(request_id: &str) -> ShardId {
-    shard_of_hash(stable_hash(&["bill", request_id]))
+    shard_of_hash(stable_hash(&["bill", request_of(request_id)]))
 }
 
 fn shard_of_key(key: &str) -> ShardId {
--- a/crates/daemon/src/filter/answer.rs
+++ b/crates/daemon/src/filter/answer.rs
@@ -6,7 +6,7 @@
 use eelgrasswell_core::{
     id::{HostId, RequestId},
     refusal::{Reason, Refusal},
-    unit::Cost,
+    unit::{Cost, Tokens},
 };
 use eelgrasswell_proto::v1::Head;
 use http_body_util::{BodyExt, StreamBody};
@@ -56,8 +56,9 @@
             response.header(COST, cost.0).body(full(body))
         }
         None => {
+            let delivered = body.iter().map(count_tokens).sum();
             let (tx, body) = channel(body);
-            tokio::spawn(forward(events, settlement, status, tx));
+            tokio::spawn(forward(events, settlement, status, delivered, tx));
             response.header(TRAILER, COST.as_str()).body(body)
         }
     };
@@ -71,7 +72,7 @@
 }
 
 /// Forwards the rest of an answer at the caller's pace.
-async fn forward(mut events: Events, settlement: Settlement, status: u16, tx: Sender) {
+async fn forward(mut events: Events, settlement: Settlement, status: u16, mut delivered: Tokens, tx: Sender) {
     loop {
         let next = tokio::select! {
             next = events.next() => next,
@@ -84,6 +85,7 @@
         };
         match next {
             Ok(Event::Data(chunk)) => {
+                delivered += count_tokens(&chunk);
                 let _ = tx.send(Ok(Frame::data(chunk))).await;
             }
             Ok(Event::Head(_)) => {}
@@ -104,12 +106,18 @@
             }
             Err(lost) => {
                 break_off(&settlement.request_id, lost.reason(), &tx).await;
+                settlement.lost(delivered);
                 return;
             }
         }
     }
 }
 
+/// Tokens in a piece of a stream. Engines send one in each event, and an empty line ends an event.
+fn count_tokens(chunk: &Bytes) -> Tokens {
+    Tokens(chunk.windows(2).filter(|pair| *pair == b"\n\n").count() as u64)
+}
+
 /// Ends an answer so that the caller sees that it is incomplete.
 async fn break_off(request_id: &RequestId, reason: Reason, tx: &Sender) {
     metrics::counter!(telemetry::REFUSALS, "reason" => reason.as_str(), "outcome" => "unknown").increment(1);
--- a/crates/daemon/src/filter/execute.rs
+++ b/crates/daemon/src/filter/execute.rs
@@ -6,7 +6,7 @@
 use eelgrasswell_core::{
     id::{HostId, RequestId, Revision},
     refusal::{Outcome, Reason, Refusal},
-    unit::{Cost, Millis},
+    unit::{Cost, Millis, Tokens},
 };
 use eelgrasswell_manifest::manifest::VersionState;
 use eelgrasswell_proto::v1::{BillRecord, ExecuteRequest, Failed, Finished, Head, Refused};
@@ -66,6 +66,8 @@
     customer: eelgrasswell_core::id::CustomerId,
     held: Held,
     claim: Option<Box<Claim>>,
+    /// Estimate of the prompt's length; zero for a plain service.
+    prompt: Tokens,
     first_token: Option<Millis>,
     _outstanding: Option<Outstanding>,
 }
@@ -301,6 +303,10 @@
             customer: self.call.customer.clone(),
             held: self.held.take().expect("money is held while the request runs"),
             claim: self.claim.take(),
+            prompt: match &self.call.target {
+                Target::Model(target) => target.prompt,
+                Target::Plain(_) => Tokens(0),
+            },
             first_token,
             _outstanding: outstanding,
         };
@@ -549,4 +555,27 @@
             self.chain.router.bills.push(&self.agent, bill);
         }
     }
+
+    /// Bills what was delivered of an answer whose agent cannot be reached any more, since its bill may
+    /// have died with it. If it has not, the bill that comes first counts. The reservation stays spent.
+    pub fn lost(self, delivered: Tokens) {
+        let router = &self.chain.router;
+        let Choice { model, version, .. } = &self.choice;
+        let config = router.config.current();
+        let Some(prices) = config.manifest.models.get(model).and_then(|model| model.versions.get(version)) else {
+            return;
+        };
+        let bill = BillRecord {
+            request_id: self.request_id.to_string(),
+            customer: self.customer.to_string(),
+            model: model.to_string(),
+            version: version.to_string(),
+            prompt_tokens: self.prompt.0,
+            output_tokens: delivered.0,
+            cost_micros: prices.cost(self.prompt, delivered).0,
+            service: self.choice.service.to_string(),
+            router_incarnation: router.incarnation.0,
+        };
+        router.bills.push(&self.agent, bill);
+    }
 }
--- a/crates/testbed/src/cells.rs
+++ b/crates/testbed/src/cells.rs
@@ -161,7 +161,7 @@
     let audit = audit(fleet, 0, &records).await?;
     println!("{:?}, {} runs, {} bills, {} retries", audit.ends, audit.runs, audit.bills, audit.retries);
     for &step in steps {
-        check(step, &audit, &records, (began, ended)).wrap_err_with(|| format!("cell {step:?}"))?;
+        check(step, faults, &audit, &records, (began, ended)).wrap_err_with(|| format!("cell {step:?}"))?;
     }
     ensure!(audit.broken.is_empty(), "{:#?}", audit.broken);
     Ok(())
@@ -260,19 +260,20 @@
 }
 
 /// Checks the records of one step. The audit has checked each single request.
-fn check(step: Step, audit: &Audit, records: &[Record], fault: (Instant, Instant)) -> Result<()> {
+fn check(step: Step, faults: &[Fault], audit: &Audit, records: &[Record], time: (Instant, Instant)) -> Result<()> {
     let kind = match step {
         Step::Stream => CallKind::Stream,
         Step::Booking => CallKind::Booking,
         Step::Session => CallKind::Session,
         Step::Bill => {
             ensure!(audit.unbilled.is_empty(), "ran and not billed: {:#?}", audit.unbilled);
-            ensure!(audit.billed_twice.is_empty(), "{:#?}", audit.billed_twice);
+            let lost = faults.iter().any(|fault| fault.loses_agent());
+            ensure!(lost || audit.undelivered.is_empty(), "ran for nobody: {:#?}", audit.undelivered);
             return Ok(());
         }
         Step::Config | Step::Rollout | Step::Lease | Step::Drain => return Ok(()),
     };
-    let during = records.iter().filter(|record| record.kind == kind && record.sent < fault.1 && record.ended > fault.0);
+    let during = records.iter().filter(|record| record.kind == kind && record.sent < time.1 && record.ended > time.0);
     ensure!(during.count() > 0, "no request was in flight during the fault");
     Ok(())
 }
--- a/crates/testbed/src/load/audit.rs
+++ b/crates/testbed/src/load/audit.rs
@@ -29,10 +29,10 @@
     pub retries: u64,
     /// Broken promises, each with the request concerned.
     pub broken: Vec<String>,
-    /// Requests that ran and have no bill.
+    /// Requests whose answer reached its caller, in whole or in part, and that have no bill.
     pub unbilled: Vec<String>,
-    /// Requests with more than one bill.
-    pub billed_twice: Vec<String>,
+    /// Requests that ran and have no bill, and of whose answer nothing reached the caller.
+    pub undelivered: Vec<String>,
     /// Requests whose answer broke off and was fetched again.
     pub cut: Vec<String>,
     /// Requests whose caller got nothing definite or an unknown outcome.
@@ -40,6 +40,7 @@
 }
 
 struct Bill {
+    attempt: String,
     customer: &'static str,
     cost: u64,
 }
@@ -69,20 +70,18 @@
             audit.check_booking(record, runs_by_key.get(&record.key).copied().unwrap_or(0));
         }
     }
-    let mut bills_by_request: HashMap<&str, usize> = HashMap::new();
-    for (id, bills) in &bills {
-        *bills_by_request.entry(request(id)).or_default() += bills.len();
+    for (request, bills) in &bills {
         if bills.len() > 1 {
-            audit.broken.push(format!("{id} is billed {} times", bills.len()));
+            audit.broken.push(format!("request {request} is billed {} times", bills.len()));
         }
-        if !ran.contains(id) {
-            audit.broken.push(format!("{id} is billed but did not run"));
+        for bill in bills.iter().filter(|bill| !ran.contains(&bill.attempt)) {
+            audit.broken.push(format!("{} is billed but did not run", bill.attempt));
         }
     }
     // A request that ran again after an agent was lost has one bill for all its attempts.
-    audit.unbilled = ran.iter().filter(|id| !bills_by_request.contains_key(request(id))).cloned().collect();
-    let twice = bills_by_request.iter().filter(|(_, bills)| **bills > 1);
-    audit.billed_twice = twice.map(|(request, bills)| format!("request {request} has {bills} bills")).collect();
+    let unbilled = ran.iter().filter(|id| !bills.contains_key(request(id))).cloned();
+    let answered: HashSet<&str> = records.iter().map(|record| request(&record.answered)).collect();
+    (audit.unbilled, audit.undelivered) = unbilled.partition(|id| answered.contains(request(id)));
     audit.cut = records.iter().filter(|record| record.cut).map(|record| record.answered.clone()).collect();
     Ok(audit)
 }
@@ -92,7 +91,7 @@
     id.split('.').next().unwrap_or_default()
 }
 
-/// Reads the bills until each run has one or the time is over.
+/// Reads the bills, by request, until each run has one or the time is over.
 async fn settled_bills(fleet: &Fleet, router: usize, ran: &HashSet<String>) -> Result<HashMap<String, Vec<Bill>>> {
     let started = Instant::now();
     loop {
@@ -104,13 +103,12 @@
                 continue;
             };
             for bill in reply["bills"].as_array().into_iter().flatten() {
-                let id = bill["request_id"].as_str().unwrap_or_default().to_owned();
+                let attempt = bill["request_id"].as_str().unwrap_or_default().to_owned();
                 let cost = bill["cost_micros"].as_u64().unwrap_or_default();
-                bills.entry(id).or_default().push(Bill { customer, cost });
+                bills.entry(request(&attempt).to_owned()).or_default().push(Bill { attempt, customer, cost });
             }
         }
-        let billed: HashSet<&str> = bills.keys().map(|id| request(id)).collect();
-        let missing = ran.iter().any(|id| !billed.contains(request(id)));
+        let missing = ran.iter().any(|id| !bills.contains_key(request(id)));
         let late = started.elapsed() > BILLS_TIMEOUT;
         if late || (readable && !missing) {
             eyre::ensure!(readable, "could not read the bills within {BILLS_TIMEOUT:?}");
@@ -139,7 +137,7 @@
     fn check_answer(&mut self, record: &Record, bills: &HashMap<String, Vec<Bill>>) {
         match &record.verdict {
             Verdict::Wrong(text) => self.broken.push(format!("{} got another answer: {text}", record.answered)),
-            Verdict::Right => match bills.get(&record.answered).map(Vec::as_slice) {
+            Verdict::Right => match bills.get(request(&record.answered)).map(Vec::as_slice) {
                 // A replayed booking has the id of the attempt that ran, which has its own check.
                 None => self.broken.push(format!("{} was answered and is not billed", record.answered)),
                 Some(bills) => {
--- a/crates/testbed/src/load/caller.rs
+++ b/crates/testbed/src/load/caller.rs
@@ -193,12 +193,14 @@
         self.sent += 1;
         let name = format!("{}-{}-{}", self.seed, self.index, self.sent);
         let (customer, api_key) = [("savusavu", SAVUSAVU_KEY), ("labasa", LABASA_KEY)][self.rng.random_range(0..2)];
-        let kind = match self.rng.random_range(0..10) {
-            0..4 => CallKind::Stream,
-            4 => CallKind::Whole,
-            5 => CallKind::Session,
-            6..8 => CallKind::Read,
-            _ => CallKind::Booking,
+        // Some callers send one kind only, so that each kind is under way at any time, even when most
+        // callers wait for a frozen process.
+        let kind = match (self.index % 4, self.rng.random_range(0..10)) {
+            (0, _) | (3, 0..4) => CallKind::Stream,
+            (1, _) | (3, 4) => CallKind::Session,
+            (2, _) | (3, 5) => CallKind::Booking,
+            (_, 6..8) => CallKind::Whole,
+            _ => CallKind::Read,
         };
         let key = if kind == CallKind::Booking { format!("key-{name}") } else { String::new() };
         let call = self.build(kind, &name, &key, customer, api_key);
--- a/crates/testbed/src/soak.rs
+++ b/crates/testbed/src/soak.rs
@@ -81,8 +81,8 @@
     let records = load.finish().await?;
     let audit = audit(fleet, 0, &records).await?;
     ensure!(audit.broken.is_empty(), "{:#?}", audit.broken);
-    ensure!(audit.billed_twice.is_empty(), "{:#?}", audit.billed_twice);
-    ensure!(agent_lost || audit.unbilled.is_empty(), "ran and not billed: {:#?}", audit.unbilled);
+    ensure!(audit.unbilled.is_empty(), "answered and not billed: {:#?}", audit.unbilled);
+    ensure!(agent_lost || audit.undelivered.is_empty(), "ran for nobody: {:#?}", audit.undelivered);
     Ok(audit)
 }
 
--- a/crates/testbed/tests/bad_input.rs
+++ b/crates/testbed/tests/bad_input.rs
@@ -160,7 +160,13 @@
     drop(slow);
     let records = load.finish().await?;
     let audit = audit(&fleet, 0, &records).await?;
-    ensure!(audit.broken.is_empty() && audit.unanswered.is_empty() && audit.unbilled.is_empty(), "{audit:#?}");
+    ensure!(
+        audit.broken.is_empty()
+            && audit.unanswered.is_empty()
+            && audit.unbilled.is_empty()
+            && audit.undelivered.is_empty(),
+        "{audit:#?}"
+    );
     ensure!(fleet.failures().is_empty(), "{:#?}", fleet.failures());
     Ok(())
 }
--- a/crates/testbed/tests/matrix.rs
+++ b/crates/testbed/tests/matrix.rs
@@ -13,18 +13,18 @@
 use eyre::Result;
 use test_case::test_case;
 
-/// All steps but bills, which have a row of their own after the loss of an agent.
+/// All steps but bills: router and agent die together, so bills of running requests may be lost.
 const WITHOUT_BILL: [Step; 7] =
     [Step::Stream, Step::Booking, Step::Session, Step::Config, Step::Rollout, Step::Lease, Step::Drain];
 
 #[test_case(&[Kill(Role::Router)], &ALL; "kill router")]
-#[test_case(&[Kill(Role::Agent)], &WITHOUT_BILL; "kill agent")]
+#[test_case(&[Kill(Role::Agent)], &ALL; "kill agent")]
 #[test_case(&[Freeze(Role::Router)], &ALL; "freeze router")]
 #[test_case(&[Freeze(Role::Agent)], &ALL; "freeze agent")]
 #[test_case(&[Stop(Role::Router)], &ALL; "stop router")]
 #[test_case(&[Stop(Role::Agent)], &ALL; "stop agent")]
 #[test_case(&[Replace(Role::Router)], &ALL; "replace router")]
-#[test_case(&[Replace(Role::Agent)], &WITHOUT_BILL; "replace agent")]
+#[test_case(&[Replace(Role::Agent)], &ALL; "replace agent")]
 #[test_case(&[AnswersCut(Path::Agent)], &ALL; "one way cut from agent")]
 #[test_case(&[RequestsCut(Path::Agent)], &ALL; "one way cut to agent")]
 #[test_case(&[AnswersCut(Path::Platform)], &ALL; "one way cut from platform")]
@@ -39,7 +39,7 @@
 #[test_case(&[PlatformSlow], &ALL; "platform slow")]
 #[test_case(&[AnswersLost], &ALL; "platform answers lost")]
 #[test_case(&[WatchLag], &ALL; "lagging watch")]
-#[test_case(&[HostLag, Replace(Role::Agent)], &WITHOUT_BILL; "lagging host list")]
+#[test_case(&[HostLag, Replace(Role::Agent)], &ALL; "lagging host list")]
 #[test_case(&[ColdEngine], &ALL; "cold engine without notice")]
 #[test_case(&[BadVersion], &ALL; "version turned bad")]
 #[test_case(&[OperatorsRace], &ALL; "two operators racing")]
@@ -48,7 +48,6 @@
 #[test_case(&[Freeze(Role::Router), AnswersLost], &ALL; "freeze router while answers are lost")]
 #[test_case(&[Silenced(Path::Agent), Stop(Role::Router)], &ALL; "stop router while agent connections are silent")]
 #[test_case(&[Kill(Role::Router), Kill(Role::Agent)], &WITHOUT_BILL; "kill router and agent")]
-#[test_case(&[Kill(Role::Agent)], &[Step::Bill]; "bills after kill of agent")]
 #[tokio::test]
 async fn cells(faults: &[Fault], steps: &[Step]) -> Result<()> {
     let seed = env::var("EELGRASSWELL_SEED").ok().and_then(|seed| seed.parse().ok()).unwrap_or(31);
--- a/crates/testbed/tests/processes.rs
+++ b/crates/testbed/tests/processes.rs
@@ -52,7 +52,7 @@
     for line in audit.unanswered.iter().take(10) {
         println!("unanswered: {line}");
     }
-    for line in audit.unbilled.iter().take(10) {
+    for line in audit.unbilled.iter().chain(&audit.undelivered).take(10) {
         println!("unbilled: {line}");
     }
 }
@@ -81,6 +81,7 @@
     report(&audit);
     ensure!(audit.broken.is_empty(), "{:#?}", audit.broken);
     ensure!(audit.unbilled.is_empty(), "{:#?}", audit.unbilled);
+    ensure!(audit.undelivered.is_empty(), "{:#?}", audit.undelivered);
     ensure!(audit.cut.is_empty(), "answers were cut: {:#?}", audit.cut);
     ensure!(audit.unanswered.is_empty(), "{:#?}", audit.unanswered);
     Ok(())
