--- a/crates/core/src/ledger.rs
+++ b/crates/core/src/ledger.rs
@@ -72,8 +72,8 @@
 /// The bills of one shard.
 #[derive(Clone, Debug, Default)]
 pub struct Ledger {
-    /// Bills that are in no sealed segment.
-    recent: HashMap<RequestId, BillOp>,
+    /// Bills that are in no sealed segment, by [`request_of`].
+    recent: HashMap<CompactString, BillOp>,
     /// Ids of sealed bills, the newest group at the end.
     sealed: VecDeque<Group>,
     totals: HashMap<(CustomerId, CompactString), Total>,
@@ -100,10 +100,11 @@
 }
 
 impl Ledger {
-    /// Whether the bill of `request` is recorded.
+    /// Whether an attempt of the same request is recorded.
     pub fn contains(&self, request: &RequestId) -> bool {
         let id = bill_id(request);
-        self.recent.contains_key(request) || self.sealed.iter().any(|group| group.ids.contains(&id))
+        self.recent.contains_key(request_of(request.as_str()))
+            || self.sealed.iter().any(|group| group.ids.contains(&id))
     }
 
     /// Adds a bill; false when its request has one already, which stays.
@@ -114,7 +115,7 @@
         let total = self.totals.entry((op.bill.customer.clone(), op.period.clone())).or_default();
         total.bills += 1;
         total.cost += op.bill.cost;
-        self.recent.insert(op.bill.request.clone(), op.clone());
+        self.recent.insert(request_of(op.bill.request.as_str()).into(), op.clone());
         true
     }
 
@@ -140,7 +141,7 @@
 
     /// Notes that these bills are kept in a segment; only their ids stay in memory.
     pub fn seal(&mut self, bills: &[Bill], now: Millis) {
-        let ids = bills.iter().filter(|bill| self.recent.remove(&bill.request).is_some());
+        let ids = bills.iter().filter(|bill| self.recent.remove(request_of(bill.request.as_str())).is_some());
         let ids = ids.map(|bill| bill_id(&bill.request));
         match self.sealed.back_mut().filter(|group| group.expires >= now + BILL_ID_RETENTION) {
             Some(group) => group.ids.extend(ids),
@@ -178,14 +179,21 @@
             let ids = ids.chunks_exact(16).filter_map(|id| BillId::try_from(id).ok()).collect();
             sealed.push_back(Group { expires: now + rest, ids });
         }
-        let recent = record.recent.into_iter().map(|op| (op.bill.request.clone(), op)).collect();
+        let recent = record.recent.into_iter().map(|op| (request_of(op.bill.request.as_str()).into(), op)).collect();
         let totals = record.totals.into_iter().map(|(customer, period, total)| ((customer, period), total)).collect();
         Some(Self { recent, sealed, totals })
     }
 }
 
+/// The part of an attempt's id `<uuid>.<host>` that all attempts of its request share. A request that
+/// ran again, after the connection to an agent that lives was lost, has bills of two attempts.
+pub fn request_of(attempt: &str) -> &str {
+    attempt.split_once('.').map_or(attempt, |(request, _)| request)
+}
+
 fn bill_id(request: &RequestId) -> BillId {
-    let low = stable_hash(&["bill", request.as_str()]);
-    let high = stable_hash(&[request.as_str(), "bill"]);
+    let request = request_of(request.as_str());
+    let low = stable_hash(&["bill", request]);
+    let high = stable_hash(&[request, "bill"]);
     (u128::from(high) << 64 | u128::from(low)).to_be_bytes()
 }
--- a/crates/daemon/src/filter/answer.rs
+++ b/crates/daemon/src/filter/answer.rs
@@ -6,7 +6,7 @@
 use eelgrasswell_core::{
     id::{HostId, RequestId},
     refusal::{Reason, Refusal},
-    unit::Cost,
+    unit::{Cost, Tokens},
 };
 use eelgrasswell_proto::v1::Head;
 use http_body_util::{BodyExt, StreamBody};
@@ -75,9 +75,10 @@
             response.header(COST, cost.0).body(full(body))
         }
         None => {
+            let delivered = body.iter().map(count_tokens).sum();
             let (tx, body) = channel(body);
             let chain = settlement.chain.clone();
-            chain.spawn(forward(events, settlement, status, Caller { tx, cut }));
+            chain.spawn(forward(events, settlement, status, delivered, Caller { tx, cut }));
             response.header(TRAILER, COST.as_str()).body(body)
         }
     };
@@ -92,11 +93,12 @@
 
 /// Forwards the rest of an answer at the caller's pace. When the caller goes away, short answers
 /// are read to their end, so that the bill settles the budget.
-async fn forward(mut events: Events, settlement: Settlement, status: u16, caller: Caller) {
+async fn forward(mut events: Events, settlement: Settlement, status: u16, mut delivered: Tokens, caller: Caller) {
     let tx = &caller.tx;
     loop {
         match events.next().await {
             Ok(Event::Data(chunk)) => {
+                delivered += count_tokens(&chunk);
                 if !caller.take(&settlement.chain, chunk).await && events.offset() > MAX_UNREAD {
                     return;
                 }
@@ -115,7 +117,11 @@
             Ok(Event::Refused(refused)) => {
                 return break_off(&settlement.request_id, events::reason(&refused.reason), tx).await;
             }
-            Err(lost) => return break_off(&settlement.request_id, lost.reason(), tx).await,
+            Err(lost) => {
+                break_off(&settlement.request_id, lost.reason(), tx).await;
+                settlement.lost(delivered);
+                return;
+            }
         }
     }
 }
@@ -168,6 +174,11 @@
     metrics::counter!(telemetry::REFUSALS, "reason" => reason.as_str(), "outcome" => "unknown").increment(1);
 }
 
+/// Tokens in a piece of a stream. Engines send one in each event, and an empty line ends an event.
+fn count_tokens(chunk: &Bytes) -> Tokens {
+    Tokens(chunk.windows(2).filter(|pair| *pair == b"\n\n").count() as u64)
+}
+
 /// Ends an answer so that the caller sees that it is incomplete.
 async fn break_off(request_id: &RequestId, reason: Reason, tx: &Sender) {
     count_refusal(reason);
--- a/crates/daemon/src/filter/settlement.rs
+++ b/crates/daemon/src/filter/settlement.rs
@@ -3,7 +3,7 @@
 use bytes::Bytes;
 use eelgrasswell_core::{
     id::{CustomerId, HostId, RequestId},
-    unit::{Cost, Millis},
+    unit::{Cost, Millis, Tokens},
 };
 use eelgrasswell_proto::v1::{BillRecord, Finished};
 
@@ -33,6 +33,8 @@
     pub held: Held,
     /// Its claim, when it is not idempotent.
     pub claim: Option<Box<Claim>>,
+    /// Estimate of the prompt's length; zero for a plain service.
+    pub prompt: Tokens,
     /// Time to the first byte of the answer.
     pub first_token: Option<Millis>,
     /// Counts it as outstanding at the agent.
@@ -72,6 +74,29 @@
         }
     }
 
+    /// Bills what was delivered of an answer whose agent cannot be reached any more, since its bill may
+    /// have died with it. If it has not, the bill that comes first counts. The reservation stays spent.
+    pub fn lost(self, delivered: Tokens) {
+        let router = &self.chain.router;
+        let Choice { model, version, .. } = &self.choice;
+        let config = router.config.current();
+        let Some(prices) = config.manifest.models.get(model).and_then(|model| model.versions.get(version)) else {
+            return;
+        };
+        let bill = BillRecord {
+            request_id: self.request_id.to_string(),
+            customer: self.customer.to_string(),
+            model: model.to_string(),
+            version: version.to_string(),
+            prompt_tokens: self.prompt.0,
+            output_tokens: delivered.0,
+            cost_micros: prices.cost(self.prompt, delivered).0,
+            service: self.choice.service.to_string(),
+            router_incarnation: router.incarnation.0,
+        };
+        router.bills.push(&self.agent, bill);
+    }
+
     fn record(&self, error: bool) {
         let Choice { model, version, .. } = &self.choice;
         if !model.is_empty() {
