Measure capacity with real processes and shorten heartbeats

The example capacity starts a platform stand-in, router processes and a swarm of agents with the agent's own link code, and counts bytes, calls and processor time. FaultLink counts what passes it.

The agent answered each heartbeat of the router and sent one of its own in the same 2 s, each with its names and loaded versions.

Ruled out: pings (none are sent while heartbeats arrive) and the frames of HTTP/2 (9 of 140 bytes).

An agent now answers heartbeats and sends one of its own only after 2.5 s without an answer. Beats after the first of a stream are brief. The keep-alive interval is 2.5 s, so that links are not pinged between heartbeats.

--- a/crates/daemon/src/agent/link.rs
+++ b/crates/daemon/src/agent/link.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use eelgrasswell_core::{id::Revision, route::LoadReport, unit::Millis};
-use eelgrasswell_proto::v1::{AgentBeat, Load, RouterBeat};
+use eelgrasswell_proto::v1::{AgentBeat, Load, Loaded, RouterBeat};
 use tokio::{
     sync::mpsc,
     time::{Instant, interval_at, sleep_until, timeout},
@@ -14,8 +14,9 @@
 use super::Agent;
 use crate::event;
 
-/// Time between heartbeats.
-const BEAT_INTERVAL: Duration = Duration::from_secs(2);
+/// Longest time between heartbeats. Each heartbeat of a router is answered at once, and those come
+/// every 2 s; a shorter interval sent twice as many heartbeats as needed.
+const BEAT_INTERVAL: Duration = Duration::from_millis(2_500);
 /// While the process leaves, bills are offered as soon as they arise.
 const LEAVING_INTERVAL: Duration = Duration::from_millis(100);
 /// Time without a heartbeat after which a link is dropped.
@@ -36,6 +37,8 @@
     let (mut leaving, mut closing) = (agent.leaving.subscribe(), agent.closing.subscribe());
     let mut leaves = false;
     let mut heard = None;
+    // Versions in the last heartbeat that was not brief.
+    let mut told: Option<Vec<Loaded>> = None;
     loop {
         let silent_at = heard.unwrap_or_else(Instant::now) + LINK_TIMEOUT;
         let answer = tokio::select! {
@@ -54,9 +57,14 @@
             _ = closing.wait_for(|closing| *closing) => return,
             () = sleep_until(silent_at) => return,
         };
-        if answer && !matches!(timeout(LINK_TIMEOUT, tx.send(Ok(agent.beat()))).await, Ok(Ok(()))) {
+        if !answer {
+            continue;
+        }
+        let beat = agent.beat(&mut told);
+        if !matches!(timeout(LINK_TIMEOUT, tx.send(Ok(beat))).await, Ok(Ok(()))) {
             return;
         }
+        ticks.reset();
     }
 }
 
@@ -71,21 +79,35 @@
 }
 
 impl Agent {
-    /// The next heartbeat, with the bills that are due for another router.
-    fn beat(&self) -> AgentBeat {
-        let LoadReport { running, queued, limit, tokens_held, tokens_limit, cold } = self.gate.report();
+    /// The next heartbeat, with the bills that are due for another router. It is brief unless it is
+    /// the first of its stream or the loaded versions are not those in `told`.
+    fn beat(&self, told: &mut Option<Vec<Loaded>>) -> AgentBeat {
+        let loaded = self.loaded.list();
+        let beat = self.brief_beat();
+        if told.as_ref() == Some(&loaded) {
+            return beat;
+        }
+        *told = Some(loaded.clone());
         AgentBeat {
             agent: self.settings.host.id.to_string(),
             incarnation: self.incarnation.0,
+            loaded,
+            domain: self.settings.host.domain.to_string(),
+            service: self.settings.service.to_string(),
+            brief: false,
+            ..beat
+        }
+    }
+
+    fn brief_beat(&self) -> AgentBeat {
+        let LoadReport { running, queued, limit, tokens_held, tokens_limit, cold } = self.gate.report();
+        AgentBeat {
+            brief: true,
             revision: self.config.revision().0,
             load: Some(Load { running, queued, limit, tokens_held: tokens_held.0, tokens_limit: tokens_limit.0, cold }),
             leaving: *self.leaving.borrow(),
             unsettled: self.bills.take_overdue(),
-            loaded: self.loaded.list(),
-            domain: self.settings.host.domain.to_string(),
-            service: self.settings.service.to_string(),
-            cached: Vec::new(),
-            evicted: Vec::new(),
+            ..AgentBeat::default()
         }
     }
 }
--- a/crates/daemon/src/controller/links/stream.rs
+++ b/crates/daemon/src/controller/links/stream.rs
@@ -72,6 +72,7 @@
     let mut ticks = interval(BEAT_INTERVAL);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     ticks.reset();
+    let mut whole: Option<AgentBeat> = None;
     loop {
         let now = Instant::now();
         let current = inner.config.revision();
@@ -80,6 +81,7 @@
         tokio::select! {
             beat = beats.message() => {
                 let Some(beat) = beat.wrap_err("could not read a heartbeat")? else { return Ok(()) };
+                let beat = complete(beat, &mut whole)?;
                 take_in(inner, entry, &beat)?;
                 out.push.note_reported(Revision(beat.revision));
                 silent_at = Instant::now() + Duration::from(SILENT_AFTER);
@@ -138,6 +140,23 @@
     }
 }
 
+/// Fills in what a brief heartbeat leaves out from `whole`, the last one of the stream that has it.
+fn complete(beat: AgentBeat, whole: &mut Option<AgentBeat>) -> Result<AgentBeat> {
+    if !beat.brief {
+        *whole = Some(AgentBeat { unsettled: Vec::new(), ..beat.clone() });
+        return Ok(beat);
+    }
+    let Some(whole) = whole else { bail!("the first heartbeat is brief") };
+    Ok(AgentBeat {
+        agent: whole.agent.clone(),
+        incarnation: whole.incarnation,
+        loaded: whole.loaded.clone(),
+        domain: whole.domain.clone(),
+        service: whole.service.clone(),
+        ..beat
+    })
+}
+
 fn take_in(inner: &Inner, entry: &HostEntry, beat: &AgentBeat) -> Result<()> {
     ensure!(beat.agent == entry.id.as_str(), "the agent at this address is {:?}", beat.agent);
     for bill in &beat.unsettled {
--- a/crates/daemon/src/controller/membership/channels.rs
+++ b/crates/daemon/src/controller/membership/channels.rs
@@ -12,8 +12,9 @@
 /// Longest time that opening a connection takes.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 /// Time between two pings on a connection. Idle connections are pinged as well: a call that timed
-/// out on a silent connection leaves it idle, and the next call would go to it again.
-const KEEP_ALIVE_INTERVAL: Duration = Duration::from_secs(2);
+/// out on a silent connection leaves it idle, and the next call would go to it again. Longer than the
+/// 2 s between heartbeats, so that links are not pinged as well.
+const KEEP_ALIVE_INTERVAL: Duration = Duration::from_millis(2_500);
 /// Time without an answer to a ping after which a connection counts as silent and is closed.
 const KEEP_ALIVE_TIMEOUT: Duration = Duration::from_secs(3);
 /// Unread bytes of one call that a connection takes. More of them would sit in memory for each answer
--- a/crates/daemon/tests/agent/rig.rs
+++ b/crates/daemon/tests/agent/rig.rs
@@ -52,6 +52,7 @@
 pub struct Link {
     pub tx: mpsc::Sender<RouterBeat>,
     pub beats: Streaming<AgentBeat>,
+    whole: AgentBeat,
 }
 
 /// A whole answer.
@@ -128,7 +129,7 @@
         let (tx, rx) = mpsc::channel(8);
         tx.send(beat(Some(config), &[])).await.unwrap();
         let beats = self.client.clone().link(ReceiverStream::new(rx)).await.unwrap().into_inner();
-        let mut link = Link { tx, beats };
+        let mut link = Link { tx, beats, whole: AgentBeat::default() };
         link.until(|beat| beat.revision >= config.revision.0).await;
         link
     }
@@ -166,6 +167,7 @@
 
 impl Link {
     /// Reads heartbeats until one satisfies `f`, and sends some meanwhile as a router does.
+    /// Fills in what brief ones leave out.
     pub async fn until(&mut self, f: impl Fn(&AgentBeat) -> bool) -> AgentBeat {
         let tx = self.tx.clone();
         let mut ticks = interval(Duration::from_secs(1));
@@ -173,7 +175,14 @@
             loop {
                 tokio::select! {
                     next = self.beats.message() => {
-                        let beat = next.unwrap().expect("the link ended");
+                        let mut beat = next.unwrap().expect("the link ended");
+                        if beat.brief {
+                            assert!(beat.agent.is_empty() && beat.loaded.is_empty() && beat.incarnation == 0);
+                            let AgentBeat { agent, incarnation, loaded, domain, service, .. } = self.whole.clone();
+                            beat = AgentBeat { agent, incarnation, loaded, domain, service, ..beat };
+                        } else {
+                            self.whole = beat.clone();
+                        }
                         if f(&beat) {
                             return beat;
                         }
--- /dev/null
+++ b/crates/testbed/examples/capacity/links.rs
@@ -0,0 +1,148 @@
+//! One router with a growing number of agents, at rest and under changes of the configuration.
+
+use std::{collections::HashMap, time::Duration};
+
+use eelgrasswell_testbed::experiment::table::{Table, decimal};
+use eyre::Result;
+use tokio::time::{Instant, MissedTickBehavior, interval, sleep};
+
+use crate::{
+    fit,
+    site::{Site, load_average},
+};
+
+/// Time for connections and memory to settle.
+const SETTLE: Duration = Duration::from_secs(6);
+
+/// Measures one router at rest with each number of agents.
+pub async fn rest(agents: &[usize], seconds: u64, repeats: u32) -> Result<Table> {
+    let mut table = Table::new(&[
+        "agents",
+        "router_cpu_percent",
+        "router_rss_mb",
+        "to_agents_bps",
+        "to_routers_bps",
+        "segments_ps",
+        "platform_up_bps",
+        "platform_down_bps",
+        "agents_cpu_percent",
+        "load_average",
+    ]);
+    let mut points = Vec::new();
+    for &count in agents {
+        for _ in 0..repeats {
+            let site = Site::start(1, 1, count).await?;
+            sleep(SETTLE).await;
+            let before = site.read()?;
+            sleep(Duration::from_secs(seconds)).await;
+            let after = site.read()?;
+            let elapsed = (after.at - before.at).as_secs_f64();
+            let rate = |before: u64, after: u64| (after - before) as f64 / elapsed;
+            let cpu = (after.cpu[0] - before.cpu[0]) / elapsed * 100.0;
+            let memory = site.memory_mb()?[0];
+            let (to_agents, to_routers) =
+                (rate(before.links.received, after.links.received), rate(before.links.sent, after.links.sent));
+            let segments = rate(before.links.reads + before.links.writes, after.links.reads + after.links.writes);
+            table.row(&[
+                &count,
+                &decimal(cpu),
+                &decimal(memory),
+                &decimal(to_agents),
+                &decimal(to_routers),
+                &decimal(segments),
+                &decimal(rate(before.platform[0].request_bytes, after.platform[0].request_bytes)),
+                &decimal(rate(before.platform[0].answer_bytes, after.platform[0].answer_bytes)),
+                &decimal((after.own_cpu - before.own_cpu) / elapsed * 100.0),
+                &load_average()?,
+            ]);
+            points.push([count as f64, cpu, memory, to_agents + to_routers]);
+        }
+    }
+    for (i, name) in ["router_cpu_percent", "router_rss_mb", "link_bps"].into_iter().enumerate() {
+        println!("{name} against agents: {}", fit::line(points.iter().map(|p| (p[0], p[i + 1]))));
+    }
+    Ok(table)
+}
+
+/// Measures one router with `agents` agents at each rate of changes a second.
+pub async fn changes(agents: usize, rates: &[u64], seconds: u64) -> Result<Table> {
+    let mut table = Table::new(&[
+        "agents",
+        "rate",
+        "made_ps",
+        "router_cpu_percent",
+        "router_rss_mb",
+        "to_agents_bps",
+        "to_routers_bps",
+        "platform_up_bps",
+        "platform_down_bps",
+        "p50_ms",
+        "p95_ms",
+        "max_ms",
+        "missing",
+        "load_average",
+    ]);
+    let site = Site::start(1, 1, agents).await?;
+    sleep(SETTLE).await;
+    let mut number = 0;
+    for &rate in rates {
+        site.swarm.take_adopted();
+        let before = site.read()?;
+        let mut made = HashMap::new();
+        let mut ticks = interval(Duration::from_nanos(1_000_000_000 / rate));
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let end = Instant::now() + Duration::from_secs(seconds);
+        while Instant::now() < end {
+            ticks.tick().await;
+            let start = std::time::Instant::now();
+            made.insert(site.change(number).await?, start);
+            number += 1;
+        }
+        let after = site.read()?;
+        sleep(Duration::from_secs(3)).await;
+        let (mut delays, missing) = delays(&made, &site.swarm.take_adopted(), agents);
+        let elapsed = (after.at - before.at).as_secs_f64();
+        let per_second = |before: u64, after: u64| decimal((after - before) as f64 / elapsed);
+        table.row(&[
+            &agents,
+            &rate,
+            &decimal(made.len() as f64 / elapsed),
+            &decimal((after.cpu[0] - before.cpu[0]) / elapsed * 100.0),
+            &decimal(site.memory_mb()?[0]),
+            &per_second(before.links.received, after.links.received),
+            &per_second(before.links.sent, after.links.sent),
+            &per_second(before.platform[0].request_bytes, after.platform[0].request_bytes),
+            &per_second(before.platform[0].answer_bytes, after.platform[0].answer_bytes),
+            &decimal(fit::quantile(&mut delays, 0.5)),
+            &decimal(fit::quantile(&mut delays, 0.95)),
+            &decimal(fit::quantile(&mut delays, 1.0)),
+            &missing,
+            &load_average()?,
+        ]);
+    }
+    Ok(table)
+}
+
+/// Time in milliseconds from the start of each change until each agent had it, and the number of
+/// changes and agents for which there is none.
+pub fn delays(
+    made: &HashMap<u64, std::time::Instant>,
+    adopted: &[crate::swarm::Adopted],
+    agents: usize,
+) -> (Vec<f64>, usize) {
+    let mut delays = Vec::new();
+    let mut missing = 0;
+    let mut by_agent: Vec<Vec<_>> = vec![Vec::new(); agents];
+    for adoption in adopted {
+        by_agent[adoption.agent].push((adoption.revision, adoption.at));
+    }
+    for (revision, start) in made {
+        for adoptions in &by_agent {
+            match adoptions.iter().find(|(adopted, _)| adopted >= revision) {
+                Some((_, at)) => delays.push(at.saturating_duration_since(*start).as_secs_f64() * 1e3),
+                None => missing += 1,
+            }
+        }
+    }
+    (delays, missing)
+}
--- /dev/null
+++ b/crates/testbed/examples/capacity/outage.rs
@@ -0,0 +1,98 @@
+//! Memory that router and agents need for each request while the platform is up and while it is down.
+
+use std::time::{Duration, Instant};
+
+use eelgrasswell_testbed::{
+    experiment::table::{Table, decimal},
+    fleet::Fleet,
+    http::Http,
+    plan::{FleetPlan, SAVUSAVU_KEY},
+};
+use eyre::{Result, ensure};
+use futures::{StreamExt, TryStreamExt, stream};
+use hyper::StatusCode;
+use serde_json::json;
+use tokio::time::sleep;
+
+use crate::site::load_average;
+
+/// Engine stand-ins, each with an agent.
+const ENGINES: usize = 4;
+/// Requests at a time.
+const CONCURRENCY: usize = 16;
+/// Requests before the first reading.
+const WARM_UP: u64 = 2_000;
+/// Parts of a run after each of which the memory is read.
+const PARTS: u64 = 4;
+
+/// Runs `requests` requests with the platform up, then in a new fleet with the platform down.
+pub async fn measure(requests: u64) -> Result<Table> {
+    let mut table = Table::new(&[
+        "platform",
+        "requests",
+        "seconds",
+        "router_rss_mb",
+        "agent_rss_mb",
+        "router_cpu_ms_per_request",
+        "agent_cpu_ms_per_request",
+        "load_average",
+    ]);
+    for down in [false, true] {
+        let fleet = Fleet::start(plan()).await?;
+        let caller = fleet.customer(SAVUSAVU_KEY);
+        run(&fleet, &caller, WARM_UP).await?;
+        sleep(Duration::from_secs(2)).await;
+        if down {
+            fleet.platform_fault(&json!({"down": true})).await?;
+        }
+        let start = Instant::now();
+        let before = fleet.cpu_seconds()?;
+        for part in 0..=PARTS {
+            let done = requests / PARTS * part;
+            let cpu = fleet.cpu_seconds()?;
+            let per_request = |before: f64, after: f64| decimal((after - before) * 1e3 / done.max(1) as f64);
+            table.row(&[
+                &if down { "down" } else { "up" },
+                &done,
+                &decimal(start.elapsed().as_secs_f64()),
+                &decimal(fleet.router_memory_mb(0)?),
+                &decimal(fleet.agents_memory_mb()? / ENGINES as f64),
+                &per_request(before.routers, cpu.routers),
+                &per_request(before.agents, cpu.agents),
+                &load_average()?,
+            ]);
+            if part < PARTS {
+                run(&fleet, &caller, requests / PARTS).await?;
+            }
+        }
+    }
+    Ok(table)
+}
+
+async fn run(fleet: &Fleet, caller: &Http, requests: u64) -> Result<()> {
+    let router = fleet.routers[0].callers;
+    let body = json!({
+        "model": "plan-small", "max_tokens": 1, "messages": [{"role": "user", "content": "lamp care"}],
+    });
+    let calls = stream::iter(0..requests).map(|_| async {
+        let reply = caller.post_json(router, "/v1/chat/completions", &body).await?;
+        ensure!(reply.status == StatusCode::OK, "status {}: {}", reply.status, reply.text());
+        eyre::Ok(())
+    });
+    calls.buffer_unordered(CONCURRENCY).try_collect().await
+}
+
+fn plan() -> FleetPlan {
+    let mut plan = FleetPlan::small();
+    plan.routers.truncate(1);
+    let engine = plan.agents[0].clone();
+    plan.agents = vec![engine; ENGINES];
+    plan.engine_args = ["--first-us", "500", "--token-us", "100", "--slots", "1000"].map(str::to_owned).to_vec();
+    plan.worker_threads = Some(2);
+    let pool = &mut plan.manifest["services"]["loan-desk"];
+    pool["max_running"] = json!(500);
+    pool["cold_limit"] = json!(500);
+    pool["tokens_limit"] = json!(10_000_000);
+    plan.manifest["customers"]["savusavu"]["budget"] = json!(null);
+    plan
+}
--- a/crates/testbed/src/fault_link.rs
+++ b/crates/testbed/src/fault_link.rs
@@ -1,6 +1,13 @@
 //! A byte-forwarding TCP link whose connections can be cut, silenced or slowed.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
+};
 
 use eyre::{Result, WrapErr};
 use tokio::{
@@ -19,9 +26,28 @@
 pub struct FaultLink {
     address: SocketAddr,
     mode: Arc<watch::Sender<LinkState>>,
+    counters: Arc<Counters>,
     task: JoinHandle<()>,
 }
 
+/// What has passed a link since it was opened.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Traffic {
+    /// Connections accepted.
+    pub connections: u64,
+    /// Bytes towards the target.
+    pub request_bytes: u64,
+    /// Bytes from the target.
+    pub answer_bytes: u64,
+}
+
+#[derive(Debug, Default)]
+struct Counters {
+    connections: AtomicU64,
+    request_bytes: AtomicU64,
+    answer_bytes: AtomicU64,
+}
+
 /// What the link does with bytes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum LinkMode {
@@ -52,8 +78,19 @@
         let address = listener.local_addr()?;
         let state = LinkState { mode: LinkMode::Forward, silenced_before: 0, generation: 1 };
         let mode = Arc::new(watch::channel(state).0);
-        let task = tokio::spawn(accept(listener, target, Arc::clone(&mode)));
-        Ok(Self { address, mode, task })
+        let counters = Arc::new(Counters::default());
+        let task = tokio::spawn(accept(listener, target, Arc::clone(&mode), Arc::clone(&counters)));
+        Ok(Self { address, mode, counters, task })
+    }
+
+    /// What has passed the link so far, without the headers of TCP and IP.
+    pub fn traffic(&self) -> Traffic {
+        let counters = &self.counters;
+        Traffic {
+            connections: counters.connections.load(Ordering::Relaxed),
+            request_bytes: counters.request_bytes.load(Ordering::Relaxed),
+            answer_bytes: counters.answer_bytes.load(Ordering::Relaxed),
+        }
     }
 
     /// Address that the link listens on.
@@ -81,21 +118,28 @@
     }
 }
 
-async fn accept(listener: TcpListener, target: SocketAddr, mode: Arc<watch::Sender<LinkState>>) {
+async fn accept(
+    listener: TcpListener,
+    target: SocketAddr,
+    mode: Arc<watch::Sender<LinkState>>,
+    counters: Arc<Counters>,
+) {
     loop {
         let Ok((client, _)) = listener.accept().await else { return };
         let state = *mode.borrow();
         if state.mode == LinkMode::Cut {
             continue;
         }
+        counters.connections.fetch_add(1, Ordering::Relaxed);
         let rx = mode.subscribe();
+        let counters = Arc::clone(&counters);
         tokio::spawn(async move {
             let Ok(server) = TcpStream::connect(target).await else { return };
             let _ = (client.set_nodelay(true), server.set_nodelay(true));
             let (client_read, client_write) = client.into_split();
             let (server_read, server_write) = server.into_split();
-            let requests = pump(client_read, server_write, rx.clone(), state.generation, Direction::Request);
-            let answers = pump(server_read, client_write, rx, state.generation, Direction::Answer);
+            let requests = pump(client_read, server_write, rx.clone(), state.generation, Direction::Request, &counters);
+            let answers = pump(server_read, client_write, rx, state.generation, Direction::Answer, &counters);
             tokio::join!(requests, answers);
         });
     }
@@ -113,8 +157,13 @@
     mut rx: watch::Receiver<LinkState>,
     generation: u64,
     direction: Direction,
+    counters: &Counters,
 ) {
     const CHUNK_BYTES: usize = 16 << 10;
+    let counter = match direction {
+        Direction::Request => &counters.request_bytes,
+        Direction::Answer => &counters.answer_bytes,
+    };
     let mut buf = vec![0; CHUNK_BYTES];
     loop {
         let cut = rx.wait_for(|state| state.mode == LinkMode::Cut);
@@ -140,6 +189,7 @@
         if to.write_all(&buf[..len]).await.is_err() {
             return;
         }
+        counter.fetch_add(len as u64, Ordering::Relaxed);
     }
     let _ = to.shutdown().await;
 }
