Keep readers that keep up from paying for stalled ones

Each chunk that any reader took woke the writers of all stalled answers, and each of them searched all answers for bytes to drop. In a trial with one agent, 30 requests/s beside 300 stalled readers, the first token came at 40.0 ms (p50) and 100.9 ms (p99) in place of 21.7 and 23.7 ms.

At least eight samples are now needed at a concurrency, and their mean is taken.

--- a/crates/core/src/admission.rs
+++ b/crates/core/src/admission.rs
@@ -26,6 +26,9 @@
 /// expected time rises faster than it falls, because samples of short bursts of concurrency are
 /// shorter than those of long ones.
 const EXPECTED_GAIN: (f64, f64) = (1.0 / 8.0, 1.0 / 64.0);
+/// Samples at one concurrency before it tells anything. Single ones may be far too short, as tokens
+/// that were held up on their way arrive together.
+const LEAST_SAMPLES: u32 = 8;
 /// Rise of the expected time per warm interval with slow samples. A lasting change of speed is
 /// accepted after about ten intervals in place of keeping the server at its cold limit for ever.
 const EXPECTED_DRIFT: f64 = 1.125;
@@ -382,6 +385,8 @@
 struct Speed {
     /// In microseconds; by power of two of running requests; zero until measured.
     expected: [f64; LEVELS],
+    /// Samples so far, by the same.
+    samples: [u32; LEVELS],
     slow_in_a_row: u32,
 }
 
@@ -396,7 +401,12 @@
             return true;
         }
         self.slow_in_a_row = 0;
-        let gain = if sample > self.expected[level] { EXPECTED_GAIN.0 } else { EXPECTED_GAIN.1 };
+        self.samples[level] = self.samples[level].saturating_add(1);
+        let gain = match self.samples[level] {
+            few if few <= LEAST_SAMPLES => 1.0 / f64::from(few),
+            _ if sample > self.expected[level] => EXPECTED_GAIN.0,
+            _ => EXPECTED_GAIN.1,
+        };
         approach(&mut self.expected[level], sample, gain);
         false
     }
@@ -404,8 +414,8 @@
     /// Expected time at `level`. Twice the concurrency at most doubles the time, which bounds
     /// levels that were not measured by the nearest one below.
     fn expect(&self, level: usize) -> f64 {
-        let measured = (0..=level).rev().find(|&lower| self.expected[lower] > 0.0);
-        let above = (level + 1..LEVELS).find(|&higher| self.expected[higher] > 0.0);
+        let measured = (0..=level).rev().find(|&lower| self.samples[lower] >= LEAST_SAMPLES);
+        let above = (level + 1..LEVELS).find(|&higher| self.samples[higher] >= LEAST_SAMPLES);
         match (measured, above) {
             (Some(lower), _) => self.expected[lower] * f64::from(1u32 << (level - lower)),
             (None, Some(higher)) => self.expected[higher],
--- a/crates/core/tests/admission.rs
+++ b/crates/core/tests/admission.rs
@@ -359,6 +359,20 @@
     }
 }
 
+/// Guards against an expected time that rests on a few tokens that arrived together.
+#[test]
+fn short_first_sample_of_warm_engine_changes_nothing() {
+    let mut sim = Sim::new(LIMITS);
+    sim.sampling = false;
+    for round in 0..100 {
+        let ticket = sim.arrive(job("reef"));
+        let micros = if round == 0 { 1_000 } else { 11_000 };
+        sim.admission.observe(ticket, Sample::Token, micros, sim.now);
+        sim.advance(Millis(200));
+    }
+    assert_eq!(sim.admission.limit(), 8);
+}
+
 /// Guards against a server that stays at its cold limit for ever because it became slower.
 #[test]
 fn slower_engine_accepted_in_the_end() {
--- a/crates/daemon/src/agent/answers.rs
+++ b/crates/daemon/src/agent/answers.rs
@@ -15,7 +15,7 @@
 
 use bytes::Bytes;
 use eelgrasswell_core::{
-    hash::HashMap,
+    hash::{HashMap, HashSet},
     id::{CustomerId, RequestId},
     refusal::{Reason, Refusal},
     unit::Millis,
@@ -55,8 +55,6 @@
     limits: Arc<AnswerLimits>,
     clock: Clock,
     table: Arc<Mutex<Table>>,
-    /// Told when a reader has taken bytes or held bytes were dropped.
-    room: Arc<Notify>,
     /// Told when an answer ends or a reader leaves.
     quiet: Arc<Notify>,
 }
@@ -67,6 +65,10 @@
     /// Finished answers by the time of their end.
     ended: BTreeMap<(Millis, u64), RequestId>,
     usage: Usage,
+    /// Bounds under which nothing is left to drop, until the next sweep or end of an answer or
+    /// reader: a search takes time in proportion to the answers, and stalled readers fill the
+    /// bounds for long.
+    exhausted: HashSet<Option<CustomerId>>,
     unfinished: usize,
     readers: usize,
     next_number: u64,
@@ -97,6 +99,9 @@
     cancel: Option<Reason>,
     changed: Arc<Notify>,
     cancelled: Arc<Notify>,
+    /// Told when the writer may find room. Each entry has its own, since a wake of all writers for
+    /// each chunk that any reader takes costs time in proportion to the stalled ones.
+    room: Arc<Notify>,
 }
 
 /// A reader as the table knows it.
@@ -126,6 +131,7 @@
     customer: CustomerId,
     changed: Arc<Notify>,
     cancelled: Arc<Notify>,
+    room: Arc<Notify>,
     ended: bool,
 }
 
@@ -151,7 +157,7 @@
 impl Answers {
     /// Starts without answers.
     pub fn open(limits: AnswerLimits, clock: Clock) -> Self {
-        Self { limits: Arc::new(limits), clock, table: Arc::default(), room: Arc::default(), quiet: Arc::default() }
+        Self { limits: Arc::new(limits), clock, table: Arc::default(), quiet: Arc::default() }
     }
 
     /// Opens an answer with its first reader. Refused when the customer's unread answers fill its bound.
@@ -171,7 +177,7 @@
         table.remove(id);
         let (serial, number) = (table.draw_number(), table.draw_number());
         let changed = Arc::new(Notify::new());
-        let cancelled = Arc::new(Notify::new());
+        let (cancelled, room) = (Arc::new(Notify::new()), Arc::new(Notify::new()));
         let entry = Entry {
             serial,
             customer: customer.clone(),
@@ -189,6 +195,7 @@
             cancel: None,
             changed: Arc::clone(&changed),
             cancelled: Arc::clone(&cancelled),
+            room: Arc::clone(&room),
         };
         table.entries.insert(id.clone(), entry);
         table.usage.add(customer, OVERHEAD);
@@ -201,6 +208,7 @@
             customer: customer.clone(),
             changed: Arc::clone(&changed),
             cancelled,
+            room,
             ended: false,
         };
         let reader =
@@ -279,7 +287,12 @@
                 entry.cancelled.notify_waiters();
             }
         }
-        self.room.notify_waiters();
+        table.exhausted.clear();
+        let Table { entries, usage, .. } = &*table;
+        let blocked = entries.values().filter(|entry| entry.blocked_since.is_some());
+        for entry in blocked.filter(|entry| usage.shortage(&self.limits, &entry.customer, 1).is_none()) {
+            entry.room.notify_waiters();
+        }
     }
 
     fn lock(&self) -> MutexGuard<'_, Table> {
@@ -304,7 +317,7 @@
     pub async fn push(&self, bytes: &[u8]) -> Result<(), Reason> {
         for piece in bytes.chunks(PIECE) {
             loop {
-                let room = self.answers.room.notified();
+                let room = self.room.notified();
                 if self.try_push(piece) {
                     break;
                 }
@@ -352,6 +365,7 @@
         entry.stage = Stage::Ended(held_until);
         ended.insert((held_until, entry.serial), self.id.clone());
         *unfinished -= 1;
+        table.exhausted.clear();
         drop(table);
         self.changed.notify_waiters();
         self.answers.quiet.notify_waiters();
@@ -364,17 +378,16 @@
         let size = piece.len() as u64;
         let Table { entries, usage, .. } = &mut *table;
         let Some(entry) = entries.get_mut(&self.id) else { return true };
-        if entry.buf.len() as u64 + size > limits.per_answer.0 {
+        let short = usage.shortage(limits, &self.customer, size).is_some();
+        if short || entry.buf.len() as u64 + size > limits.per_answer.0 {
             let dropped = entry.drop_read(size.max(limits.per_answer.0 / 4), now);
             usage.sub(&self.customer, dropped);
         }
         let unread = entry.unread(now);
         let fits = entry.buf.len() as u64 + size <= limits.per_answer.0;
-        let may_push = unread == 0 || (fits && table.make_room(limits, &self.customer, size, now));
-        if may_push && unread == 0 {
-            // Drops what can be dropped, but does not wait: see the module's first paragraph.
-            table.make_room(limits, &self.customer, size, now);
-        }
+        // Drops what can be dropped in any case, but only unread bytes make it wait: see the
+        // module's first paragraph.
+        let may_push = (table.make_room(limits, &self.customer, size, now) && fits) || unread == 0;
         let Table { entries, usage, .. } = &mut *table;
         let Some(entry) = entries.get_mut(&self.id) else { return true };
         if !may_push {
@@ -457,8 +470,7 @@
             for reader in entry.readers.iter_mut().filter(|reader| reader.number == self.number) {
                 (reader.offset, reader.active_at) = (self.offset, now);
             }
-            drop(table);
-            self.answers.room.notify_waiters();
+            entry.room.notify_waiters();
             return Some(Event::Data(Data { offset, chunk }));
         }
         let end = entry.end.clone()?;
@@ -480,6 +492,7 @@
         let now = self.answers.clock.now();
         let mut table = self.answers.lock();
         table.readers -= 1;
+        table.exhausted.clear();
         if let Some(entry) = table.entries.get_mut(&self.id).filter(|entry| entry.serial == self.serial) {
             entry.readers.retain(|reader| reader.number != self.number);
             entry.last_reader_left = now;
@@ -492,17 +505,16 @@
 impl Table {
     /// Whether `size` more bytes fit the bounds without the reserve, after dropping what may be dropped.
     fn make_room(&mut self, limits: &AnswerLimits, customer: &CustomerId, size: u64, now: Millis) -> bool {
-        loop {
-            let total_fits = self.usage.total + size <= limits.total.0 - limits.total.0 / RESERVE;
-            let customer_fits = self.usage.of(customer) + size <= limits.per_customer.0;
-            if total_fits && customer_fits {
-                return true;
+        while let Some(only) = self.usage.shortage(limits, customer, size) {
+            if self.exhausted.contains(&only) {
+                return false;
             }
-            let only = (!customer_fits).then_some(customer);
-            if !self.evict(limits, only, now) && !self.drop_read(only, size, now) {
+            if !self.evict(limits, only.as_ref(), now) && !self.drop_read(only.as_ref(), size, now) {
+                self.exhausted.insert(only);
                 return false;
             }
         }
+        true
     }
 
     /// Drops the finished answer that is missed least: one that was read, else the oldest.
@@ -549,6 +561,16 @@
 }
 
 impl Usage {
+    /// The bound that `size` more bytes would exceed without the reserve: the customer's, or that of
+    /// the process as `Some(None)`.
+    fn shortage(&self, limits: &AnswerLimits, customer: &CustomerId, size: u64) -> Option<Option<CustomerId>> {
+        if self.of(customer) + size > limits.per_customer.0 {
+            return Some(Some(customer.clone()));
+        }
+        let total = limits.total.0 - limits.total.0 / RESERVE;
+        (self.total + size > total).then_some(None)
+    }
+
     /// Whether `size` more bytes fit when the reserve is used.
     fn fits_reserve(&self, limits: &AnswerLimits, customer: &CustomerId, size: u64) -> bool {
         self.total + size <= limits.total.0 && self.of(customer) + size <= limits.per_customer.0
