--- a/crates/daemon/src/agent/backend.rs
+++ b/crates/daemon/src/agent/backend.rs
@@ -101,8 +101,8 @@
         Self { address, client }
     }
 
-    /// Sends a request and waits for the head of the answer.
-    pub async fn call(&self, req: &ExecuteRequest) -> Result<Response<Incoming>, CallError> {
+    /// Sends a request with `body` and waits for the head of the answer.
+    pub async fn call(&self, req: &ExecuteRequest, body: Bytes) -> Result<Response<Incoming>, CallError> {
         let path = if req.path.is_empty() { "/v1/chat/completions" } else { &req.path };
         let method = if req.method.is_empty() { "POST" } else { &req.method };
         let mut builder = Request::builder()
@@ -118,7 +118,7 @@
                 builder = builder.header(name, value);
             }
         }
-        let http = builder.body(Full::new(req.body.clone())).map_err(|_| CallError::NotSent(Reason::BadRequest))?;
+        let http = builder.body(Full::new(body)).map_err(|_| CallError::NotSent(Reason::BadRequest))?;
         self.client.request(http).await.map_err(|err| {
             if err.is_connect() { CallError::NotSent(Reason::NoBackend) } else { CallError::Lost(err.to_string()) }
         })
--- a/crates/daemon/src/agent/run.rs
+++ b/crates/daemon/src/agent/run.rs
@@ -1,10 +1,12 @@
 //! One request: its turn, the call of the backend server, the answer and the bill.
 
 use std::{
+    mem,
     pin::pin,
     time::{Duration, Instant},
 };
 
+use bytes::Bytes;
 use eelgrasswell_core::{
     admission::{Ending, Sample},
     id::{CustomerId, RequestId},
@@ -41,7 +43,7 @@
 const SAMPLE_TIME: Duration = Duration::from_millis(250);
 
 /// Runs a request that passed the checks and whose id is reserved.
-pub async fn run(agent: Agent, req: ExecuteRequest, checked: Checked, deadline: Option<Millis>, answer: Answer) {
+pub async fn run(agent: Agent, mut req: ExecuteRequest, checked: Checked, deadline: Option<Millis>, answer: Answer) {
     let id = RequestId::from(&*req.request_id);
     let turn = wait_turn(&agent, &req, &checked, &answer, deadline).await;
     let turn = turn.and_then(|permit| Ok((permit, agent.start_now(&req, &id)?)));
@@ -50,8 +52,8 @@
         Err(refusal) => return refuse(&agent, &id, answer, &refusal),
     };
     answer.start(checked.once);
-    let meter = Meter::new(req.stream);
-    let mut attempt = Attempt { agent: &agent, req: &req, checked: &checked, permit, answer, meter };
+    let (meter, body) = (Meter::new(req.stream), mem::take(&mut req.body));
+    let mut attempt = Attempt { agent: &agent, req: &req, checked: &checked, body, permit, answer, meter };
     let ended = attempt.call(deadline).await;
     attempt.conclude(&id, ended).await;
 }
@@ -119,6 +121,8 @@
     agent: &'a Agent,
     req: &'a ExecuteRequest,
     checked: &'a Checked,
+    /// Body of the request; taken when it is sent, as it may be large and the answer may take long.
+    body: Bytes,
     permit: Permit,
     answer: Answer,
     meter: Meter,
@@ -149,7 +153,7 @@
     async fn exchange(&mut self) -> Result<u16, CallFailure> {
         let started = Instant::now();
         let silence = if self.req.stream { STREAM_SILENCE } else { WHOLE_SILENCE };
-        let call = timeout(silence, self.agent.backend.call(self.req));
+        let call = timeout(silence, self.agent.backend.call(self.req, mem::take(&mut self.body)));
         let response = tokio::select! {
             response = call => response.map_err(|_| CallFailure::Backend(Reason::ConnectionLost))?,
             reason = self.answer.cancelled() => return Err(CallFailure::Cut(reason)),
