--- a/crates/daemon/src/controller/budgets/mod.rs
+++ b/crates/daemon/src/controller/budgets/mod.rs
@@ -44,11 +44,11 @@
     clock: Clock,
     config: ConfigHandle,
     shards: Shards,
-    purses: Mutex<HashMap<CustomerId, Arc<Purse>>>,
+    accounts: Mutex<HashMap<CustomerId, Arc<SharedAccount>>>,
 }
 
 /// An account with the signals around it.
-struct Purse {
+struct SharedAccount {
     customer: CustomerId,
     account: Mutex<Account>,
     /// Asks for a draw.
@@ -62,13 +62,13 @@
 pub struct Reservation {
     amount: Cost,
     /// Account with its period; none when the customer has no budget.
-    from: Option<(Arc<Purse>, CompactString)>,
+    from: Option<(Arc<SharedAccount>, CompactString)>,
 }
 
 impl Budgets {
     /// Starts without shares.
     pub fn open(_id: HostId, _incarnation: Incarnation, config: ConfigHandle, shards: Shards) -> Self {
-        let inner = Inner { clock: Clock::start(), config, shards, purses: Mutex::default() };
+        let inner = Inner { clock: Clock::start(), config, shards, accounts: Mutex::default() };
         Self { inner: Arc::new(inner) }
     }
 
@@ -78,8 +78,8 @@
         tokio::spawn(async move {
             loop {
                 sleep(UPKEEP_INTERVAL).await;
-                for purse in lock(&inner.purses).values() {
-                    purse.wake.notify_one();
+                for shared in lock(&inner.accounts).values() {
+                    shared.wake.notify_one();
                 }
             }
         });
@@ -92,19 +92,19 @@
             let config = self.inner.config.current();
             let budget = config.manifest.customers.get(customer).and_then(|customer| customer.budget.as_ref());
             let Some(budget) = budget else { return Ok(Reservation { amount, from: None }) };
-            let purse = self.purse(customer);
-            let mut rounds = purse.rounds.subscribe();
+            let shared = self.shared(customer);
+            let mut rounds = shared.rounds.subscribe();
             let (result, low) = {
-                let mut account = lock(&purse.account);
+                let mut account = lock(&shared.account);
                 account.set_budget(&budget.period, budget.cap);
                 let now = self.inner.clock.now();
                 (account.reserve(amount, now), account.is_low(now))
             };
             if low || result == Reserve::Draw {
-                purse.wake.notify_one();
+                shared.wake.notify_one();
             }
             match result {
-                Reserve::Done => return Ok(Reservation { amount, from: Some((purse, budget.period.clone())) }),
+                Reserve::Done => return Ok(Reservation { amount, from: Some((shared, budget.period.clone())) }),
                 Reserve::Exhausted => return Err(Refusal::not_run(Reason::BudgetExhausted)),
                 Reserve::Unavailable => return Err(unavailable()),
                 Reserve::Draw => {}
@@ -117,51 +117,51 @@
 
     /// Hands all unspent shares back for a graceful shutdown, within `limit`.
     pub async fn release(&self, limit: Millis) {
-        let purses: Vec<_> = lock(&self.inner.purses).values().cloned().collect();
-        let returns = purses.iter().map(|purse| self.inner.give_back(purse));
+        let accounts: Vec<_> = lock(&self.inner.accounts).values().cloned().collect();
+        let returns = accounts.iter().map(|shared| self.inner.give_back(shared));
         if timeout(limit.into(), future::join_all(returns)).await.is_err() {
             event!(Warn, "shares_not_returned", limit = limit);
         }
     }
 
-    fn purse(&self, customer: &CustomerId) -> Arc<Purse> {
-        let mut purses = lock(&self.inner.purses);
-        if let Some(purse) = purses.get(customer) {
-            return Arc::clone(purse);
+    fn shared(&self, customer: &CustomerId) -> Arc<SharedAccount> {
+        let mut accounts = lock(&self.inner.accounts);
+        if let Some(shared) = accounts.get(customer) {
+            return Arc::clone(shared);
         }
-        let purse = Arc::new(Purse {
+        let shared = Arc::new(SharedAccount {
             customer: customer.clone(),
             account: Mutex::default(),
             wake: Notify::new(),
             rounds: watch::Sender::new(0),
         });
-        purses.insert(customer.clone(), Arc::clone(&purse));
-        tokio::spawn(keep_filled(Arc::clone(&self.inner), Arc::clone(&purse)));
-        purse
+        accounts.insert(customer.clone(), Arc::clone(&shared));
+        tokio::spawn(keep_filled(Arc::clone(&self.inner), Arc::clone(&shared)));
+        shared
     }
 }
 
 impl Inner {
     /// Sends a draw and takes in its answer; false when the owner did not answer.
-    async fn send(&self, purse: &Purse, draw: &OpenDraw) -> bool {
+    async fn send(&self, shared: &SharedAccount, draw: &OpenDraw) -> bool {
         let OpenDraw { id, period, amount, returned, .. } = draw;
-        let grant = self.shards.draw_as(id, &purse.customer, period, *amount, *returned).await;
+        let grant = self.shards.draw_as(id, &shared.customer, period, *amount, *returned).await;
         {
-            let mut account = lock(&purse.account);
+            let mut account = lock(&shared.account);
             match &grant {
                 Some(grant) => account.granted(draw, grant.granted, self.clock.now()),
                 None => account.failed(draw),
             }
         }
-        purse.rounds.send_modify(|rounds| *rounds += 1);
+        shared.rounds.send_modify(|rounds| *rounds += 1);
         grant.is_some()
     }
 
-    async fn give_back(&self, purse: &Purse) {
+    async fn give_back(&self, shared: &SharedAccount) {
         loop {
-            let draw = lock(&purse.account).give_back(|| self.shards.draw_id(), self.clock.now());
+            let draw = lock(&shared.account).give_back(|| self.shards.draw_id(), self.clock.now());
             let Some(draw) = draw else { return };
-            if !self.send(purse, &draw).await {
+            if !self.send(shared, &draw).await {
                 sleep(RETRY_PAUSE).await;
             }
         }
@@ -169,13 +169,13 @@
 }
 
 /// Makes the draws of one customer, one at a time.
-async fn keep_filled(inner: Arc<Inner>, purse: Arc<Purse>) {
+async fn keep_filled(inner: Arc<Inner>, shared: Arc<SharedAccount>) {
     loop {
-        purse.wake.notified().await;
+        shared.wake.notified().await;
         loop {
-            let draw = lock(&purse.account).next_draw(|| inner.shards.draw_id(), inner.clock.now());
+            let draw = lock(&shared.account).next_draw(|| inner.shards.draw_id(), inner.clock.now());
             let Some(draw) = draw else { break };
-            if !inner.send(&purse, &draw).await {
+            if !inner.send(&shared, &draw).await {
                 sleep(RETRY_PAUSE).await;
             } else if draw.amount > Cost::ZERO {
                 // Waiting requests take their part before the account is looked at again.
@@ -188,8 +188,8 @@
 impl Reservation {
     /// Gives back what was not spent.
     pub fn settle(self, spent: Cost) {
-        if let Some((purse, period)) = &self.from {
-            lock(&purse.account).settle(period, self.amount, spent);
+        if let Some((shared, period)) = &self.from {
+            lock(&shared.account).settle(period, self.amount, spent);
         }
     }
 }
--- a/crates/daemon/src/controller/shards/calls.rs
+++ b/crates/daemon/src/controller/shards/calls.rs
@@ -88,9 +88,9 @@
                     Ok(Ok(Verdict::Done)) => return reply.ok()?.ok(),
                     Ok(Ok(Verdict::NotOwner(Some(known)))) if self.owners.learn(known) => pause = FIRST_PAUSE,
                     Ok(Ok(Verdict::Unavailable)) => {}
-                    Ok(Ok(Verdict::NotOwner(_)) | Err(_)) => self.owners.doubt(shard, owner.fence),
+                    Ok(Ok(Verdict::NotOwner(_)) | Err(_)) => self.owners.suspect(shard, owner.fence),
                     Err(_) => {
-                        self.owners.doubt(shard, owner.fence);
+                        self.owners.suspect(shard, owner.fence);
                         if let Some(address) = owner.address {
                             self.members.reconnect(address);
                         }
--- a/crates/daemon/src/controller/shards/table.rs
+++ b/crates/daemon/src/controller/shards/table.rs
@@ -21,7 +21,7 @@
 struct Row {
     owner: Option<ShardOwner>,
     /// Whether the lease should be read before the owner is called again.
-    doubted: bool,
+    suspected: bool,
     read_at: Option<Instant>,
 }
 
@@ -41,30 +41,30 @@
         self.lock().iter().filter_map(|row| row.owner.clone()).collect()
     }
 
-    /// Takes in an owner; the highest fence wins. True when it is news.
+    /// Takes in an owner; the highest fence wins. True when it was not known.
     pub fn learn(&self, owner: &ShardOwner) -> bool {
         let mut rows = self.lock();
         let Some(row) = rows.get_mut(owner.shard as usize) else { return false };
-        let news = row.owner.as_ref().is_none_or(|known| known.fence < owner.fence);
-        if news {
+        let newer = row.owner.as_ref().is_none_or(|known| known.fence < owner.fence);
+        if newer {
             row.owner = Some(owner.clone());
-            row.doubted = false;
+            row.suspected = false;
         }
-        news
+        newer
     }
 
     /// Takes in a lease that was read at the platform.
     pub fn learn_lease(&self, shard: ShardId, lease: &Lease) {
         self.learn(&owner_of(shard, lease));
         if let Some(row) = self.lock().get_mut(shard.0 as usize) {
-            row.doubted = lease.released;
+            row.suspected = lease.released;
         }
     }
 
     /// Notes that a call to the owner with this fence failed.
-    pub fn doubt(&self, shard: ShardId, fence: u64) {
+    pub fn suspect(&self, shard: ShardId, fence: u64) {
         if let Some(row) = self.lock().get_mut(shard.0 as usize) {
-            row.doubted |= row.owner.as_ref().is_some_and(|owner| owner.fence == fence);
+            row.suspected |= row.owner.as_ref().is_some_and(|owner| owner.fence == fence);
         }
     }
 
@@ -72,7 +72,7 @@
     pub fn wants_read(&self, shard: ShardId) -> bool {
         let mut rows = self.lock();
         let Some(row) = rows.get_mut(shard.0 as usize) else { return false };
-        let wanted = row.owner.is_none() || row.doubted;
+        let wanted = row.owner.is_none() || row.suspected;
         let due = row.read_at.is_none_or(|at| at.elapsed() >= READ_INTERVAL);
         if wanted && due {
             row.read_at = Some(Instant::now());
--- a/crates/daemon/src/controller/shards/writer.rs
+++ b/crates/daemon/src/controller/shards/writer.rs
@@ -24,8 +24,8 @@
 
 /// Least time between the starts of two batches: ten a second for each shard.
 const BATCH_INTERVAL: Duration = Duration::from_millis(100);
-/// Time that changes without a waiting caller (bills) wait for company.
-const LAZY_DELAY: Duration = Duration::from_millis(300);
+/// Time for which changes without a waiting caller (bills) wait for others to share their batch.
+const BILL_DELAY: Duration = Duration::from_millis(300);
 /// Size at which a batch is full, in bytes. One more command may follow; the platform's limit is 1 MB.
 const BATCH_BYTES: usize = 400_000;
 /// Commands that wait for a batch; more are refused.
@@ -84,7 +84,7 @@
 impl Handle {
     /// Lets `decide` see the state and make changes. Its second value is returned once the changes
     /// are durable; none when they are not, or when that is not known. An urgent command does not
-    /// wait for company.
+    /// wait for others to share its batch.
     pub async fn submit<T: Send + 'static>(
         &self,
         urgent: bool,
@@ -199,7 +199,7 @@
 
     /// Decides on commands until the batch is due or full.
     async fn gather(&mut self, first: Command) -> Batch {
-        let lazy_due = Instant::now() + LAZY_DELAY;
+        let bills_due = Instant::now() + BILL_DELAY;
         let mut batch = Batch::default();
         self.decide(first, &mut batch);
         while batch.bytes < BATCH_BYTES {
@@ -207,7 +207,7 @@
             let due = match () {
                 () if batch.ops.is_empty() => Instant::now(),
                 () if batch.urgent => earliest,
-                () => earliest.max(lazy_due),
+                () => earliest.max(bills_due),
             };
             tokio::select! {
                 biased;
