--- a/crates/daemon/src/agent/link.rs
+++ b/crates/daemon/src/agent/link.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use eelgrasswell_core::{id::Revision, route::LoadReport, unit::Millis};
-use eelgrasswell_proto::v1::{AgentBeat, Load, Loaded, RouterBeat};
+use eelgrasswell_proto::v1::{AgentBeat, ConfigSnapshot, Load, Loaded, RouterBeat};
 use tokio::{
     sync::mpsc,
     time::{Instant, interval_at, sleep_until, timeout},
@@ -39,14 +39,16 @@
     let mut heard = None;
     // Versions in the last heartbeat that was not brief.
     let mut told: Option<Vec<Loaded>> = None;
+    let mut partial = None;
     loop {
         let silent_at = heard.unwrap_or_else(Instant::now) + LINK_TIMEOUT;
         let answer = tokio::select! {
             beat = beats.message() => {
-                let Ok(Some(beat)) = beat else { return };
+                let Ok(Some(mut beat)) = beat else { return };
                 heard = Some(Instant::now());
+                let complete = join(&mut beat, &mut partial);
                 take_in(agent, &beat);
-                true
+                complete
             }
             _ = ticks.tick() => heard.is_some(),
             _ = hurried.tick(), if leaves => heard.is_some() && agent.bills.has_overdue(),
@@ -68,6 +70,21 @@
     }
 }
 
+/// Joins the parts of a snapshot; false, and the beat is without its part, until the last one is there.
+fn join(beat: &mut RouterBeat, partial: &mut Option<ConfigSnapshot>) -> bool {
+    let Some(snapshot) = beat.update.as_mut().and_then(|update| update.snapshot.as_mut()) else { return true };
+    if let Some(mut start) = partial.take_if(|start| start.revision == snapshot.revision) {
+        start.json.push_str(&snapshot.json);
+        start.more = snapshot.more;
+        *snapshot = start;
+    }
+    if !snapshot.more {
+        return true;
+    }
+    *partial = beat.update.take().and_then(|update| update.snapshot);
+    false
+}
+
 fn take_in(agent: &Agent, beat: &RouterBeat) {
     if let Some(update) = &beat.update
         && let Err(err) = agent.config.apply(update)
--- a/crates/daemon/src/config.rs
+++ b/crates/daemon/src/config.rs
@@ -2,7 +2,7 @@
 
 use std::{
     collections::VecDeque,
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    sync::{Arc, Mutex, MutexGuard, PoisonError, Weak},
 };
 
 use eelgrasswell_core::{id::Revision, unit::Millis};
@@ -32,6 +32,7 @@
     clock: Clock,
     tx: Arc<watch::Sender<State>>,
     held: Arc<Mutex<Held>>,
+    snapshot: Arc<Mutex<Weak<ConfigSnapshot>>>,
     /// Revisions that other hosts reported in their heartbeats.
     pub reported: Revisions,
 }
@@ -57,7 +58,7 @@
     /// Starts with an empty configuration of revision 0, under which everything is refused.
     pub fn open(clock: Clock) -> Self {
         let (tx, _) = watch::channel(State::default());
-        Self { clock, tx: Arc::new(tx), held: Arc::default(), reported: Revisions::default() }
+        Self { clock, tx: Arc::new(tx), held: Arc::default(), snapshot: Arc::default(), reported: Revisions::default() }
     }
 
     /// The configuration in force.
@@ -113,27 +114,41 @@
 
     /// What a process at revision `have` needs to catch up; none when it has nothing to learn.
     pub fn update_since(&self, have: Revision) -> Option<ConfigUpdate> {
-        let state = self.tx.borrow();
-        if state.config.revision <= have {
+        if self.revision() <= have {
             return None;
         }
-        if let Some(first) = state.history.iter().position(|delta| delta.base == have) {
-            let deltas = state.history.range(first..).map(|delta| encode(delta)).collect();
+        if let Some(deltas) = self.deltas_since(have, usize::MAX) {
             return Some(ConfigUpdate { deltas, snapshot: None });
         }
-        drop(state);
-        Some(self.snapshot())
+        let snapshot = ConfigSnapshot::clone(&self.snapshot());
+        Some(ConfigUpdate { deltas: Vec::new(), snapshot: Some(snapshot) })
+    }
+
+    /// The deltas that lead from revision `have` to the one in force, if they are still known and have
+    /// at most `max_bytes`.
+    pub fn deltas_since(&self, have: Revision, max_bytes: usize) -> Option<Vec<ConfigDelta>> {
+        let state = self.tx.borrow();
+        let first = state.history.iter().position(|delta| delta.base == have)?;
+        let bytes: usize = state.history.range(first..).map(|delta| delta.size()).sum();
+        (bytes <= max_bytes).then(|| state.history.range(first..).map(|delta| encode(delta)).collect())
     }
 
-    /// The whole configuration as an update.
-    pub fn snapshot(&self) -> ConfigUpdate {
+    /// The whole configuration. Its text is shared while anybody uses it: 160 links may send it at the
+    /// same time.
+    pub fn snapshot(&self) -> Arc<ConfigSnapshot> {
         let config = self.current();
-        let snapshot = ConfigSnapshot {
+        let mut shared = self.snapshot.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some(snapshot) = shared.upgrade().filter(|snapshot| snapshot.revision == config.revision.0) {
+            return snapshot;
+        }
+        let snapshot = Arc::new(ConfigSnapshot {
             revision: config.revision.0,
             manifest_revision: config.manifest_revision.0,
             json: serde_json::to_string(&*config).expect("configuration serialises to JSON"),
-        };
-        ConfigUpdate { deltas: Vec::new(), snapshot: Some(snapshot) }
+            more: false,
+        });
+        *shared = Arc::downgrade(&snapshot);
+        snapshot
     }
 
     /// Holds updates back until `release`: a process that starts must not put the revision of the
--- a/crates/daemon/src/controller/links/stream.rs
+++ b/crates/daemon/src/controller/links/stream.rs
@@ -12,7 +12,7 @@
     id::{Incarnation, Revision},
     unit::Millis,
 };
-use eelgrasswell_proto::v1::{AgentBeat, ConfigUpdate, RouterBeat};
+use eelgrasswell_proto::v1::{AgentBeat, ConfigSnapshot, ConfigUpdate, RouterBeat};
 use eyre::{Result, WrapErr, bail, ensure};
 use tokio::{
     sync::mpsc,
@@ -34,6 +34,12 @@
 /// Bounds of the pause before a link is opened again; it doubles with every failure.
 const MIN_PAUSE: Duration = Duration::from_millis(100);
 const MAX_PAUSE: Duration = Duration::from_secs(2);
+/// Most bytes of deltas in one message; beyond it a snapshot is sent. The first delta of a new system
+/// is the whole manifest.
+const MAX_DELTA_BYTES: usize = 32 << 10;
+/// Bytes of a snapshot in one message. A stream keeps a buffer of the size of its largest message, and
+/// a configuration of 100 KB in one message took 150 KB for each link.
+const PART_BYTES: usize = 1 << 10;
 /// Heartbeats that may wait to be sent.
 const QUEUE: usize = 4;
 
@@ -116,16 +122,41 @@
     async fn push_config(&mut self, what: Send) -> Result<()> {
         let config = &self.inner.config;
         let revision = config.revision();
-        let update = match what {
-            Send::Since(reported) => config.update_since(reported),
-            Send::Whole => Some(config.snapshot()),
+        let deltas = match what {
+            Send::Since(reported) => config.deltas_since(reported, MAX_DELTA_BYTES),
+            Send::Whole => None,
         };
-        let Ok(permit) = self.tx.reserve().await else { bail!("the stream is closed") };
-        permit.send(self.message(update));
+        match deltas {
+            Some(deltas) => self.send(ConfigUpdate { deltas, snapshot: None }).await?,
+            None => self.send_snapshot(&config.snapshot()).await?,
+        }
         self.push.note_pushed(revision, Instant::now());
         Ok(())
     }
 
+    /// Sends a snapshot in messages of `PART_BYTES`.
+    async fn send_snapshot(&self, snapshot: &ConfigSnapshot) -> Result<()> {
+        let mut rest = snapshot.json.as_str();
+        while !rest.is_empty() {
+            let (json, tail) = rest.split_at(rest.floor_char_boundary(PART_BYTES));
+            let part = ConfigSnapshot {
+                revision: snapshot.revision,
+                manifest_revision: snapshot.manifest_revision,
+                json: json.to_owned(),
+                more: !tail.is_empty(),
+            };
+            self.send(ConfigUpdate { deltas: Vec::new(), snapshot: Some(part) }).await?;
+            rest = tail;
+        }
+        Ok(())
+    }
+
+    async fn send(&self, update: ConfigUpdate) -> Result<()> {
+        let Ok(permit) = self.tx.reserve().await else { bail!("the stream is closed") };
+        permit.send(self.message(Some(update)));
+        Ok(())
+    }
+
     fn message(&self, update: Option<ConfigUpdate>) -> RouterBeat {
         let inner = self.inner;
         RouterBeat {
--- a/crates/daemon/tests/agent/link.rs
+++ b/crates/daemon/tests/agent/link.rs
@@ -1,6 +1,8 @@
 //! Heartbeats, bills that no router settles, orders and cold starts.
 
-use eelgrasswell_proto::v1::{OrderReply, OrderRequest, order_request::Action};
+use eelgrasswell_proto::v1::{
+    ConfigSnapshot, ConfigUpdate, OrderReply, OrderRequest, RouterBeat, order_request::Action,
+};
 use eelgrasswell_testbed::engine::FaultsUpdate;
 use test_case::test_case;
 
@@ -52,6 +54,21 @@
     rig.run(model_request("r1", false, 1)).await.finished();
 }
 
+/// Guards against a configuration that never comes into force because it needs several messages.
+#[tokio::test]
+async fn beat_with_config_in_parts_is_joined() {
+    let (rig, mut link) = Rig::configured(MODELS, "", &config(1)).await;
+    let whole = crate::rig::beat(Some(&config(2)), &[]);
+    let snapshot = whole.update.clone().unwrap().snapshot.unwrap();
+    for (start, end, more) in [(0, 10, true), (10, 200, true), (200, snapshot.json.len(), false)] {
+        let part = ConfigSnapshot { json: snapshot.json[start..end].to_owned(), more, ..snapshot };
+        let update = ConfigUpdate { deltas: Vec::new(), snapshot: Some(part) };
+        link.tx.send(RouterBeat { update: Some(update), ..whole.clone() }).await.unwrap();
+    }
+    link.until(|beat| beat.revision == 2).await;
+    rig.run(model_request("r1", false, 1)).await.finished();
+}
+
 async fn order(rig: &Rig, action: Action, version: &str, fence: u64) -> OrderReply {
     let mut order =
         OrderRequest { model: "loan-desk".to_owned(), version: version.to_owned(), fence, ..OrderRequest::default() };
--- a/crates/daemon/tests/agent/rig.rs
+++ b/crates/daemon/tests/agent/rig.rs
@@ -311,6 +311,7 @@
             revision: config.revision.0,
             manifest_revision: config.manifest_revision.0,
             json: serde_json::to_string(config).unwrap(),
+            more: false,
         }),
     });
     RouterBeat {
