--- a/crates/daemon/src/filter/answer.rs
+++ b/crates/daemon/src/filter/answer.rs
@@ -48,8 +48,6 @@
 /// Bytes up to which an answer is read to its end after its caller has gone away. It is less than
 /// what an agent holds of one answer, so that the caller can still fetch all of it.
 const MAX_UNREAD: u64 = 128 << 10;
-/// Callers that stopped reading, counted once for each stall.
-const STALLS: &str = "eelgrasswell_stalled_callers_total";
 
 type Part = eyre::Result<Frame<Bytes>>;
 type Sender = mpsc::Sender<Part>;
@@ -154,7 +152,7 @@
     }
 
     async fn wait_stalled(&self, chain: &Chain) -> Result<Permit<'_>, SendError<()>> {
-        metrics::counter!(STALLS).increment(1);
+        metrics::counter!(telemetry::STALLS).increment(1);
         let kept = chain.stalled.try_acquire();
         if let (Err(_), Some(cut)) = (&kept, &self.cut) {
             count_refusal(Reason::SlowReader);
--- a/crates/daemon/src/filter/mod.rs
+++ b/crates/daemon/src/filter/mod.rs
@@ -40,9 +40,6 @@
 
 pub use self::endpoint::{bind, run};
 
-/// Retries that the retry budget has denied, by `reason`.
-const RETRIES_DENIED: &str = "eelgrasswell_retries_denied_total";
-
 /// Stalled callers that a router keeps. Each was measured at 150 KB with its connection, so this bounds
 /// them at 77 MB. Further ones are cut off and may fetch the rest of their answers from the agents.
 const MAX_STALLED: usize = 512;
@@ -124,7 +121,7 @@
     /// Takes a retry from the budget; counts it under the reason for it.
     fn take_retry(&self, reason: Reason) -> bool {
         let taken = self.retries().take(self.router.clock.now());
-        let name = if taken { telemetry::RETRIES } else { RETRIES_DENIED };
+        let name = if taken { telemetry::RETRIES } else { telemetry::RETRIES_DENIED };
         metrics::counter!(name, "reason" => reason.as_str()).increment(1);
         taken
     }
--- a/crates/daemon/src/telemetry.rs
+++ b/crates/daemon/src/telemetry.rs
@@ -7,6 +7,10 @@
 pub const REFUSALS: &str = "eelgrasswell_refusals_total";
 /// Attempts repeated at another agent, by `reason`.
 pub const RETRIES: &str = "eelgrasswell_retries_total";
+/// Attempts that the retry budget has denied, by `reason`.
+pub const RETRIES_DENIED: &str = "eelgrasswell_retries_denied_total";
+/// Callers that stopped reading, counted once for each stall.
+pub const STALLS: &str = "eelgrasswell_stalled_callers_total";
 /// Broken invariants, by `promise`.
 pub const BROKEN_INVARIANTS: &str = "eelgrasswell_broken_invariants_total";
 /// Requests answered, by `kind`.
