--- a/crates/daemon/src/filter/execute.rs
+++ b/crates/daemon/src/filter/execute.rs
@@ -6,7 +6,7 @@
 use eelgrasswell_core::{
     id::{HostId, Incarnation, RequestId, Revision},
     refusal::{Outcome, Reason, Refusal},
-    unit::{Cost, Millis},
+    unit::{Cost, Millis, Tokens},
 };
 use eelgrasswell_manifest::manifest::VersionState;
 use eelgrasswell_proto::v1::{ExecuteRequest, Failed, Finished, Head, Refused, resolve_reply::Fate};
@@ -314,6 +314,10 @@
             customer: self.call.customer.clone(),
             held: self.held.take().expect("money is held while the request runs"),
             claim: self.claim.take(),
+            prompt: match &self.call.target {
+                Target::Model(target) => target.prompt,
+                Target::Plain(_) => Tokens(0),
+            },
             first_token,
             _outstanding: outstanding,
         };
