--- a/crates/daemon/src/filter/answer.rs
+++ b/crates/daemon/src/filter/answer.rs
@@ -108,8 +108,13 @@
                 return;
             }
             Ok(Event::Failed(failed)) => {
-                break_off(&settlement.request_id, events::reason(&failed.reason), tx).await;
-                settlement.failed(failed.bill);
+                let reason = events::reason(&failed.reason);
+                break_off(&settlement.request_id, reason, tx).await;
+                match reason {
+                    // The agent was restarted and knows nothing of the answer.
+                    Reason::AnswerGone => settlement.lost(delivered),
+                    _ => settlement.failed(failed.bill),
+                }
                 return;
             }
             Ok(Event::Refused(refused)) => {
