Refuse new work on a host that the host list calls leaving

A router that is refused for its older configuration now also asks its peers for the newer one; it only waited before.

The new test of the agent passes; it was not run against the earlier agent.

--- a/crates/daemon/src/agent/link.rs
+++ b/crates/daemon/src/agent/link.rs
@@ -93,6 +93,10 @@
     }
     agent.config.confirm(Revision(beat.revision), Millis(beat.confirmed_ms_ago));
     agent.bills.settle(&beat.settled);
+    // The platform takes away a host that its list calls leaving, so this is not taken back.
+    if beat.leaving && !agent.leaving.send_replace(true) {
+        event!(Info, "host_leaving", router = beat.router);
+    }
 }
 
 impl Agent {
--- a/crates/daemon/src/filter/execute.rs
+++ b/crates/daemon/src/filter/execute.rs
@@ -30,7 +30,7 @@
     settlement::{SERVER_ERROR, Settlement},
 };
 use crate::{
-    controller::{evidence::AnswerSample, links::Outstanding},
+    controller::{evidence::AnswerSample, links::Outstanding, peers},
     invariant::{self, Promise},
     telemetry,
 };
@@ -378,9 +378,9 @@
 
     /// Decides anew by a configuration that is at least `revision`.
     async fn catch_up(&mut self, revision: Revision) -> Result<(), Failure> {
-        let config = &self.chain.router.config;
-        let _ = timeout(CATCH_UP, config.reached(revision)).await;
-        self.call.config = config.current();
+        let router = &self.chain.router;
+        let _ = timeout(CATCH_UP, peers::catch_up(router, revision)).await;
+        self.call.config = router.config.current();
         let old_cost = self.choice().max_cost;
         self.plan = choose::plan(self.chain, &self.call, self.pin.as_ref())?;
         self.level = self.level.min(self.plan.choices.len() - 1);
--- a/crates/daemon/tests/agent/link.rs
+++ b/crates/daemon/tests/agent/link.rs
@@ -52,6 +52,16 @@
     while link.beats.message().await.unwrap().is_some() {}
 }
 
+/// Guards against new work for a host that the host list calls leaving (P10).
+#[tokio::test]
+async fn beat_with_leaving_host_refuses_new_work() {
+    let (rig, mut link) = Rig::configured(MODELS, "", &config(1)).await;
+    rig.run(model_request("r1", false, 4)).await.finished();
+    link.tx.send(RouterBeat { leaving: true, ..crate::rig::beat(None, &[]) }).await.unwrap();
+    link.until(|beat| beat.leaving).await;
+    assert_eq!(rig.run(model_request("r2", false, 4)).await.refusal(), ("leaving", true));
+}
+
 /// Guards against an older configuration that replaces a newer one.
 #[tokio::test]
 async fn beat_with_older_config_changes_nothing() {
