--- a/crates/daemon/src/agent/link.rs
+++ b/crates/daemon/src/agent/link.rs
@@ -71,7 +71,7 @@
 }
 
 /// Joins the parts of a snapshot; false, and the beat is without its part, until the last one is there.
-fn join(beat: &mut RouterBeat, partial: &mut Option<ConfigSnapshot>) -> bool {
+pub fn join(beat: &mut RouterBeat, partial: &mut Option<ConfigSnapshot>) -> bool {
     let Some(snapshot) = beat.update.as_mut().and_then(|update| update.snapshot.as_mut()) else { return true };
     if let Some(mut start) = partial.take_if(|start| start.revision == snapshot.revision) {
         start.json.push_str(&snapshot.json);
--- a/crates/daemon/tests/distribution/agent.rs
+++ b/crates/daemon/tests/distribution/agent.rs
@@ -4,12 +4,13 @@
     net::SocketAddr,
     pin::Pin,
     sync::{
-        Arc,
+        Arc, Mutex,
         atomic::{AtomicBool, AtomicU64, Ordering},
     },
 };
 
 use eelgrasswell_daemon::{
+    agent::link,
     clock::Clock,
     config::ConfigHandle,
     platform::{HostEntry, HostRole},
@@ -81,6 +82,7 @@
     incarnation: AtomicU64,
     silent: AtomicBool,
     config: ConfigHandle,
+    partial: Mutex<Option<v1::ConfigSnapshot>>,
     tx: mpsc::UnboundedSender<Seen>,
 }
 
@@ -97,6 +99,7 @@
             incarnation: AtomicU64::new(1),
             silent: AtomicBool::new(false),
             config: config.clone(),
+            partial: Mutex::default(),
             tx,
         });
         let service = agent_server::AgentServer::new(Service(Arc::clone(&shared)));
@@ -147,11 +150,12 @@
 }
 
 impl Shared {
-    fn answer(&self, beat: RouterBeat) -> AgentBeat {
+    fn answer(&self, mut beat: RouterBeat) -> AgentBeat {
+        let _ = self.tx.send(Seen::Beat(Box::new(beat.clone())));
+        link::join(&mut beat, &mut self.partial.lock().unwrap());
         if let Some(update) = &beat.update {
             self.config.apply(update).unwrap();
         }
-        let _ = self.tx.send(Seen::Beat(Box::new(beat)));
         AgentBeat {
             agent: self.id.clone(),
             incarnation: self.incarnation.load(Ordering::SeqCst),
--- a/crates/daemon/tests/distribution/links.rs
+++ b/crates/daemon/tests/distribution/links.rs
@@ -2,9 +2,10 @@
 
 use eelgrasswell_core::id::{HostId, Incarnation, Revision, ServiceName};
 use eelgrasswell_daemon::platform::HostEntry;
+use eelgrasswell_manifest::config::Config;
 
 use crate::{
-    agent::{FakeAgent, Proxy},
+    agent::{FakeAgent, Proxy, Seen},
     platform::FakePlatform,
     routers::{self, TestRouter},
     until, within,
@@ -52,6 +53,26 @@
     assert!(router.router.links.candidates(&ServiceName::from("ledger")).is_empty());
 }
 
+/// Guards against a large configuration in one message, whose buffer each link would keep.
+#[tokio::test(flavor = "multi_thread")]
+async fn link_splits_large_config() {
+    let (_platform, router, mut agent) = linked().await;
+    let mut config = Config { revision: Revision(1), ..Config::default() };
+    config.manifest.domains = (0..2_000).map(|i| (format!("domain-{i}").as_str().into(), routers::domain())).collect();
+    router.router.config.adopt(config);
+    within("the revision at the agent", agent.config.reached(Revision(1))).await;
+    assert_eq!(agent.config.current(), router.router.config.current());
+    let mut parts = 0;
+    while let Ok(seen) = agent.seen.try_recv() {
+        let Seen::Beat(beat) = seen else { continue };
+        let Some(update) = beat.update else { continue };
+        let part = update.snapshot.expect("the deltas are too large for one message");
+        assert!(update.deltas.is_empty() && part.json.len() <= 1 << 10);
+        parts += 1;
+    }
+    assert!(parts > 64, "{parts}");
+}
+
 /// Guards against an agent that is chosen over a connection which has gone silent, and against a
 /// link that is never opened again.
 #[tokio::test(flavor = "multi_thread")]
