--- a/crates/daemon/tests/distribution/agent.rs
+++ b/crates/daemon/tests/distribution/agent.rs
@@ -11,6 +11,7 @@
 };
 
 use eelgrasswell_daemon::{
+    agent::link,
     clock::Clock,
     config::ConfigHandle,
     platform::{HostEntry, HostRole},
@@ -83,6 +84,7 @@
     silent: AtomicBool,
     unsettled: Mutex<Vec<BillRecord>>,
     config: ConfigHandle,
+    partial: Mutex<Option<v1::ConfigSnapshot>>,
     tx: mpsc::UnboundedSender<Seen>,
 }
 
@@ -100,6 +102,7 @@
             silent: AtomicBool::new(false),
             unsettled: Mutex::default(),
             config: config.clone(),
+            partial: Mutex::default(),
             tx,
         });
         let service = agent_server::AgentServer::new(Service(Arc::clone(&shared)));
@@ -155,11 +158,12 @@
 }
 
 impl Shared {
-    fn answer(&self, beat: RouterBeat) -> AgentBeat {
+    fn answer(&self, mut beat: RouterBeat) -> AgentBeat {
+        let _ = self.tx.send(Seen::Beat(Box::new(beat.clone())));
+        link::join(&mut beat, &mut self.partial.lock().unwrap());
         if let Some(update) = &beat.update {
             self.config.apply(update).unwrap();
         }
-        let _ = self.tx.send(Seen::Beat(Box::new(beat)));
         AgentBeat {
             agent: self.id.clone(),
             incarnation: self.incarnation.load(Ordering::SeqCst),
