--- a/crates/testbed/tests/security.rs
+++ b/crates/testbed/tests/security.rs
@@ -51,6 +51,7 @@
     let payload = signed.strip_prefix("v1.").unwrap_or_default();
     let (start, rest) = payload.split_at(payload.len() / 2);
     let altered = format!("{start}{}{}", if rest.starts_with('A') { 'B' } else { 'A' }, &rest[1..]);
+    ensure!(altered != payload, "the payload is not altered");
     let forgeries = [
         ("id of another customer", &labasa, session.to_owned()),
         ("altered payload", &savusavu, format!("v1.{altered}.{code}")),
