Give up stalled answers sooner while other requests wait for a place

Cause: an answer larger than 256 KB whose caller does not read fills its buffer at the agent and holds its place at the backend server for 30 s. With 1,000 stalled readers of one customer all 192 places of three servers were held, and 8 calls of another customer took 29 s each.

While requests wait in the agent's queue, an answer that is blocked on its reader is now given up after 1 s (slow_reader); without a queue it keeps 30 s.

Ruled out: the memory bound of the customer; a shorter time when that is used up changed nothing.

--- a/crates/daemon/src/agent/answers.rs
+++ b/crates/daemon/src/agent/answers.rs
@@ -9,7 +9,10 @@
 
 use std::{
     collections::BTreeMap,
-    sync::{Arc, Mutex, MutexGuard},
+    sync::{
+        Arc, Mutex, MutexGuard,
+        atomic::{AtomicBool, Ordering},
+    },
     time::Duration,
 };
 
@@ -47,6 +50,9 @@
 /// Time for another reader to join a request that waits for its turn, and for which a reader that
 /// reads nothing counts as active; routers open a new connection after 3 s of silence.
 const RESUME_GRACE: Millis = Millis(5_000);
+/// Time for which a request may wait for its reader while other requests wait for a place. With `stalled_after`
+/// 192 stalled requests held all places of three backend servers, and another customer waited 29 s.
+const CROWDED_STALL: Millis = Millis(1_000);
 const SWEEP_INTERVAL: Duration = Duration::from_millis(250);
 
 /// Shared table of answers.
@@ -57,6 +63,8 @@
     table: Arc<Mutex<Table>>,
     /// Told when an answer ends or a reader leaves.
     quiet: Arc<Notify>,
+    /// Whether requests wait for a place at the backend server.
+    crowded: Arc<AtomicBool>,
 }
 
 #[derive(Default)]
@@ -157,7 +165,8 @@
 impl Answers {
     /// Starts without answers.
     pub fn open(limits: AnswerLimits, clock: Clock) -> Self {
-        Self { limits: Arc::new(limits), clock, table: Arc::default(), quiet: Arc::default() }
+        let (table, quiet, crowded) = (Arc::default(), Arc::default(), Arc::default());
+        Self { limits: Arc::new(limits), clock, table, quiet, crowded }
     }
 
     /// Opens an answer with its first reader. Refused when the customer's unread answers fill its bound.
@@ -261,6 +270,11 @@
         }
     }
 
+    /// Notes whether requests wait for a place at the backend server.
+    pub fn set_crowded(&self, crowded: bool) {
+        self.crowded.store(crowded, Ordering::Relaxed);
+    }
+
     /// Drops answers that were held long enough and cancels those that nobody reads, until the
     /// task is aborted.
     pub async fn sweep(self) {
@@ -281,8 +295,10 @@
                 table.remove(&id);
             }
         }
+        let crowded = self.crowded.load(Ordering::Relaxed);
+        let patience = if crowded { CROWDED_STALL.min(self.limits.stalled_after) } else { self.limits.stalled_after };
         for entry in table.entries.values_mut() {
-            if let Some(reason) = entry.nobody_reads(&self.limits, now) {
+            if let Some(reason) = entry.nobody_reads(&self.limits, patience, now) {
                 entry.cancel.get_or_insert(reason);
                 entry.cancelled.notify_waiters();
             }
@@ -645,13 +661,13 @@
     }
 
     /// Reason to cancel the request for want of a reader.
-    fn nobody_reads(&self, limits: &AnswerLimits, now: Millis) -> Option<Reason> {
+    fn nobody_reads(&self, limits: &AnswerLimits, patience: Millis, now: Millis) -> Option<Reason> {
         let left = self.readers.is_empty().then(|| now - self.last_reader_left);
         let blocked = self.blocked_since.map(|since| now - since.max(self.last_read));
         match self.stage {
             Stage::Ended(_) => None,
             Stage::Waiting => left.filter(|&time| time >= RESUME_GRACE).map(|_| Reason::Cancelled),
-            _ if blocked.is_some_and(|time| time >= limits.stalled_after) => Some(Reason::SlowReader),
+            _ if blocked.is_some_and(|time| time >= patience) => Some(Reason::SlowReader),
             Stage::Running => left.filter(|&time| time >= limits.stalled_after).map(|_| Reason::Cancelled),
             Stage::RunningOnce => None,
         }
--- a/crates/daemon/src/agent/poll.rs
+++ b/crates/daemon/src/agent/poll.rs
@@ -17,6 +17,7 @@
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
         ticks.tick().await;
+        agent.answers.set_crowded(agent.admission.report().queued > 0);
         match agent.backend.load().await {
             Ok(load) => agent.admission.engine_report(load.start_id, load.cold),
             Err(err) => event!(Debug, "load_not_read", error = format!("{err:#}")),
