--- a/crates/daemon/tests/agent/answers.rs
+++ b/crates/daemon/tests/agent/answers.rs
@@ -92,6 +92,20 @@
     assert!(answers.held() <= 9 * KB, "{} bytes held", answers.held());
 }
 
+/// Guards against stalled readers that hold places of the backend server for `stalled_after`, 60 s
+/// here, while other requests wait for one.
+#[tokio::test]
+async fn push_blocked_gives_way_to_waiting_requests() {
+    let answers = open(8 * KB, 1_000 * KB, 1_000 * KB);
+    let (answer, _reader) = begin(&answers, "r1", "reef");
+    fill(&answer, 1 << 10);
+    let sweep = tokio::spawn(answers.clone().sweep());
+    answers.set_crowded(true);
+    let push = timeout(Duration::from_secs(20), answer.push(&[9; 1 << 10])).await;
+    assert_eq!(push.expect("the blocked answer is given up"), Err(Reason::SlowReader));
+    sweep.abort();
+}
+
 /// Guards against readers that stall and so hold up those that keep up, and against memory that
 /// grows with the number of stalled readers.
 #[test_case(100 ; "100 stalled")]
