Share the fleet plan of the measurements

The benchmark and the outage measurement each built the same fleet without limits. Behaviour is unchanged; clippy passes, the measurements were not run again.

--- a/crates/testbed/examples/bench.rs
+++ b/crates/testbed/examples/bench.rs
@@ -54,7 +54,11 @@
 #[tokio::main]
 async fn main() -> Result<()> {
     let args: Args = argh::from_env();
-    let fleet = Fleet::start(plan(args.engines)).await?;
+    let fleet = Fleet::start(FleetPlan::unlimited(
+        args.engines,
+        &["--first-us", "2000", "--token-us", "1000", "--slots", "1000"],
+    ))
+    .await?;
     let caller = fleet.customer(SAVUSAVU_KEY);
     warm_up(&fleet, &caller).await?;
     let (router, engine) = (fleet.routers[0].callers, fleet.agents[0].engine.address);
@@ -101,22 +105,6 @@
     }
 }
 
-/// One router with two worker threads and a pool of engines that are not the bottleneck.
-fn plan(engines: usize) -> FleetPlan {
-    let mut plan = FleetPlan::small();
-    plan.routers.truncate(1);
-    let engine = plan.agents[0].clone();
-    plan.agents = vec![engine; engines];
-    plan.engine_args = ["--first-us", "2000", "--token-us", "1000", "--slots", "1000"].map(str::to_owned).to_vec();
-    plan.worker_threads = Some(2);
-    let pool = &mut plan.manifest["services"]["loan-desk"];
-    pool["max_running"] = json!(500);
-    pool["cold_limit"] = json!(500);
-    pool["tokens_limit"] = json!(10_000_000);
-    plan.manifest["customers"]["savusavu"]["budget"] = json!(null);
-    plan
-}
-
 async fn warm_up(fleet: &Fleet, caller: &Http) -> Result<()> {
     for _ in 0..200 {
         chat(caller, fleet.routers[0].callers, 5).await?;
--- a/crates/testbed/examples/capacity/outage.rs
+++ b/crates/testbed/examples/capacity/outage.rs
@@ -38,7 +38,9 @@
         "load_average",
     ]);
     for down in [false, true] {
-        let fleet = Fleet::start(plan()).await?;
+        let fleet =
+            Fleet::start(FleetPlan::unlimited(ENGINES, &["--first-us", "500", "--token-us", "100", "--slots", "1000"]))
+                .await?;
         let caller = fleet.customer(SAVUSAVU_KEY);
         run(&fleet, &caller, WARM_UP).await?;
         sleep(Duration::from_secs(2)).await;
@@ -81,18 +83,3 @@
     });
     calls.buffer_unordered(CONCURRENCY).try_collect().await
 }
-
-fn plan() -> FleetPlan {
-    let mut plan = FleetPlan::small();
-    plan.routers.truncate(1);
-    let engine = plan.agents[0].clone();
-    plan.agents = vec![engine; ENGINES];
-    plan.engine_args = ["--first-us", "500", "--token-us", "100", "--slots", "1000"].map(str::to_owned).to_vec();
-    plan.worker_threads = Some(2);
-    let pool = &mut plan.manifest["services"]["loan-desk"];
-    pool["max_running"] = json!(500);
-    pool["cold_limit"] = json!(500);
-    pool["tokens_limit"] = json!(10_000_000);
-    plan.manifest["customers"]["savusavu"]["budget"] = json!(null);
-    plan
-}
--- a/crates/testbed/src/plan.rs
+++ b/crates/testbed/src/plan.rs
@@ -57,6 +57,22 @@
             manifest: manifest(),
         }
     }
+
+    /// One router with two worker threads and model engines that are not the bottleneck, for
+    /// measurements of the router: no limit of the pool or the budget is reached.
+    pub fn unlimited(engines: usize, engine_args: &[&str]) -> Self {
+        let mut plan = Self::small();
+        plan.routers.truncate(1);
+        plan.agents = vec![plan.agents[0].clone(); engines];
+        plan.engine_args = engine_args.iter().map(ToString::to_string).collect();
+        plan.worker_threads = Some(2);
+        let pool = &mut plan.manifest["services"]["loan-desk"];
+        pool["max_running"] = json!(500);
+        pool["cold_limit"] = json!(500);
+        pool["tokens_limit"] = json!(10_000_000);
+        plan.manifest["customers"]["savusavu"]["budget"] = json!(null);
+        plan
+    }
 }
 
 /// A manifest with two customers, two models of two versions each, one class and one plain service.
