Add a gateway that serves the users' platform

The package platform/ translates names, formats and calls; core gets the decisions (routes, choice of a server, escalation, repeats, canary, proofs of the configuration); the daemon gets the subcommand gateway.

--- /dev/null
+++ b/crates/core/src/escalation.rs
@@ -0,0 +1,43 @@
+//! Which model answers a request that names none: the smallest first, then the largest when the smallest rates its own
+//! answer low.
+//!
+//! The models between the two lose on both ends: they read the prompt once more, and seldom rate themselves high where
+//! the smallest does not.
+
+use crate::{id::ModelName, unit::Millis};
+
+/// Self-rating, from 0 to 100, under which an answer is asked for again at the largest model.
+pub const ESCALATE_BELOW: u8 = 40;
+/// Least share of the deadline that must be left for an escalation.
+const LEAST_TIME_SHARE: f64 = 0.35;
+
+/// Models of a request in the order in which they are asked.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Ladder {
+    steps: Vec<ModelName>,
+}
+
+impl Ladder {
+    /// The ladder for `models`, smallest first.
+    pub fn new(models: &[ModelName]) -> Self {
+        let steps = match models {
+            [] => Vec::new(),
+            [only] => vec![only.clone()],
+            [smallest, .., largest] => vec![smallest.clone(), largest.clone()],
+        };
+        Self { steps }
+    }
+
+    /// Model of step `step`.
+    pub fn model(&self, step: usize) -> Option<&ModelName> {
+        self.steps.get(step)
+    }
+
+    /// Whether an answer of step `step` with self-rating `confidence` is to be asked for again, with `left` of
+    /// `deadline` to go.
+    pub fn escalates(&self, step: usize, confidence: Option<u8>, left: Millis, deadline: Millis) -> bool {
+        let Some(confidence) = confidence else { return false };
+        let in_time = left.0 as f64 >= deadline.0 as f64 * LEAST_TIME_SHARE;
+        step + 1 < self.steps.len() && confidence < ESCALATE_BELOW && in_time
+    }
+}
--- a/crates/core/src/evidence.rs
+++ b/crates/core/src/evidence.rs
@@ -5,6 +5,8 @@
 //! state-based grow-only counter (Baquero and Moura, "Specification of Convergent Abstract Data
 //! Types for Autonomous Mobile Computing", 1997, component IncNat).
 
+use std::hash::Hash;
+
 use crate::{
     hash::HashMap,
     id::{Incarnation, ModelName, VersionName},
@@ -52,29 +54,42 @@
     }
 }
 
-/// Totals of all reporters, by version.
-#[derive(Clone, Debug, Default)]
-pub struct Board {
-    versions: HashMap<(ModelName, VersionName), HashMap<Incarnation, Counters>>,
+/// Totals of all reporters, by version of what `P` names: a model, or a service of its own versions.
+#[derive(Clone, Debug)]
+pub struct Board<P = ModelName> {
+    versions: HashMap<(P, VersionName), HashMap<Incarnation, Counters>>,
+}
+
+impl<P> Default for Board<P> {
+    fn default() -> Self {
+        Self { versions: HashMap::default() }
+    }
 }
 
-impl Board {
+impl<P: Clone + Eq + Hash> Board<P> {
     /// Takes in the running totals of one reporter.
-    pub fn report(&mut self, model: &ModelName, version: &VersionName, reporter: Incarnation, counters: Counters) {
-        let reporters = self.versions.entry((model.clone(), version.clone())).or_default();
+    pub fn report(&mut self, of: &P, version: &VersionName, reporter: Incarnation, counters: Counters) {
+        let reporters = self.versions.entry((of.clone(), version.clone())).or_default();
         let known = reporters.entry(reporter).or_default();
         *known = known.max(counters);
     }
 
     /// Sum over all reporters.
-    pub fn totals(&self, model: &ModelName, version: &VersionName) -> Counters {
-        let reporters = self.versions.get(&(model.clone(), version.clone()));
+    pub fn totals(&self, of: &P, version: &VersionName) -> Counters {
+        let reporters = self.versions.get(&(of.clone(), version.clone()));
         reporters.into_iter().flat_map(HashMap::values).fold(Counters::default(), |sum, counters| sum.plus(*counters))
     }
 
+    /// Every reporter's totals.
+    pub fn reports(&self) -> impl Iterator<Item = (&P, &VersionName, Incarnation, Counters)> {
+        self.versions.iter().flat_map(|((of, version), reporters)| {
+            reporters.iter().map(move |(reporter, counters)| (of, version, *reporter, *counters))
+        })
+    }
+
     /// Forgets versions for which `keep` is false.
-    pub fn retain(&mut self, mut keep: impl FnMut(&ModelName, &VersionName) -> bool) {
-        self.versions.retain(|(model, version), _| keep(model, version));
+    pub fn retain(&mut self, mut keep: impl FnMut(&P, &VersionName) -> bool) {
+        self.versions.retain(|(of, version), _| keep(of, version));
     }
 
     /// Number of (version, reporter) pairs held.
--- a/crates/core/src/id.rs
+++ b/crates/core/src/id.rs
@@ -92,6 +92,8 @@
     ServiceName;
     /// A class of requests with one quality target.
     ClassName;
+    /// One start of a backend server; a restart mostly brings a new one.
+    BackendId;
     /// A request; on answers `<uuid>.<host id of the agent>`.
     RequestId;
 }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -2,20 +2,30 @@
 //! the time and the state, so that tests and experiments can drive every decision directly.
 
 pub mod admission;
+pub mod backend;
 pub mod budget;
+pub mod canary;
 pub mod cascade;
 pub mod claim;
+pub mod confirmation;
+pub mod escalation;
+pub mod event_stream;
 pub mod evidence;
+pub mod fleet;
 pub mod hash;
 pub mod id;
 pub mod lease;
 pub mod ledger;
 pub mod membership;
+pub mod pool;
 pub mod quality;
+pub mod rate;
 pub mod refusal;
+pub mod repeat;
 pub mod retry;
 pub mod rollout;
 pub mod route;
 pub mod session;
 pub mod shard;
+pub mod site;
 pub mod unit;
--- /dev/null
+++ b/crates/daemon/src/cmd/gateway.rs
@@ -0,0 +1,44 @@
+//! `eelgrasswelld gateway`
+
+use std::{env, path::PathBuf};
+
+use argh::FromArgs;
+use eelgrasswell_manifest::{gateway::GatewaySettings, settings};
+use eelgrasswell_platform::SETTINGS_FILE;
+use eyre::{Result, WrapErr, eyre};
+use tokio::runtime::Builder;
+
+use crate::{gateway, log, shutdown, telemetry};
+
+/// Serve callers on an entry host and send their requests to backend servers directly.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "gateway")]
+pub struct GatewayCmd {
+    /// settings file; by default the one that the platform names in the environment
+    #[argh(option)]
+    settings: Option<PathBuf>,
+}
+
+pub fn run(cmd: GatewayCmd) -> Result<()> {
+    let path = match cmd.settings {
+        Some(path) => path,
+        None => env::var_os(SETTINGS_FILE)
+            .map(PathBuf::from)
+            .ok_or_else(|| eyre!("could not find the settings: give --settings or set {SETTINGS_FILE}"))?,
+    };
+    let settings: GatewaySettings = settings::open(&path)?;
+    settings.check().wrap_err_with(|| format!("could not use settings {}", path.display()))?;
+    log::init(&settings.log_level)?;
+    let metrics = telemetry::install()?;
+    let runtime = Builder::new_multi_thread()
+        .worker_threads(settings.cores)
+        .enable_all()
+        .build()
+        .wrap_err("could not start the runtime")?;
+    let outcome = runtime.block_on(async {
+        let signals = shutdown::listen()?;
+        gateway::run(settings, metrics, signals).await
+    });
+    runtime.shutdown_background();
+    outcome
+}
--- a/crates/daemon/src/cmd/mod.rs
+++ b/crates/daemon/src/cmd/mod.rs
@@ -1,6 +1,7 @@
 //! Subcommands, one file each.
 
 mod agent;
+mod gateway;
 mod router;
 
 use std::process::ExitCode;
@@ -19,6 +20,7 @@
 enum Sub {
     Router(router::RouterCmd),
     Agent(agent::AgentCmd),
+    Gateway(gateway::GatewayCmd),
 }
 
 /// Runs the chosen subcommand; errors go to standard error.
@@ -26,6 +28,7 @@
     let result = match cmd.sub {
         Sub::Router(cmd) => router::run(&cmd),
         Sub::Agent(cmd) => agent::run(&cmd),
+        Sub::Gateway(cmd) => gateway::run(cmd),
     };
     match result {
         Ok(()) => ExitCode::SUCCESS,
--- /dev/null
+++ b/crates/daemon/src/gateway/evidence.rs
@@ -0,0 +1,100 @@
+//! What answers tell of versions and backend servers: counters by version, pooled over all routers, and usual times.
+
+use std::sync::Mutex;
+
+use eelgrasswell_core::{
+    evidence::{Board, Counters},
+    hash::HashMap,
+    id::{Incarnation, ModelName, ServiceName, VersionName},
+    unit::Millis,
+};
+
+use crate::sync::lock;
+
+/// Weight of the newest answer in the usual time of a service and model.
+const NEWEST_WEIGHT: f64 = 0.05;
+/// Multiple of the usual time above which an answer counts as slow.
+const SLOW_FACTOR: f64 = 4.0;
+/// Fixed part of the time to an answer; the rest grows with the prompt.
+const FIXED_MS: f64 = 60.0;
+/// Prompt tokens that take a millisecond. Only the ratio to the fixed part matters.
+const PROMPT_TOKENS_PER_MS: f64 = 60.0;
+
+/// Answers counted by this router and reported by others.
+#[derive(Default)]
+pub struct Evidence {
+    state: Mutex<State>,
+}
+
+#[derive(Default)]
+struct State {
+    own: HashMap<(ServiceName, VersionName), Counters>,
+    board: Board<ServiceName>,
+    usual: HashMap<(ServiceName, ModelName), f64>,
+}
+
+/// An answer, or the lack of one.
+#[derive(Clone, Copy, Debug)]
+pub struct Sample<'a> {
+    /// Service that was asked.
+    pub service: &'a ServiceName,
+    /// Version of the backend server.
+    pub version: &'a VersionName,
+    /// Model that was asked; empty for plain services.
+    pub model: &'a ModelName,
+    /// Tokens of the prompt.
+    pub prompt: u64,
+    /// Time to the beginning of the answer; none when it failed.
+    pub elapsed: Option<Millis>,
+}
+
+impl Evidence {
+    /// Counts a sample; returns how many times the usual time it took.
+    pub fn note(&self, sample: Sample<'_>) -> f64 {
+        let mut state = lock(&self.state);
+        let slowness = sample.elapsed.map(|elapsed| {
+            let work = FIXED_MS + sample.prompt as f64 / PROMPT_TOKENS_PER_MS;
+            let key = (sample.service.clone(), sample.model.clone());
+            let relative = elapsed.0 as f64 / work;
+            let usual = state.usual.entry(key).or_insert(relative.max(f64::MIN_POSITIVE));
+            let slowness = relative / *usual;
+            // One very slow answer must not make the others look fast.
+            *usual += NEWEST_WEIGHT * (relative.min(*usual * SLOW_FACTOR) - *usual);
+            slowness
+        });
+        let counters = state.own.entry((sample.service.clone(), sample.version.clone())).or_default();
+        counters.answers += 1;
+        counters.errors += u64::from(slowness.is_none());
+        counters.slow += u64::from(slowness.is_some_and(|slowness| slowness > SLOW_FACTOR));
+        slowness.unwrap_or(1.0)
+    }
+
+    /// Takes in what a router has counted.
+    pub fn report(&self, service: &ServiceName, version: &VersionName, reporter: Incarnation, counters: Counters) {
+        lock(&self.state).board.report(service, version, reporter, counters);
+    }
+
+    /// All that is known, with the own counts under `own`.
+    pub fn reports(&self, own: Incarnation) -> Vec<(ServiceName, VersionName, Incarnation, Counters)> {
+        let mut state = lock(&self.state);
+        let state = &mut *state;
+        for ((service, version), counters) in &state.own {
+            state.board.report(service, version, own, *counters);
+        }
+        let copy = |(service, version, reporter, counters): (&ServiceName, &VersionName, _, _)| {
+            (service.clone(), version.clone(), reporter, counters)
+        };
+        state.board.reports().map(copy).collect()
+    }
+
+    /// Counts of all routers for `target` and for the other versions of the service.
+    pub fn compare(&self, own: Incarnation, service: &ServiceName, target: &VersionName) -> (Counters, Counters) {
+        let of_service = |report: &(ServiceName, VersionName, Incarnation, Counters)| report.0 == *service;
+        let reports: Vec<_> = self.reports(own).into_iter().filter(of_service).collect();
+        let sum = |on_target: bool| {
+            let side = reports.iter().filter(|(_, version, _, _)| (version == target) == on_target);
+            side.fold(Counters::default(), |sum, (_, _, _, counters)| sum.plus(*counters))
+        };
+        (sum(true), sum(false))
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/gateway/execute.rs
@@ -0,0 +1,331 @@
+//! Runs a request: which model answers, and whether it is sent once more.
+
+use std::{sync::Arc, time::Duration};
+
+use bytes::{Bytes, BytesMut};
+use eelgrasswell_core::{
+    canary::VersionRule,
+    escalation::Ladder,
+    id::{BackendId, ModelName},
+    pool::Unavailable,
+    repeat::Purpose,
+    unit::Millis,
+};
+use eelgrasswell_platform::{answer, request::ModelWish};
+use http_body_util::{BodyExt, Full};
+use hyper::{HeaderMap, Response, StatusCode, header::CONTENT_LENGTH};
+use tokio::time::{Instant, sleep, timeout_at};
+
+use super::{
+    Body, Gateway,
+    attempt::{Answer, Attempt, Ended},
+    refusal::Refusal,
+    relay::Relay,
+    request::Call,
+};
+use crate::{event, sync::lock};
+
+/// Sends of one request, refused ones included.
+const MAX_SENDS: u32 = 5;
+/// Multiple of the objective after which a server that has not answered counts as silent.
+const PATIENCE: f64 = 2.5;
+/// Largest share of the time left that is spent waiting for one server while another may be asked.
+const PATIENCE_SHARE: f64 = 0.45;
+/// Time without which a request is not sent once more.
+const LEAST_TIME: Duration = Duration::from_millis(60);
+/// Longest time that a request waits for a cold server's share to come free.
+const COLD_WAIT: Duration = Duration::from_millis(250);
+/// Pause before a cold server's share is asked for again.
+const COLD_PAUSE: Duration = Duration::from_millis(40);
+/// Largest answer that is read whole before it is passed on.
+const MAX_WHOLE: usize = 1 << 20;
+
+/// A request under way.
+pub struct Execution {
+    /// The gateway.
+    pub gateway: Gateway,
+    /// The request.
+    pub call: Arc<Call>,
+    ladder: Ladder,
+    step: usize,
+    rule: VersionRule,
+    tried: Vec<BackendId>,
+    runs: u32,
+    sends: u32,
+}
+
+impl Execution {
+    /// Prepares to run `call`.
+    pub fn new(gateway: Gateway, call: Call) -> Self {
+        gateway.note_request(&call.service);
+        let rule = gateway.version_rule(&call);
+        let ladder = Ladder::new(call.models());
+        Self { gateway, call: Arc::new(call), ladder, step: 0, rule, tried: Vec::new(), runs: 0, sends: 0 }
+    }
+
+    /// Runs the request until its answer begins.
+    pub async fn start(mut self) -> Result<Response<Body>, Refusal> {
+        let mut smaller: Option<Answer> = None;
+        loop {
+            let answer = match self.attempt(None).await {
+                Ok(answer) => answer,
+                Err(ended) => {
+                    // An answer that is there is better than none.
+                    if let Some(answer) = smaller.take() {
+                        self.step -= 1;
+                        return self.respond(answer).await;
+                    }
+                    self.after(ended).await?;
+                    continue;
+                }
+            };
+            if answer.status.is_server_error() {
+                if let Some(answer) = smaller.take() {
+                    self.step -= 1;
+                    return self.respond(answer).await;
+                }
+                if self.may_repeat(Purpose::Failure) {
+                    event!(
+                        Info,
+                        "repeated",
+                        request = self.call.id,
+                        reason = "failed",
+                        status = answer.status.as_u16()
+                    );
+                    tokio::spawn(answer.drain());
+                    continue;
+                }
+                return self.respond(answer).await;
+            }
+            if self.escalates(&answer) {
+                event!(Debug, "escalated", request = self.call.id, confidence = answer.meta.confidence.unwrap_or(0));
+                smaller = Some(answer);
+                self.step += 1;
+                self.tried.clear();
+                continue;
+            }
+            if let Some(smaller) = smaller {
+                tokio::spawn(smaller.drain());
+            }
+            return self.respond(answer).await;
+        }
+    }
+
+    /// Goes on with a stream after the event `last_id`, at another server. None when that can't be done.
+    pub async fn resume(&mut self, last_id: Option<&str>) -> Option<Answer> {
+        while self.may_repeat(Purpose::Failure) {
+            match self.attempt(last_id).await {
+                Ok(answer) if answer.status.is_success() => return Some(answer),
+                Ok(answer) => {
+                    event!(Info, "resume_failed", request = self.call.id, status = answer.status.as_u16());
+                    tokio::spawn(answer.drain());
+                }
+                Err(ended) => {
+                    event!(Info, "resume_failed", request = self.call.id, error = ended);
+                    if matches!(ended, Ended::Unavailable(_)) {
+                        sleep(COLD_PAUSE).await;
+                    }
+                }
+            }
+        }
+        None
+    }
+
+    /// Whether another send is allowed; takes it from the budget.
+    pub fn may_repeat(&self, purpose: Purpose) -> bool {
+        self.call.route.kind.is_idempotent()
+            && self.runs < self.call.route.max_attempts
+            && self.sends < MAX_SENDS
+            && self.call.remaining() > LEAST_TIME
+            && self.gateway.take_repeat(&self.call.service, purpose)
+    }
+
+    async fn attempt(&mut self, resume_after: Option<&str>) -> Result<Answer, Ended> {
+        let model = self.model();
+        let attempt = Attempt {
+            call: &self.call,
+            model: model.as_ref(),
+            resume_after,
+            rule: &self.rule,
+            tried: &self.tried,
+            limit: self.patience(),
+        };
+        let result = attempt.run(&self.gateway).await;
+        match &result {
+            Ok(answer) => {
+                self.sends += 1;
+                self.runs += 1;
+                self.tried.push(answer.place.backend.id.clone());
+            }
+            Err(Ended::Lost { backend, .. }) => {
+                self.sends += 1;
+                self.runs += 1;
+                self.tried.push(backend.id.clone());
+            }
+            Err(Ended::NotRun { backend, .. }) => {
+                self.sends += 1;
+                self.tried.push(backend.id.clone());
+            }
+            Err(Ended::Unavailable(_)) => {}
+        }
+        result
+    }
+
+    fn model(&self) -> Option<ModelName> {
+        match &self.call.meta.model {
+            ModelWish::Any => self.ladder.model(self.step).cloned(),
+            ModelWish::Named(model) => Some(model.clone()),
+            ModelWish::None => None,
+        }
+    }
+
+    /// When to stop waiting for the head of an answer.
+    fn patience(&self) -> Instant {
+        let may_go_elsewhere = self.call.route.kind.is_idempotent() && self.runs + 1 < self.call.route.max_attempts;
+        if !may_go_elsewhere {
+            return self.call.deadline;
+        }
+        let patience = Duration::from(self.call.route.objective).mul_f64(PATIENCE);
+        Instant::now() + patience.min(self.call.remaining().mul_f64(PATIENCE_SHARE))
+    }
+
+    fn escalates(&self, answer: &Answer) -> bool {
+        let call = &self.call;
+        let deadline = Millis::from(call.deadline - call.arrived);
+        let left = Millis::from(call.remaining());
+        self.ladder.escalates(self.step, answer.meta.confidence, left, deadline) && self.may_repeat(Purpose::Escalation)
+    }
+
+    /// Decides whether to go on after a send without an answer.
+    async fn after(&mut self, ended: Ended) -> Result<(), Refusal> {
+        event!(Info, "send_ended", request = self.call.id, error = ended);
+        if self.call.remaining().is_zero() {
+            return Err(if self.runs > 0 { Refusal::DeadlineRun } else { Refusal::DeadlineNotRun });
+        }
+        match ended {
+            Ended::Unavailable(why) => self.after_unavailable(why).await,
+            Ended::NotRun { .. } => {
+                let again = self.sends < MAX_SENDS
+                    && self.call.remaining() > LEAST_TIME
+                    && self.gateway.take_repeat(&self.call.service, Purpose::Failure);
+                if again {
+                    return Ok(());
+                }
+                // An earlier send may have run, so that a promise would be false.
+                Err(if self.runs > 0 {
+                    Refusal::Lost("refused elsewhere".into())
+                } else {
+                    Refusal::NoBackend("refused")
+                })
+            }
+            Ended::Lost { why, .. } => {
+                if self.may_repeat(Purpose::Failure) {
+                    Ok(())
+                } else {
+                    Err(Refusal::Lost(why))
+                }
+            }
+        }
+    }
+
+    async fn after_unavailable(&mut self, why: Unavailable) -> Result<(), Refusal> {
+        let waited = self.call.arrived.elapsed();
+        match why {
+            Unavailable::Cold if waited < COLD_WAIT => {
+                sleep(COLD_PAUSE).await;
+                return Ok(());
+            }
+            Unavailable::AllTried if !self.tried.is_empty() && self.sends < MAX_SENDS => {
+                self.tried.clear();
+                return Ok(());
+            }
+            Unavailable::Cold | Unavailable::AllTried | Unavailable::NoneInService => {}
+        }
+        if self.runs > 0 {
+            return Err(Refusal::Lost("no other server can take the request".into()));
+        }
+        Err(Refusal::NoBackend(match why {
+            Unavailable::NoneInService => "none in service",
+            Unavailable::Cold => "all are cold",
+            Unavailable::AllTried => "all have refused",
+        }))
+    }
+
+    /// The caller's answer: a stream is relayed, anything else is read whole first.
+    async fn respond(mut self, answer: Answer) -> Result<Response<Body>, Refusal> {
+        let is_stream = self.call.route.kind.is_stream() && answer.status.is_success();
+        let mut answer = answer;
+        loop {
+            let (status, headers) = (answer.status, answer::headers_for_caller(&answer.headers));
+            if is_stream {
+                return Ok(response(status, headers, Relay::new(self, answer).into_body()));
+            }
+            let whole = timeout_at(self.call.deadline, read_whole(answer)).await;
+            let why = match whole {
+                Ok(Ok(body)) => return Ok(response(status, headers, body)),
+                Ok(Err(why)) => why,
+                Err(_) => return Err(Refusal::DeadlineRun),
+            };
+            event!(Info, "answer_broken", request = self.call.id, error = why);
+            loop {
+                if !self.may_repeat(Purpose::Failure) {
+                    return Err(Refusal::Lost(why));
+                }
+                match self.attempt(None).await {
+                    Ok(next) => {
+                        answer = next;
+                        break;
+                    }
+                    Err(ended) => self.after(ended).await?,
+                }
+            }
+        }
+    }
+}
+
+impl super::State {
+    /// Versions that a request may run on, by the order for its service.
+    fn version_rule(&self, call: &Call) -> VersionRule {
+        let now = self.clock.now();
+        let session_time = self.settings.bounds.session();
+        self.note_session(call.session, now, session_time);
+        match lock(&self.canaries).get_mut(&call.service) {
+            Some(canary) => canary.rule(now, call.session, session_time),
+            None => VersionRule::default(),
+        }
+    }
+
+    fn note_session(&self, session: u64, now: Millis, session_time: Millis) {
+        /// Most sessions remembered.
+        const MAX_SESSIONS: usize = 20_000;
+        let mut sessions = lock(&self.sessions);
+        if sessions.len() >= MAX_SESSIONS {
+            sessions.retain(|_, used| now.saturating_sub(*used) < session_time);
+        }
+        sessions.insert(session, now);
+    }
+}
+
+fn response(status: StatusCode, headers: HeaderMap, body: Body) -> Response<Body> {
+    let mut response = Response::new(body);
+    *response.status_mut() = status;
+    *response.headers_mut() = headers;
+    response.headers_mut().remove(CONTENT_LENGTH);
+    response
+}
+
+/// Reads an answer to its end. One that is too large is passed on as it comes, after what was read.
+async fn read_whole(mut answer: Answer) -> Result<Body, String> {
+    let mut buf = BytesMut::new();
+    while let Some(frame) = answer.body.frame().await {
+        let frame = frame.map_err(|err| super::net::describe(&err))?;
+        if let Ok(data) = frame.into_data() {
+            buf.extend_from_slice(&data);
+        }
+        if buf.len() > MAX_WHOLE {
+            return Ok(Relay::plain(buf.freeze(), answer).into_body());
+        }
+    }
+    answer.finish();
+    Ok(Full::new(Bytes::from(buf)).map_err(|never| match never {}).boxed_unsync())
+}
--- /dev/null
+++ b/crates/daemon/src/gateway/request.rs
@@ -0,0 +1,166 @@
+//! Reads a caller's request: route, customer, freshness of the configuration, and body.
+
+use std::{sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use eelgrasswell_core::{
+    hash::stable_hash,
+    id::{CustomerId, ModelName, RequestId, ServiceName},
+    site::{Caller, Customer, Route, Site},
+    unit::Millis,
+};
+use eelgrasswell_platform::{
+    objects::Kind,
+    request::{self, ModelWish, RequestMeta},
+};
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::{
+    HeaderMap, Method, Request, Uri,
+    body::{Body as _, Incoming},
+    header::HOST,
+};
+use tokio::time::{Instant, timeout_at};
+use uuid::Uuid;
+
+use super::{State, refusal::Refusal};
+
+/// Share of the time within which a withdrawn key must stop working, above which a proof of the configuration is too
+/// old to serve keyed requests. The rest covers the clock's granularity.
+const FRESH_SHARE: f64 = 0.92;
+
+/// A request that may be run.
+pub struct Call {
+    /// Id of the caller's attempt.
+    pub id: RequestId,
+    /// What the header fields say.
+    pub meta: RequestMeta,
+    /// Header fields as the caller sent them.
+    pub headers: HeaderMap,
+    /// Method.
+    pub method: Method,
+    /// Path and query.
+    pub uri: Uri,
+    /// Body as the caller sent it.
+    pub body: Bytes,
+    /// Configuration that the request is decided by.
+    pub site: Arc<Site>,
+    /// Its route.
+    pub route: Arc<Route>,
+    /// Service that it goes to.
+    pub service: ServiceName,
+    /// Customer of its key.
+    pub customer: Option<Arc<Customer>>,
+    /// When it was received.
+    pub arrived: Instant,
+    /// When the caller, or the operator's limit, stops waiting.
+    pub deadline: Instant,
+    /// Hash of its session, or of its id when it belongs to none.
+    pub session: u64,
+    /// Hash of the prompt part that requests on one subject share.
+    pub subject: Option<u64>,
+}
+
+impl Call {
+    /// Time that is left.
+    pub fn remaining(&self) -> Duration {
+        self.deadline.saturating_duration_since(Instant::now())
+    }
+
+    /// Customer of the request.
+    pub fn customer(&self) -> Option<&CustomerId> {
+        self.customer.as_ref().map(|customer| &customer.id)
+    }
+
+    /// Models that may answer the request; none for a plain service.
+    pub fn models(&self) -> &[ModelName] {
+        match &self.meta.model {
+            ModelWish::Any => &self.route.models,
+            ModelWish::None | ModelWish::Named(_) => &[],
+        }
+    }
+}
+
+/// Reads `req`, which arrived at `arrived`. The id is told with a refusal, too.
+pub async fn read(state: &State, req: Request<Incoming>, arrived: Instant) -> Result<Call, (RequestId, Refusal)> {
+    let (head, body) = req.into_parts();
+    let meta = request::read(&head.headers);
+    let id = meta.id.clone().unwrap_or_else(|| RequestId::from(Uuid::now_v7().to_string().as_str()));
+    let refuse = |refusal| (id.clone(), refusal);
+    let site = state.site().filter(|_| state.mirror.is_complete()).ok_or_else(|| refuse(Refusal::NotReady))?;
+    let host = head.headers.get(HOST).and_then(|host| host.to_str().ok()).or_else(|| head.uri.host());
+    let (route, caller) = authorise(state, &site, host.unwrap_or_default(), head.uri.path(), &meta).map_err(refuse)?;
+    let wait = meta.deadline.map_or(route.timeout, |deadline| deadline.min(route.timeout));
+    let deadline = arrived + Duration::from(wait);
+    let body = read_body(body, site.limits.body.0, deadline).await.map_err(refuse)?;
+    let session = meta.session.as_deref().unwrap_or(id.as_str());
+    let session = stable_hash(&[session]);
+    let service = route.target(session).clone();
+    let subject = subject(&meta);
+    let customer = match caller {
+        Caller::Customer(customer) => Some(customer),
+        Caller::Anonymous | Caller::Unknown => None,
+    };
+    Ok(Call {
+        id,
+        meta,
+        headers: head.headers,
+        method: head.method,
+        uri: path_only(&head.uri),
+        body,
+        site,
+        route,
+        service,
+        customer,
+        arrived,
+        deadline,
+        session,
+        subject,
+    })
+}
+
+/// Finds the route and the customer. A configuration that may be out of date refuses nobody for good.
+fn authorise(
+    state: &State,
+    site: &Site,
+    host: &str,
+    path: &str,
+    meta: &RequestMeta,
+) -> Result<(Arc<Route>, Caller), Refusal> {
+    let age = state.mirror.age(Kind::Config, state.clock.now());
+    let limit = Millis((state.settings.bounds.revoke_ms as f64 * FRESH_SHARE) as u64);
+    let fresh = age.is_some_and(|age| age < limit);
+    let unless_stale = |refusal| if fresh { refusal } else { Refusal::StaleConfig(age) };
+    let route = site.route(host, path).ok_or_else(|| unless_stale(Refusal::NoRoute))?;
+    match site.caller(route, meta.key.as_deref()) {
+        Caller::Unknown => Err(unless_stale(Refusal::UnknownKey)),
+        Caller::Customer(_) if !fresh => Err(Refusal::StaleConfig(age)),
+        caller => Ok((Arc::clone(route), caller)),
+    }
+}
+
+async fn read_body(body: Incoming, limit: u64, deadline: Instant) -> Result<Bytes, Refusal> {
+    if body.is_end_stream() {
+        return Ok(Bytes::new());
+    }
+    if body.size_hint().lower() > limit {
+        return Err(Refusal::TooLarge);
+    }
+    let collected = timeout_at(deadline, Limited::new(body, limit as usize).collect()).await;
+    match collected.map_err(|_| Refusal::DeadlineNotRun)? {
+        Ok(collected) => Ok(collected.to_bytes()),
+        Err(err) if err.is::<LengthLimitError>() => Err(Refusal::TooLarge),
+        Err(_) => Err(Refusal::UnreadableBody),
+    }
+}
+
+/// Hash of the last part of the prompt that others share: the one before the request's own.
+fn subject(meta: &RequestMeta) -> Option<u64> {
+    let shared = meta.parts.len().checked_sub(2)?;
+    Some(stable_hash(&[meta.parts[shared].id.as_str()]))
+}
+
+/// The path and query, without a host that the caller may have put before them.
+fn path_only(uri: &Uri) -> Uri {
+    let path = uri.path_and_query().map_or("/", |path| path.as_str());
+    path.parse().unwrap_or_default()
+}
--- /dev/null
+++ b/crates/daemon/src/gateway/store.rs
@@ -0,0 +1,132 @@
+//! Client of the platform's store.
+
+use std::{fmt, net::SocketAddr, time::Duration};
+
+use bytes::Bytes;
+use eelgrasswell_core::unit::Millis;
+use eelgrasswell_platform::{
+    objects::{Kind, Object},
+    store::{self, Changes, StoreError},
+};
+use http_body_util::{BodyExt, Full};
+use hyper::{Request, StatusCode};
+use tokio::time::timeout;
+
+use super::net::{Conn, describe};
+use crate::telemetry;
+
+/// Longest time to connect to the store.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(600);
+/// Longest time for an answer, beyond the time that a watch waits.
+const ANSWER_TIMEOUT: Millis = Millis(900);
+
+/// A connection to the store, opened anew when it is lost. One call at a time.
+pub struct StoreClient {
+    address: SocketAddr,
+    conn: Option<Conn>,
+}
+
+/// Why a call failed.
+#[derive(Debug)]
+pub enum CallError {
+    /// No answer came.
+    Lost(String),
+    /// The store refused.
+    Refused(StoreError),
+}
+
+impl fmt::Display for CallError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Lost(error) => write!(f, "no answer: {error}"),
+            Self::Refused(error) => write!(f, "refused: {error}"),
+        }
+    }
+}
+
+impl std::error::Error for CallError {}
+
+impl From<StoreError> for CallError {
+    fn from(err: StoreError) -> Self {
+        Self::Refused(err)
+    }
+}
+
+impl StoreClient {
+    /// A client of the store at `address`; connects with the first call.
+    pub fn new(address: SocketAddr) -> Self {
+        Self { address, conn: None }
+    }
+
+    /// All objects of a kind, and the revision that they are as of.
+    pub async fn list(&mut self, kind: Kind) -> Result<(Vec<Object>, u64), CallError> {
+        let mut objects = Vec::new();
+        let mut revision = None;
+        loop {
+            let after = objects.last().map(|object: &Object| object.metadata.name.clone());
+            let (status, body) = self.call("list", store::list(kind, after.as_deref()), Millis::ZERO).await?;
+            let page = store::read_page(status, &body)?;
+            // Changes between two pages are seen again by a watch from the revision of the first.
+            let first = *revision.get_or_insert(page.revision);
+            let more = page.has_more && !page.items.is_empty();
+            objects.extend(page.items);
+            if !more {
+                return Ok((objects, first));
+            }
+        }
+    }
+
+    /// Waits up to `wait` for changes of a kind after `revision`.
+    pub async fn watch(&mut self, kind: Kind, revision: u64, wait: Millis) -> Result<Changes, CallError> {
+        let (status, body) = self.call("watch", store::watch(kind, revision, wait), wait).await?;
+        Ok(store::read_changes(status, &body)?)
+    }
+
+    /// Replaces the status of an object if it still has the revision of `object`.
+    pub async fn put_status(
+        &mut self,
+        kind: Kind,
+        object: &Object,
+        value: &serde_json::Value,
+    ) -> Result<Object, CallError> {
+        let req = store::put_status(kind, &object.metadata.name, object.metadata.revision, value);
+        let (status, body) = self.call("put_status", req, Millis::ZERO).await?;
+        Ok(store::read_object(status, &body)?)
+    }
+
+    async fn call(
+        &mut self,
+        name: &'static str,
+        req: Request<Full<Bytes>>,
+        wait: Millis,
+    ) -> Result<(StatusCode, Bytes), CallError> {
+        let limit = Duration::from(wait + ANSWER_TIMEOUT);
+        // The connection is given back only after a whole answer: whatever comes late belongs to no later call.
+        let result = match self.take_conn().await {
+            Ok(conn) => timeout(limit, exchange(conn, req)).await.unwrap_or_else(|_| Err("timed out".into())),
+            Err(err) => Err(format!("could not connect to {}: {err}", self.address)),
+        };
+        let label = if result.is_ok() { "answered" } else { "lost" };
+        metrics::counter!(telemetry::PLATFORM_CALLS, "kind" => name, "result" => label).increment(1);
+        let (conn, status, body) = result.map_err(CallError::Lost)?;
+        self.conn = Some(conn);
+        Ok((status, body))
+    }
+
+    async fn take_conn(&mut self) -> std::io::Result<Conn> {
+        if let Some(mut conn) = self.conn.take()
+            && !conn.is_closed()
+            && conn.ready().await
+        {
+            return Ok(conn);
+        }
+        Conn::open(self.address, CONNECT_TIMEOUT).await
+    }
+}
+
+async fn exchange(mut conn: Conn, req: Request<Full<Bytes>>) -> Result<(Conn, StatusCode, Bytes), String> {
+    let answer = conn.send(req).await.map_err(|err| err.to_string())?;
+    let (head, body) = answer.into_parts();
+    let body = body.collect().await.map_err(|err| describe(&err))?;
+    Ok((conn, head.status, body.to_bytes()))
+}
--- a/crates/manifest/src/lib.rs
+++ b/crates/manifest/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod check;
 pub mod config;
 pub mod delta;
+pub mod gateway;
 pub mod manifest;
 pub mod settings;
 mod shape;
