Drop servers that are gone sooner when only the own way to the store was broken

Ruled out: a late watch (the entry's end was read 60 ms after the store's answer). Now the grace is 1.2 s when another gateway's proof was recent at the failed call, 2.2 s when the store was away for all.

--- a/crates/core/src/confirmation.rs
+++ b/crates/core/src/confirmation.rs
@@ -9,6 +9,26 @@
 /// Longest time for which a watch of the store may have missed a change before the store ends it.
 pub const WATCH_BLIND: Millis = Millis(1_100);
 
+/// Time for which servers that are missing from the list are kept after the store was away; their entries may have
+/// lapsed meanwhile.
+const GRACE_AFTER_OUTAGE: Millis = Millis(2_200);
+/// The same when only this router's way to the store was broken. It ends before a missing server must get no new work.
+const GRACE_AFTER_CUT: Millis = Millis(1_200);
+/// Time after a failed call within which entries may have lapsed.
+const LAPSED_WITHIN: Millis = Millis(3_000);
+/// Age of another router's proof, at the time of a failed call, up to which the store was not away.
+const OTHERS_SOUND: Millis = Millis(3_200);
+
+/// Time for which servers that are missing from the list are kept: by the last failed call of this router, and by the
+/// time of the newest proof that others had.
+pub fn missing_grace(now: Millis, last_failure: Option<Millis>, others_proof: Option<Millis>) -> Millis {
+    let Some(failed) = last_failure.filter(|failed| now.saturating_sub(*failed) < LAPSED_WITHIN) else {
+        return Millis::ZERO;
+    };
+    let others_sound = others_proof.is_some_and(|proof| proof + OTHERS_SOUND > failed);
+    if others_sound { GRACE_AFTER_CUT } else { GRACE_AFTER_OUTAGE }
+}
+
 /// Time of the newest proof.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Confirmation {
--- a/crates/core/src/pool.rs
+++ b/crates/core/src/pool.rs
@@ -20,8 +20,6 @@
 const AFFINITY_SHARE: f64 = 1.25;
 /// Load above the mean, in requests, up to which a server keeps the requests of its prompt prefixes.
 const AFFINITY_SLACK: f64 = 2.0;
-/// Time for which a server that went missing while the store was away is kept after the store's return.
-const MISSING_GRACE: Millis = Millis(2_000);
 /// Pause after the first failure to reach a server; doubles with each further one.
 const DOWN_BASE: Millis = Millis(400);
 /// Longest pause after failures to reach a server.
@@ -53,7 +51,7 @@
 struct Entry {
     backend: Arc<Backend>,
     cold_until: Millis,
-    missing_since: Option<Millis>,
+    missing_until: Option<Millis>,
     outstanding: u32,
     load: Cost,
     peer_load: Cost,
@@ -132,8 +130,8 @@
 }
 
 impl Pool {
-    /// Takes in the list of all servers. With `keep_missing`, those that are not in it are kept for a grace period.
-    pub fn update(&mut self, now: Millis, list: Vec<Backend>, keep_missing: bool) -> Changes {
+    /// Takes in the list of all servers. Those that are not in it are kept for `grace`.
+    pub fn update(&mut self, now: Millis, list: Vec<Backend>, grace: Millis) -> Changes {
         let mut changes = Changes::default();
         let listed: HashSet<BackendId> = list.iter().map(|backend| backend.id.clone()).collect();
         for backend in list {
@@ -141,8 +139,7 @@
         }
         for (id, entry) in &mut self.entries {
             if !listed.contains(id) {
-                let since = if keep_missing { now } else { now.saturating_sub(MISSING_GRACE) };
-                entry.missing_since.get_or_insert(since);
+                entry.missing_until.get_or_insert(now + grace);
             }
         }
         changes.removed = self.expire(now);
@@ -151,7 +148,7 @@
 
     /// Drops servers whose grace period is over.
     pub fn expire(&mut self, now: Millis) -> Vec<BackendId> {
-        let is_over = |entry: &Entry| entry.missing_since.is_some_and(|since| since + MISSING_GRACE <= now);
+        let is_over = |entry: &Entry| entry.missing_until.is_some_and(|until| until <= now);
         let over = self.entries.iter().filter(|(_, entry)| is_over(entry)).map(|(id, _)| id.clone()).collect();
         self.entries.retain(|_, entry| !is_over(entry));
         over
@@ -166,7 +163,7 @@
             self.entries.insert(backend.id.clone(), Entry::new(backend, cold_until));
             return;
         };
-        entry.missing_since = None;
+        entry.missing_until = None;
         if *entry.backend == backend {
             return;
         }
@@ -340,7 +337,7 @@
         Self {
             backend: Arc::new(backend),
             cold_until,
-            missing_since: None,
+            missing_until: None,
             outstanding: 0,
             load: 0.0,
             peer_load: 0.0,
--- a/crates/daemon/src/gateway/exchange.rs
+++ b/crates/daemon/src/gateway/exchange.rs
@@ -289,7 +289,8 @@
             let Some(&kind) = Kind::ALL.get(replica.kind as usize) else { continue };
             let age = Millis(replica.proof_age_ms);
             let (own_age, own_revision) = {
-                let copy = lock(self.mirror.copy(kind));
+                let mut copy = lock(self.mirror.copy(kind));
+                copy.note_others_proof(asked.saturating_sub(age));
                 (copy.age(now), copy.revision())
             };
             if own_age.is_some_and(|own_age| own_age < RELAY_ABOVE.min(age)) {
--- a/crates/daemon/src/gateway/mirror.rs
+++ b/crates/daemon/src/gateway/mirror.rs
@@ -5,7 +5,7 @@
 use compact_str::CompactString;
 use eelgrasswell_core::{
     canary::{Canary, Order},
-    confirmation::Confirmation,
+    confirmation::{self, Confirmation},
     hash::HashMap,
     id::ServiceName,
     unit::Millis,
@@ -33,8 +33,6 @@
 const BACKOFF_BASE: Duration = Duration::from_millis(150);
 /// Longest pause after failed calls. A store that turns some hosts away must be found sound soon after.
 const BACKOFF_MAX: Duration = Duration::from_millis(800);
-/// Time after a failed call within which missing backend servers may only have lapsed while the store was away.
-const TROUBLE_FOR: Millis = Millis(3_000);
 
 /// One copy for each kind.
 #[derive(Default)]
@@ -49,6 +47,8 @@
     revision: Option<u64>,
     confirmation: Confirmation,
     last_failure: Option<Millis>,
+    /// When another router's copy was last known to be current.
+    others_proof: Option<Millis>,
 }
 
 impl Mirror {
@@ -89,6 +89,11 @@
         self.objects.get(name)
     }
 
+    /// Takes in that a peer's copy was current at `at`.
+    pub fn note_others_proof(&mut self, at: Millis) {
+        self.others_proof = self.others_proof.max(Some(at));
+    }
+
     /// Takes in a peer's proof, asked for at `asked`, that was `age` old.
     pub fn relayed(&mut self, asked: Millis, age: Millis) {
         self.confirmation.relayed(asked, age);
@@ -225,10 +230,11 @@
 
     fn apply_backends(&self) {
         let now = self.clock.now();
-        let (list, in_trouble) = {
+        let others_proof = lock(self.mirror.copy(Kind::Config)).others_proof;
+        let (list, grace) = {
             let copy = lock(self.mirror.copy(Kind::Backends));
-            let in_trouble = copy.last_failure.is_some_and(|at| now.saturating_sub(at) < TROUBLE_FOR);
-            (copy.objects().map(objects::backend).collect::<Vec<_>>(), in_trouble)
+            let grace = confirmation::missing_grace(now, copy.last_failure, others_proof);
+            (copy.objects().map(objects::backend).collect::<Vec<_>>(), grace)
         };
         let mut backends = Vec::with_capacity(list.len());
         for entry in list {
@@ -237,7 +243,7 @@
                 Err(err) => event!(Debug, "backend_malformed", error = err),
             }
         }
-        let changes = lock(&self.pool).update(now, backends, in_trouble);
+        let changes = lock(&self.pool).update(now, backends, grace);
         for id in changes.added {
             event!(Info, "backend_added", backend = id);
         }
