--- a/crates/daemon/src/cmd/gateway.rs
+++ b/crates/daemon/src/cmd/gateway.rs
@@ -37,7 +37,7 @@
         .wrap_err("could not start the runtime")?;
     let outcome = runtime.block_on(async {
         let signals = shutdown::listen()?;
-        gateway::run(settings, metrics, signals).await
+        gateway::run(path, settings, metrics, signals).await
     });
     runtime.shutdown_background();
     outcome
--- a/crates/daemon/src/gateway/attempt.rs
+++ b/crates/daemon/src/gateway/attempt.rs
@@ -144,7 +144,7 @@
             barred_version: self.rule.barred.as_ref(),
             tried: self.tried,
             domain: &gateway.settings.domain,
-            cold_per_second: gateway.settings.bounds.cold_limit(per_second),
+            cold_per_second: gateway.settings().bounds.cold_limit(per_second),
             routers: gateway.routers(),
         };
         let now = gateway.clock.now();
--- a/crates/daemon/src/gateway/callers.rs
+++ b/crates/daemon/src/gateway/callers.rs
@@ -51,7 +51,7 @@
 pub async fn serve(gateway: Gateway, listener: TcpListener) {
     let (stage, stage_rx) = watch::channel(Stage::Serving);
     let mut shutdown = gateway.shutdown.clone();
-    let grace = gateway.settings.bounds.grace().saturating_sub(KILL_MARGIN);
+    let grace = gateway.settings().bounds.grace().saturating_sub(KILL_MARGIN);
     let accepting = accept(gateway, listener, stage_rx);
     let stopping = async {
         shutdown.wait().await;
--- a/crates/daemon/src/gateway/exchange.rs
+++ b/crates/daemon/src/gateway/exchange.rs
@@ -113,7 +113,7 @@
         fleet.trim(now);
         let mut known: Vec<SocketAddr> = fleet.known().map(|member| member.address).collect();
         if fleet.alive(now).is_empty() {
-            known.extend(self.settings.seeds.iter().flatten());
+            known.extend(self.settings().seeds.iter().flatten());
         }
         known.sort();
         known.dedup();
--- a/crates/daemon/src/gateway/execute.rs
+++ b/crates/daemon/src/gateway/execute.rs
@@ -287,7 +287,7 @@
     /// Versions that a request may run on, by the order for its service.
     fn version_rule(&self, call: &Call) -> VersionRule {
         let now = self.clock.now();
-        let session_time = self.settings.bounds.session();
+        let session_time = self.settings().bounds.session();
         self.note_session(call.session, now, session_time);
         match lock(&self.canaries).get_mut(&call.service) {
             Some(canary) => canary.rule(now, call.session, session_time),
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -12,10 +12,14 @@
 mod readiness;
 mod refusal;
 mod relay;
+mod reload;
 mod request;
 pub mod store;
 
-use std::sync::{Arc, Mutex, PoisonError, RwLock};
+use std::{
+    path::PathBuf,
+    sync::{Arc, Mutex, PoisonError, RwLock},
+};
 
 use bytes::Bytes;
 use eelgrasswell_core::{
@@ -54,7 +58,10 @@
 
 /// State of a gateway, each part under its own lock.
 pub struct State {
+    /// Settings at the start; addresses stay as they are.
     settings: GatewaySettings,
+    /// Settings as last read.
+    reloaded: RwLock<Arc<GatewaySettings>>,
     incarnation: Incarnation,
     clock: BootClock,
     shutdown: Shutdown,
@@ -79,8 +86,14 @@
 }
 
 /// Runs a gateway until a graceful shutdown has finished.
-pub async fn run(settings: GatewaySettings, metrics: PrometheusHandle, shutdown: Shutdown) -> Result<()> {
+pub async fn run(
+    path: PathBuf,
+    settings: GatewaySettings,
+    metrics: PrometheusHandle,
+    shutdown: Shutdown,
+) -> Result<()> {
     let gateway = Gateway::new(settings, shutdown);
+    reload::spawn(gateway.clone(), path)?;
     let settings = &gateway.settings;
     let callers = callers::bind(settings.callers)?;
     let ready = bind(settings.readiness, "readiness endpoint").await?;
@@ -100,6 +113,7 @@
 impl Gateway {
     fn new(settings: GatewaySettings, shutdown: Shutdown) -> Self {
         Self(Arc::new(State {
+            reloaded: RwLock::new(Arc::new(settings.clone())),
             settings,
             incarnation: clock::draw_incarnation(),
             clock: BootClock,
@@ -119,6 +133,15 @@
 }
 
 impl State {
+    /// Settings as last read.
+    fn settings(&self) -> Arc<GatewaySettings> {
+        Arc::clone(&self.reloaded.read().unwrap_or_else(PoisonError::into_inner))
+    }
+
+    fn set_settings(&self, settings: GatewaySettings) {
+        *self.reloaded.write().unwrap_or_else(PoisonError::into_inner) = Arc::new(settings);
+    }
+
     /// Configuration in force; none before the first was read.
     fn site(&self) -> Option<Arc<Site>> {
         self.site.read().unwrap_or_else(PoisonError::into_inner).clone()
@@ -154,7 +177,7 @@
     fn with_budget<T>(&self, service: &ServiceName, f: impl FnOnce(&mut RepeatBudget) -> T) -> T {
         let mut budgets = lock(&self.budgets);
         let budget =
-            budgets.entry(service.clone()).or_insert_with(|| RepeatBudget::new(self.settings.bounds.repeats()));
+            budgets.entry(service.clone()).or_insert_with(|| RepeatBudget::new(self.settings().bounds.repeats()));
         f(budget)
     }
 }
--- a/crates/daemon/src/gateway/readiness.rs
+++ b/crates/daemon/src/gateway/readiness.rs
@@ -72,7 +72,7 @@
         if self.shutdown.requested() || !self.mirror.is_complete() || self.site().is_none() {
             return false;
         }
-        let limit = Millis((self.settings.bounds.revoke_ms as f64 * READY_SHARE) as u64);
+        let limit = Millis((self.settings().bounds.revoke_ms as f64 * READY_SHARE) as u64);
         let fresh = self.mirror.age(Kind::Config, self.clock.now()).is_some_and(|age| age < limit);
         fresh && !lock(&self.pool).is_empty()
     }
--- a/crates/daemon/src/gateway/refusal.rs
+++ b/crates/daemon/src/gateway/refusal.rs
@@ -27,8 +27,6 @@
     TooLarge,
     /// The body could not be read.
     UnreadableBody,
-    /// The process is about to stop.
-    Stopping,
     /// No backend server can take the request.
     NoBackend(&'static str),
     /// The deadline has passed, or would pass before an answer.
@@ -43,7 +41,7 @@
     /// Status of the answer. Only `503` says that the request has not run.
     pub fn status(&self) -> StatusCode {
         match self {
-            Self::NotReady | Self::StaleConfig(_) | Self::Stopping | Self::NoBackend(_) | Self::DeadlineNotRun => {
+            Self::NotReady | Self::StaleConfig(_) | Self::NoBackend(_) | Self::DeadlineNotRun => {
                 StatusCode::SERVICE_UNAVAILABLE
             }
             Self::NoRoute => StatusCode::NOT_FOUND,
@@ -64,7 +62,6 @@
             Self::UnknownKey => "unknown_key",
             Self::TooLarge => "too_large",
             Self::UnreadableBody => "unreadable_body",
-            Self::Stopping => "stopping",
             Self::NoBackend(_) => "no_backend",
             Self::DeadlineNotRun => "deadline_not_run",
             Self::DeadlineRun => "deadline",
@@ -75,7 +72,7 @@
     /// When a caller should come back. A retry reaches another host, so what concerns this host alone takes no time.
     fn retry_after(&self) -> Option<Millis> {
         match self {
-            Self::NotReady | Self::Stopping => Some(Millis(50)),
+            Self::NotReady => Some(Millis(50)),
             Self::StaleConfig(_) => Some(Millis(250)),
             Self::NoBackend(_) => Some(Millis(400)),
             _ => None,
@@ -114,7 +111,6 @@
             Self::UnknownKey => f.write_str("the key is unknown or missing"),
             Self::TooLarge => f.write_str("the body is too large"),
             Self::UnreadableBody => f.write_str("could not read the body"),
-            Self::Stopping => f.write_str("the gateway is about to stop"),
             Self::NoBackend(why) => write!(f, "no backend server can take the request: {why}"),
             Self::DeadlineNotRun => f.write_str("the deadline passed before the request could run"),
             Self::DeadlineRun => f.write_str("the deadline passed before an answer came"),
--- a/crates/daemon/src/gateway/request.rs
+++ b/crates/daemon/src/gateway/request.rs
@@ -127,7 +127,7 @@
     meta: &RequestMeta,
 ) -> Result<(Arc<Route>, Caller), Refusal> {
     let age = state.mirror.age(Kind::Config, state.clock.now());
-    let limit = Millis((state.settings.bounds.revoke_ms as f64 * FRESH_SHARE) as u64);
+    let limit = Millis((state.settings().bounds.revoke_ms as f64 * FRESH_SHARE) as u64);
     let fresh = age.is_some_and(|age| age < limit);
     let unless_stale = |refusal| if fresh { refusal } else { Refusal::StaleConfig(age) };
     let route = site.route(host, path).ok_or_else(|| unless_stale(Refusal::NoRoute))?;
--- a/crates/manifest/src/gateway.rs
+++ b/crates/manifest/src/gateway.rs
@@ -12,7 +12,7 @@
 use serde::Deserialize;
 
 /// Settings of a gateway.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct GatewaySettings {
     /// Id of the host.
@@ -46,7 +46,7 @@
 }
 
 /// Bounds that operators set. A missing one takes the strictest value that is in use.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct Bounds {
     /// Time after its withdrawal at which a key must not work any more.
