Let a few gateways watch the store for all, and tell all of kept sessions

Now two gateways, and one more for every 20, watch; the others wait at two of them for changes and call the store themselves within a second of both going silent. Gateways now tell each other of such sessions, and the canary starts 1.5 s after the order.

--- a/crates/core/src/canary.rs
+++ b/crates/core/src/canary.rs
@@ -13,6 +13,9 @@
 
 /// Share of new sessions on the new version in the first half.
 const CANARY_SHARE: f64 = 0.06;
+/// Time before the first request on the new version, in which routers tell each other of sessions that run on the old
+/// one.
+const CANARY_DELAY: Millis = Millis(1_500);
 /// Share of the duration at which all sessions may move.
 const SHIFT_AT: f64 = 0.51;
 /// Share of the duration at which all requests go to the new version.
@@ -167,7 +170,7 @@
     fn assign(&mut self, now: Millis, session: u64, session_time: Millis) -> bool {
         let share = self.share(now);
         let pinned = self.sessions.get(&session).filter(|pin| now.saturating_sub(pin.used) < session_time);
-        let drawn = (session % 10_000) as f64 / 10_000.0 < share;
+        let drawn = is_drawn(session, share);
         let on_target = match pinned {
             Some(pin) if self.passed(now) < SHIFT_AT => pin.on_target,
             Some(pin) => pin.on_target || drawn,
@@ -180,6 +183,17 @@
         on_target
     }
 
+    /// Sessions that would be drawn for the new version in the first half, but run on the old one.
+    pub fn kept_sessions(&self, now: Millis, session_time: Millis) -> Vec<u64> {
+        if self.passed(now) >= SHIFT_AT || self.bad {
+            return Vec::new();
+        }
+        let is_kept = |session: u64, pin: &Pin| {
+            !pin.on_target && now.saturating_sub(pin.used) < session_time && is_drawn(session, CANARY_SHARE)
+        };
+        self.sessions.iter().filter(|(session, pin)| is_kept(**session, pin)).map(|(session, _)| *session).collect()
+    }
+
     /// Notes a request that ran before the order, so that its session stays on the old version.
     pub fn pin_to_old(&mut self, session: u64, used: Millis) {
         self.sessions.entry(session).or_insert(Pin { on_target: false, used });
@@ -187,7 +201,9 @@
 
     fn share(&self, now: Millis) -> f64 {
         let passed = self.passed(now);
-        if passed < SHIFT_AT || !self.is_trusted() {
+        if self.elapsed(now) < CANARY_DELAY {
+            0.0
+        } else if passed < SHIFT_AT || !self.is_trusted() {
             CANARY_SHARE
         } else if passed < FULL_AT {
             SHIFT_SHARE
@@ -204,3 +220,8 @@
         self.elapsed(now).0 as f64 / self.order.duration.0.max(1) as f64
     }
 }
+
+/// Whether a share of the sessions includes the one with this hash; a larger share includes all of a smaller one.
+fn is_drawn(session: u64, share: f64) -> bool {
+    (session % 10_000) as f64 / 10_000.0 < share
+}
--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -3,8 +3,8 @@
 use std::net::SocketAddr;
 
 use crate::{
-    hash::HashMap,
-    id::{HostId, Incarnation},
+    hash::{HashMap, stable_hash},
+    id::{DomainId, HostId, Incarnation},
     unit::Millis,
 };
 
@@ -12,6 +12,10 @@
 pub const ALIVE_FOR: Millis = Millis(2_500);
 /// Silence after which a router is forgotten.
 const FORGET_AFTER: Millis = Millis(20_000);
+/// Routers for each one that watches the store for them.
+const ROUTERS_PER_WATCHER: usize = 20;
+/// Least number of routers that watch the store.
+const LEAST_WATCHERS: usize = 2;
 /// Time for which a limit is still shared with routers that have gone silent, since they may only be cut off.
 const SHARED_FOR: Millis = Millis(8_000);
 
@@ -22,6 +26,8 @@
     pub id: HostId,
     /// Address for other routers.
     pub address: SocketAddr,
+    /// Its failure domain.
+    pub domain: DomainId,
     /// Start of its process.
     pub incarnation: Incarnation,
     /// When it was last heard of, directly or through others.
@@ -74,4 +80,26 @@
         let sharing = self.members.values().filter(|member| now.saturating_sub(member.heard) < SHARED_FOR);
         (sharing.count() + 1).max(least)
     }
+
+    /// Routers that watch the store for all, chosen alike by all that know the same members: by hash, in as many
+    /// failure domains as possible. `own` is this router.
+    pub fn watchers(&self, own: &Member, now: Millis) -> Vec<Member> {
+        let mut ranked: Vec<&Member> = self.alive(now).into_iter().filter(|member| !member.leaving).collect();
+        if !own.leaving {
+            ranked.push(own);
+        }
+        ranked.sort_by_key(|member| stable_hash(&[member.id.as_str()]));
+        let count = (ranked.len().div_ceil(ROUTERS_PER_WATCHER) + 1).max(LEAST_WATCHERS);
+        let mut watchers: Vec<Member> = Vec::with_capacity(count);
+        for may_share_domain in [false, true] {
+            for member in &ranked {
+                let is_chosen = watchers.iter().any(|watcher| watcher.id == member.id);
+                let shares_domain = watchers.iter().any(|watcher| watcher.domain == member.domain);
+                if watchers.len() < count && !is_chosen && (may_share_domain || !shares_domain) {
+                    watchers.push((*member).clone());
+                }
+            }
+        }
+        watchers
+    }
 }
--- a/crates/daemon/src/gateway/exchange.rs
+++ b/crates/daemon/src/gateway/exchange.rs
@@ -1,5 +1,5 @@
-//! Exchange of knowledge between gateways: who is alive, load at each backend server, counters of versions, progress of
-//! orders, and copies of the store's objects for a gateway that cannot reach the store.
+//! Exchange of knowledge between gateways: who is alive, load at each backend server, counters of versions, and progress
+//! of orders.
 
 use std::{net::SocketAddr, time::Duration};
 
@@ -10,9 +10,8 @@
     id::{BackendId, HostId, Incarnation, ServiceName, VersionName},
     unit::Millis,
 };
-use eelgrasswell_platform::objects::{Kind, Object};
 use eelgrasswell_proto::v1::{
-    AnswerCounters, BackendLoad, FleetMember, FleetState, OrderProgress, Replica,
+    AnswerCounters, BackendLoad, FleetMember, FleetState, FollowReply, FollowRequest, OrderProgress,
     fleet_client::FleetClient,
     fleet_server::{Fleet, FleetServer},
 };
@@ -24,7 +23,7 @@
     transport::{Channel, Endpoint, Server},
 };
 
-use super::{Gateway, State};
+use super::{Gateway, State, follow};
 use crate::{event, sync::lock, telemetry};
 
 /// Interval of exchanges with each partner.
@@ -32,10 +31,10 @@
 /// Routers asked in one interval. All of a small fleet; a sample of a large one, through which word spreads in a few
 /// intervals.
 const FANOUT: usize = 5;
+/// Members told in one exchange.
+const MEMBERS_TOLD: usize = 8;
 /// Longest time for one exchange.
 const TIMEOUT: Duration = Duration::from_millis(700);
-/// Age of a proof above which a copy from another router is taken. Below it the own watch is sound.
-const RELAY_ABOVE: Millis = Millis(3_400);
 /// Age above which what a router told of its load no longer counts.
 const LOAD_FOR: Millis = Millis(1_500);
 /// Hundredths of a small request, as loads are sent.
@@ -54,10 +53,12 @@
 impl Fleet for Service {
     async fn exchange(&self, request: Request<FleetState>) -> Result<Response<FleetState>, Status> {
         let asker = request.into_inner();
-        self.0.hear(&asker, None);
-        let mut state = self.0.fleet_state();
-        self.0.add_copies(&mut state, &asker);
-        Ok(Response::new(state))
+        self.0.hear(&asker);
+        Ok(Response::new(self.0.fleet_state()))
+    }
+
+    async fn follow(&self, request: Request<FollowRequest>) -> Result<Response<FollowReply>, Status> {
+        Ok(Response::new(follow::answer(&self.0, &request.into_inner()).await))
     }
 }
 
@@ -65,6 +66,7 @@
 pub fn spawn(gateway: Gateway, listener: TcpListener) {
     let server = FleetServer::new(Service(gateway.clone()));
     tokio::spawn(Server::builder().add_service(server).serve_with_incoming(TcpListenerStream::new(listener)));
+    follow::spawn(gateway.clone());
     tokio::spawn(ask_others(gateway));
 }
 
@@ -81,7 +83,8 @@
     }
 }
 
-fn connect(address: SocketAddr) -> Channel {
+/// A channel to the router at `address`; connects when it is first used.
+pub fn connect(address: SocketAddr) -> Channel {
     let uri: hyper::Uri = format!("http://{address}").parse().expect("a socket address makes a URI");
     Endpoint::from(uri)
         .connect_timeout(TIMEOUT)
@@ -93,13 +96,12 @@
 }
 
 async fn ask(gateway: Gateway, address: SocketAddr, channel: Channel) {
-    let asked = gateway.clock.now();
     let state = gateway.fleet_state();
     let result = FleetClient::new(channel).exchange(state).await;
     let label = if result.is_ok() { "answered" } else { "failed" };
     metrics::counter!(telemetry::EXCHANGES, "result" => label).increment(1);
     match result {
-        Ok(answer) => gateway.hear(&answer.into_inner(), Some(asked)),
+        Ok(answer) => gateway.hear(&answer.into_inner()),
         Err(err) => event!(Debug, "exchange_failed", peer = address, error = err.message()),
     }
 }
@@ -132,34 +134,29 @@
             address: member.address.to_string(),
             incarnation: member.incarnation.0,
             heard_ago_ms: now.saturating_sub(member.heard).0,
+            domain: member.domain.to_string(),
         };
         let load =
             |(id, load): (&BackendId, f64)| BackendLoad { backend: id.to_string(), load: (load * LOAD_UNIT) as u64 };
-        let members = lock(&self.fleet).alive(now).into_iter().map(member).collect();
+        let members = {
+            let fleet = lock(&self.fleet);
+            let alive = fleet.alive(now);
+            alive.sample(&mut rand::rng(), MEMBERS_TOLD).map(|alive| member(alive)).collect()
+        };
         let loads = lock(&self.pool).own_loads().map(load).collect();
         FleetState {
             id: self.settings.id.to_string(),
             address: self.settings.exchange.to_string(),
             incarnation: self.incarnation.0,
+            domain: self.settings.domain.to_string(),
             leaving: self.shutdown.requested(),
             members,
-            replicas: Kind::ALL.iter().filter_map(|&kind| self.replica(kind, now)).collect(),
             loads,
             counters: self.counters(),
             orders: self.order_progress(now),
         }
     }
 
-    fn replica(&self, kind: Kind, now: Millis) -> Option<Replica> {
-        let copy = lock(self.mirror.copy(kind));
-        Some(Replica {
-            kind: kind.index() as u32,
-            revision: copy.revision()?,
-            proof_age_ms: copy.age(now)?.0,
-            objects: Default::default(),
-        })
-    }
-
     fn counters(&self) -> Vec<AnswerCounters> {
         let services: Vec<ServiceName> = lock(&self.canaries).keys().cloned().collect();
         let reports = self.evidence.reports(self.incarnation).into_iter();
@@ -177,6 +174,7 @@
     }
 
     fn order_progress(&self, now: Millis) -> Vec<OrderProgress> {
+        let session_time = self.settings().bounds.session();
         let pool = lock(&self.pool);
         let canaries = lock(&self.canaries);
         let progress = canaries.values().map(|canary| {
@@ -186,34 +184,15 @@
                 target: order.target.to_string(),
                 elapsed_ms: canary.elapsed(now).0,
                 bad: canary.is_bad(),
+                kept_sessions: canary.kept_sessions(now, session_time),
                 outstanding_elsewhere: pool.outstanding_elsewhere(&order.service, &order.target),
             }
         });
         progress.collect()
     }
 
-    /// Adds copies that the asker lacks.
-    fn add_copies(&self, state: &mut FleetState, asker: &FleetState) {
-        for replica in &mut state.replicas {
-            let known = asker.replicas.iter().find(|other| other.kind == replica.kind);
-            let behind =
-                known.is_none_or(|known| known.revision < replica.revision && known.proof_age_ms > RELAY_ABOVE.0 / 2);
-            let Some(kind) = Kind::ALL.get(replica.kind as usize).filter(|_| behind) else { continue };
-            let copy = lock(self.mirror.copy(*kind));
-            let objects: Vec<&Object> = copy.objects().collect();
-            match (copy.revision(), serde_json::to_vec(&objects)) {
-                (Some(revision), Ok(bytes)) => {
-                    replica.revision = revision;
-                    replica.objects = bytes.into();
-                }
-                (_, Err(err)) => event!(Error, "copy_not_encoded", kind = kind, error = err),
-                (None, _) => {}
-            }
-        }
-    }
-
-    /// Takes in what another router tells; `asked` is when it was asked, if it was.
-    fn hear(&self, state: &FleetState, asked: Option<Millis>) {
+    /// Takes in what another router tells.
+    fn hear(&self, state: &FleetState) {
         let now = self.clock.now();
         self.hear_members(state, now);
         for counters in &state.counters {
@@ -233,28 +212,36 @@
         }
         self.hear_orders(state, now);
         self.hear_loads(state, now);
-        if let Some(asked) = asked {
-            self.hear_copies(state, asked, now);
-        }
     }
 
     fn hear_members(&self, state: &FleetState, now: Millis) {
         let mut fleet = lock(&self.fleet);
-        let mut hear = |id: &str, address: &str, incarnation: u64, ago: u64, leaving: bool| {
-            let Ok(address) = address.parse() else {
-                event!(Warn, "member_malformed", id = id, address = address);
+        let mut hear = |member: &FleetMember, leaving: bool| {
+            let Ok(address) = member.address.parse() else {
+                event!(Warn, "member_malformed", id = member.id, address = member.address);
                 return;
             };
-            if id == self.settings.id.as_str() {
+            if member.id == self.settings.id.as_str() {
                 return;
             }
-            let heard = now.saturating_sub(Millis(ago));
-            fleet.hear(Member { id: id.into(), address, incarnation: Incarnation(incarnation), heard, leaving });
+            fleet.hear(Member {
+                id: member.id.as_str().into(),
+                address,
+                domain: member.domain.as_str().into(),
+                incarnation: Incarnation(member.incarnation),
+                heard: now.saturating_sub(Millis(member.heard_ago_ms)),
+                leaving,
+            });
         };
-        hear(&state.id, &state.address, state.incarnation, 0, state.leaving);
-        for member in &state.members {
-            hear(&member.id, &member.address, member.incarnation, member.heard_ago_ms, false);
-        }
+        let sender = FleetMember {
+            id: state.id.clone(),
+            address: state.address.clone(),
+            incarnation: state.incarnation,
+            heard_ago_ms: 0,
+            domain: state.domain.clone(),
+        };
+        hear(&sender, state.leaving);
+        state.members.iter().for_each(|member| hear(member, false));
     }
 
     fn hear_orders(&self, state: &FleetState, now: Millis) {
@@ -266,6 +253,9 @@
                 if progress.bad {
                     canary.set_bad();
                 }
+                for session in &progress.kept_sessions {
+                    canary.pin_to_old(*session, now);
+                }
             }
         }
         lock(&self.told).orders.insert(state.id.as_str().into(), (now, state.orders.clone()));
@@ -283,38 +273,6 @@
         lock(&self.pool).set_peer_loads(&sums);
     }
 
-    /// Takes proofs and copies for the kinds whose own proof is old.
-    fn hear_copies(&self, state: &FleetState, asked: Millis, now: Millis) {
-        for replica in &state.replicas {
-            let Some(&kind) = Kind::ALL.get(replica.kind as usize) else { continue };
-            let age = Millis(replica.proof_age_ms);
-            let (own_age, own_revision) = {
-                let mut copy = lock(self.mirror.copy(kind));
-                copy.note_others_proof(asked.saturating_sub(age));
-                (copy.age(now), copy.revision())
-            };
-            if own_age.is_some_and(|own_age| own_age < RELAY_ABOVE.min(age)) {
-                continue;
-            }
-            if own_revision >= Some(replica.revision) {
-                if own_revision == Some(replica.revision) {
-                    lock(self.mirror.copy(kind)).relayed(asked, age);
-                }
-                continue;
-            }
-            if replica.objects.is_empty() {
-                continue;
-            }
-            match serde_json::from_slice::<Vec<Object>>(&replica.objects) {
-                Ok(objects) => {
-                    event!(Info, "copy_from_peer", kind = kind, peer = state.id, revision = replica.revision);
-                    self.take_list(kind, objects, replica.revision, |confirmation| confirmation.relayed(asked, age));
-                }
-                Err(err) => event!(Warn, "copy_malformed", kind = kind, peer = state.id, error = err),
-            }
-        }
-    }
-
     /// Requests of the other routers at servers of `service` with other versions than `target`.
     pub fn outstanding_at_others(&self, service: &ServiceName, target: &VersionName) -> u32 {
         let told = lock(&self.told);
--- a/crates/daemon/src/gateway/mirror.rs
+++ b/crates/daemon/src/gateway/mirror.rs
@@ -6,7 +6,7 @@
 use eelgrasswell_core::{
     canary::{Canary, Order},
     confirmation::{self, Confirmation},
-    hash::HashMap,
+    hash::{HashMap, HashSet},
     id::ServiceName,
     unit::Millis,
 };
@@ -15,7 +15,7 @@
     store::{Change, StoreError},
 };
 use rand::RngExt;
-use tokio::time::sleep;
+use tokio::{sync::watch, time::sleep};
 
 use super::{
     Gateway, State,
@@ -24,20 +24,30 @@
 use crate::{event, sync::lock};
 
 /// Longest wait of a watch for the configuration. It bounds the age of the proof that keys are still valid.
-const CONFIG_WAIT: Millis = Millis(1_800);
+const CONFIG_WAIT: Millis = Millis(1_500);
 /// Longest wait of the other watches, so that a connection gone silent is found in time.
 const WAIT: Millis = Millis(3_000);
 /// Pause between two watches for backend servers, whose entries change often; it gathers changes into one call.
 const GATHER: Duration = Duration::from_millis(200);
+/// Pause before a gateway that another one serves looks whether it still does.
+const SERVED_PAUSE: Duration = Duration::from_millis(100);
 /// Longest pause before the first call after a failed one.
 const BACKOFF_BASE: Duration = Duration::from_millis(150);
 /// Longest pause after failed calls. A store that turns some hosts away must be found sound soon after.
 const BACKOFF_MAX: Duration = Duration::from_millis(800);
 
 /// One copy for each kind.
-#[derive(Default)]
 pub struct Mirror {
     copies: [Mutex<Replica>; Kind::ALL.len()],
+    /// Until when another gateway keeps each copy current.
+    served_until: Mutex<[Millis; Kind::ALL.len()]>,
+    changes: watch::Sender<()>,
+}
+
+impl Default for Mirror {
+    fn default() -> Self {
+        Self { copies: Default::default(), served_until: Mutex::default(), changes: watch::Sender::new(()) }
+    }
 }
 
 /// Copy of the objects of a kind.
@@ -45,7 +55,13 @@
 pub struct Replica {
     objects: BTreeMap<CompactString, Object>,
     revision: Option<u64>,
+    /// Revision of the store at which the copy last changed.
+    changed: u64,
     confirmation: Confirmation,
+    /// Whether the last call failed.
+    is_failing: bool,
+    /// Whether it is kept current by this gateway's own calls.
+    is_own: bool,
     last_failure: Option<Millis>,
     /// When another router's copy was last known to be current.
     others_proof: Option<Millis>,
@@ -62,6 +78,38 @@
         Kind::ALL.iter().all(|&kind| lock(self.copy(kind)).revision.is_some())
     }
 
+    /// Tells of changes to any copy.
+    pub fn subscribe(&self) -> watch::Receiver<()> {
+        self.changes.subscribe()
+    }
+
+    /// Leaves the copy of `kind` to another gateway until `until`.
+    pub fn set_served_until(&self, kind: Kind, until: Millis) {
+        lock(&self.served_until)[kind.index()] = until;
+    }
+
+    /// Tells the gateways that follow this one of a change.
+    fn announce(&self) {
+        self.changes.send_replace(());
+    }
+
+    fn note_success(&self, kind: Kind) {
+        let mut copy = lock(self.copy(kind));
+        copy.is_own = true;
+        copy.is_failing = false;
+    }
+
+    fn note_failure(&self, kind: Kind, now: Millis) {
+        let mut copy = lock(self.copy(kind));
+        copy.is_failing = true;
+        copy.last_failure = Some(now);
+    }
+
+    /// Whether another gateway keeps the copy of `kind` current.
+    fn is_served(&self, kind: Kind, now: Millis) -> bool {
+        now < lock(&self.served_until)[kind.index()]
+    }
+
     /// Age of the proof that the copy of `kind` is current.
     pub fn age(&self, kind: Kind, now: Millis) -> Option<Millis> {
         lock(self.copy(kind)).confirmation.age(now)
@@ -94,17 +142,46 @@
         self.others_proof = self.others_proof.max(Some(at));
     }
 
-    /// Takes in a peer's proof, asked for at `asked`, that was `age` old.
-    pub fn relayed(&mut self, asked: Millis, age: Millis) {
-        self.confirmation.relayed(asked, age);
+    /// Revision of the store at which the copy last changed.
+    pub fn changed(&self) -> u64 {
+        self.changed
+    }
+
+    /// Whether this gateway's own calls keep the copy current.
+    pub fn is_sound(&self) -> bool {
+        self.is_own && !self.is_failing
+    }
+
+    /// Takes in a peer's proof that the copy is as of `revision`; it was `age` old at `answered`.
+    pub fn relayed(&mut self, revision: u64, answered: Millis, age: Millis) {
+        self.revision = self.revision.max(Some(revision));
+        self.confirmation.relayed(answered, age);
+    }
+
+    /// Takes in what a peer's copy as of `revision` has beyond this one; `names` are those of all its objects.
+    pub fn merge(&mut self, objects: Vec<Object>, names: &[String], revision: u64, changed: u64) {
+        let names: HashSet<&str> = names.iter().map(String::as_str).collect();
+        self.objects.retain(|name, _| names.contains(name.as_str()));
+        for object in objects {
+            self.objects.insert(object.metadata.name.clone(), object);
+        }
+        self.revision = self.revision.max(Some(revision));
+        self.changed = self.changed.max(changed);
     }
 
     fn replace(&mut self, objects: Vec<Object>, revision: u64) {
-        self.objects = objects.into_iter().map(|object| (object.metadata.name.clone(), object)).collect();
+        let objects = objects.into_iter().map(|object| (object.metadata.name.clone(), object)).collect();
+        if self.objects != objects || self.revision.is_none() {
+            self.changed = revision;
+        }
+        self.objects = objects;
         self.revision = Some(revision);
     }
 
     fn change(&mut self, changes: Vec<Change>, revision: u64) {
+        if !changes.is_empty() {
+            self.changed = self.changed.max(revision);
+        }
         for Change { object, deleted } in changes {
             let newer = self.objects.get(&object.metadata.name);
             if newer.is_some_and(|known| known.metadata.revision > object.metadata.revision) {
@@ -142,23 +219,34 @@
 async fn follow(gateway: Gateway, kind: Kind) {
     let mut client = StoreClient::new(gateway.settings.store);
     let mut failures: u32 = 0;
+    let mut in_doubt = false;
     loop {
-        let Err(err) = step(&gateway, kind, &mut client, failures > 0).await else {
+        if !gateway.is_watcher() && gateway.mirror.is_served(kind, gateway.clock.now()) {
+            lock(gateway.mirror.copy(kind)).is_own = false;
+            in_doubt = true;
+            failures = 0;
+            sleep(SERVED_PAUSE).await;
+            continue;
+        }
+        let Err(err) = step(&gateway, kind, &mut client, in_doubt).await else {
             if failures > 0 {
                 event!(Info, "store_regained", kind = kind, failures = failures);
             }
             failures = 0;
+            in_doubt = false;
+            gateway.mirror.note_success(kind);
             continue;
         };
         if matches!(err, CallError::Refused(StoreError::HistoryGone)) {
-            lock(gateway.mirror.copy(kind)).revision = None;
+            in_doubt = true;
             continue;
         }
         if failures == 0 {
             event!(Warn, "store_lost", kind = kind, error = err);
         }
         failures += 1;
-        lock(gateway.mirror.copy(kind)).last_failure = Some(gateway.clock.now());
+        in_doubt = true;
+        gateway.mirror.note_failure(kind, gateway.clock.now());
         sleep(backoff(failures)).await;
     }
 }
@@ -169,7 +257,7 @@
     let revision = lock(gateway.mirror.copy(kind)).revision;
     let Some(revision) = revision.filter(|_| !in_doubt) else {
         let (objects, revision) = client.list(kind).await?;
-        gateway.take_list(kind, objects, revision, |confirmation| confirmation.read(sent));
+        gateway.take_list(kind, objects, revision, sent);
         return Ok(());
     };
     let wait = if kind == Kind::Config { CONFIG_WAIT } else { WAIT };
@@ -183,6 +271,7 @@
     }
     if changed {
         gateway.apply(kind);
+        gateway.mirror.announce();
         if kind == Kind::Backends {
             sleep(GATHER).await;
         }
@@ -197,20 +286,21 @@
 
 impl State {
     /// Replaces the copy of `kind`, unless it is of a newer revision.
-    pub fn take_list(&self, kind: Kind, objects: Vec<Object>, revision: u64, confirm: impl FnOnce(&mut Confirmation)) {
+    fn take_list(&self, kind: Kind, objects: Vec<Object>, revision: u64, sent: Millis) {
         {
             let mut copy = lock(self.mirror.copy(kind));
             if copy.revision.is_some_and(|known| known > revision) {
                 return;
             }
             copy.replace(objects, revision);
-            confirm(&mut copy.confirmation);
+            copy.confirmation.read(sent);
         }
         self.apply(kind);
+        self.mirror.announce();
     }
 
     /// Brings what is derived from the copy of `kind` up to date.
-    fn apply(&self, kind: Kind) {
+    pub fn apply(&self, kind: Kind) {
         match kind {
             Kind::Config => self.apply_config(),
             Kind::Backends => self.apply_backends(),
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -6,6 +6,7 @@
 mod evidence;
 mod exchange;
 mod execute;
+mod follow;
 mod mirror;
 pub mod net;
 mod orders;
