--- /dev/null
+++ b/crates/core/tests/fleet.rs
@@ -0,0 +1,84 @@
+//! Guards against gateways that disagree on who watches the store, and against a failure domain that takes all watchers.
+
+use eelgrasswell_core::{
+    fleet::{ALIVE_FOR, Fleet, Member},
+    id::{HostId, Incarnation},
+    unit::Millis,
+};
+use test_case::test_case;
+
+const NOW: Millis = Millis(60_000);
+
+fn member(n: usize, domains: usize) -> Member {
+    Member {
+        id: format!("host-{n}").as_str().into(),
+        address: ([10, 0, (n / 250) as u8, (n % 250) as u8], 80).into(),
+        domain: format!("domain-{}", n % domains).as_str().into(),
+        incarnation: Incarnation(1),
+        heard: NOW,
+        leaving: false,
+    }
+}
+
+fn watchers_seen_by(own: usize, members: &[Member]) -> Vec<HostId> {
+    let mut fleet = Fleet::default();
+    members.iter().enumerate().filter(|(n, _)| *n != own).for_each(|(_, member)| fleet.hear(member.clone()));
+    fleet.watchers(&members[own], NOW).into_iter().map(|watcher| watcher.id).collect()
+}
+
+#[test_case(1, 1; "alone")]
+#[test_case(5, 2; "small")]
+#[test_case(26, 3; "grown")]
+#[test_case(350, 19; "as large as planned")]
+fn watchers_grow_slowly_and_agree(routers: usize, watchers: usize) {
+    let members: Vec<Member> = (0..routers).map(|n| member(n, 15)).collect();
+    let seen = watchers_seen_by(0, &members);
+    assert_eq!(seen.len(), watchers);
+    for own in 1..routers.min(8) {
+        assert_eq!(watchers_seen_by(own, &members), seen);
+    }
+}
+
+#[test]
+fn watchers_in_different_domains() {
+    let members: Vec<Member> = (0..20).map(|n| member(n, 4)).collect();
+    let seen = watchers_seen_by(0, &members);
+    let domains: Vec<_> = members.iter().filter(|member| seen.contains(&member.id)).map(|m| &m.domain).collect();
+    assert_eq!(domains.len(), 2);
+    assert_ne!(domains[0], domains[1]);
+}
+
+#[test]
+fn watchers_not_leaving_or_silent() {
+    let mut members: Vec<Member> = (0..6).map(|n| member(n, 4)).collect();
+    let first = watchers_seen_by(0, &members);
+    for member in members.iter_mut().filter(|member| first.contains(&member.id)) {
+        member.leaving = true;
+    }
+    let next = watchers_seen_by(0, &members);
+    assert!(next.iter().all(|id| !first.contains(id)), "{first:?} {next:?}");
+    let mut fleet = Fleet::default();
+    fleet.hear(Member { heard: NOW - ALIVE_FOR, ..member(1, 4) });
+    assert!(fleet.alive(NOW).is_empty());
+}
+
+#[test]
+fn hear_older_word_changes_nothing() {
+    let mut fleet = Fleet::default();
+    fleet.hear(Member { leaving: true, ..member(1, 4) });
+    fleet.hear(Member { heard: NOW - Millis(100), ..member(1, 4) });
+    assert!(fleet.alive(NOW)[0].leaving);
+    fleet.hear(Member { heard: NOW + Millis(1), ..member(1, 4) });
+    assert!(fleet.alive(NOW)[0].leaving, "word through others does not tell that it leaves");
+    fleet.hear(Member { heard: NOW + Millis(2), incarnation: Incarnation(2), ..member(1, 4) });
+    assert!(!fleet.alive(NOW)[0].leaving, "it has started again");
+}
+
+#[test]
+fn sharing_counts_silent_routers_for_a_while() {
+    let mut fleet = Fleet::default();
+    (0..4).for_each(|n| fleet.hear(member(n, 4)));
+    assert_eq!(fleet.sharing(NOW, 3), 5);
+    assert_eq!(fleet.sharing(NOW + Millis(5_000), 3), 5, "a router that is cut off still sends");
+    assert_eq!(fleet.sharing(NOW + Millis(9_000), 3), 3);
+}
--- /dev/null
+++ b/crates/core/tests/pool.rs
@@ -0,0 +1,193 @@
+//! Guards against work for servers that must get none, overload of cold servers, and prompts that miss their cache.
+
+use eelgrasswell_core::{
+    backend::Backend,
+    hash::HashMap,
+    id::{BackendId, DomainId, ServiceName, VersionName},
+    pool::{Outcome, Pool, Unavailable, Want},
+    unit::Millis,
+};
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use test_case::test_case;
+
+const NOW: Millis = Millis(10_000);
+
+fn backend(n: u8) -> Backend {
+    Backend {
+        id: format!("b{n}").as_str().into(),
+        service: "chat".into(),
+        address: ([10, 0, 0, n], 80).into(),
+        domain: "a".into(),
+        version: "v1".into(),
+        slots: 8,
+        draining: false,
+        cold_remaining: Millis::ZERO,
+        born: 1,
+    }
+}
+
+struct Rig {
+    pool: Pool,
+    rng: ChaCha8Rng,
+    service: ServiceName,
+    domain: DomainId,
+}
+
+impl Rig {
+    fn with(backends: Vec<Backend>) -> Self {
+        let mut pool = Pool::default();
+        pool.update(NOW, backends, Millis::ZERO);
+        Self { pool, rng: ChaCha8Rng::seed_from_u64(7), service: "chat".into(), domain: "a".into() }
+    }
+
+    fn choose<'a>(&'a mut self, now: Millis, change: impl FnOnce(&mut Want<'a>)) -> Result<BackendId, Unavailable> {
+        let mut want = Want {
+            service: &self.service,
+            affinity: None,
+            cost: 1.0,
+            version: None,
+            barred_version: None,
+            tried: &[],
+            domain: &self.domain,
+            cold_per_second: 0.0,
+            routers: 1,
+        };
+        change(&mut want);
+        self.pool.choose(now, &want, &mut self.rng).map(|backend| backend.id.clone())
+    }
+}
+
+#[test]
+fn choose_spreads_load() {
+    let mut rig = Rig::with(vec![backend(1), backend(2), backend(3)]);
+    let mut counts: HashMap<BackendId, u32> = HashMap::default();
+    for _ in 0..30 {
+        *counts.entry(rig.choose(NOW, |_| {}).unwrap()).or_default() += 1;
+    }
+    assert!(counts.values().all(|&count| count == 10), "{counts:?}");
+}
+
+#[test]
+fn choose_counts_load_of_peers() {
+    let mut rig = Rig::with(vec![backend(1), backend(2)]);
+    rig.pool.set_peer_loads(&HashMap::from_iter([("b1".into(), 5.0)]));
+    for _ in 0..4 {
+        assert_eq!(rig.choose(NOW, |_| {}).unwrap().as_str(), "b2");
+    }
+}
+
+#[test]
+fn choose_keeps_subject_at_one_server_until_it_is_loaded() {
+    let mut rig = Rig::with((1..=8).map(backend).collect());
+    let first = rig.choose(NOW, |want| want.affinity = Some(42)).unwrap();
+    assert_eq!(rig.choose(NOW, |want| want.affinity = Some(42)).unwrap(), first);
+    let spilled = (0..20).any(|_| rig.choose(NOW, |want| want.affinity = Some(42)).unwrap() != first);
+    assert!(spilled, "a subject in high demand must not stay at one server");
+}
+
+#[test_case(|b: &mut Backend| b.draining = true; "draining")]
+#[test_case(|b: &mut Backend| b.service = "other".into(); "another service")]
+#[test_case(|b: &mut Backend| b.domain = "gone".into(); "evacuated domain")]
+fn choose_none_in_service(change: fn(&mut Backend)) {
+    let mut only = backend(1);
+    change(&mut only);
+    let mut rig = Rig::with(vec![only]);
+    rig.pool.set_evacuated(["gone".into()]);
+    assert_eq!(rig.choose(NOW, |_| {}), Err(Unavailable::NoneInService));
+}
+
+#[test]
+fn takes_work_not_after_draining() {
+    let mut rig = Rig::with(vec![backend(1)]);
+    assert!(rig.pool.takes_work(&backend(1)));
+    let changes = rig.pool.update(NOW, vec![Backend { draining: true, ..backend(1) }], Millis::ZERO);
+    assert_eq!(changes.draining, ["b1".into()]);
+    assert!(!rig.pool.takes_work(&backend(1)), "a request that waited for a connection must not be sent any more");
+}
+
+#[test]
+fn takes_work_not_after_restart_under_same_id() {
+    let mut rig = Rig::with(vec![backend(1)]);
+    rig.pool.update(NOW, vec![Backend { born: 2, ..backend(1) }], Millis::ZERO);
+    assert!(!rig.pool.takes_work(&backend(1)));
+}
+
+#[test_case(Millis::ZERO, false; "dropped at once while the store is sound")]
+#[test_case(Millis(2_000), true; "kept while entries may come back")]
+fn update_missing(grace: Millis, kept: bool) {
+    let mut rig = Rig::with(vec![backend(1)]);
+    rig.pool.update(NOW, Vec::new(), grace);
+    assert_eq!(rig.choose(NOW, |_| {}).is_ok(), kept);
+    assert_eq!(rig.pool.expire(NOW + Millis(2_000)).len(), usize::from(kept));
+    assert_eq!(rig.choose(NOW, |_| {}), Err(Unavailable::NoneInService));
+}
+
+#[test_case(1, 32; "alone")]
+#[test_case(5, 5; "one of five routers")]
+fn choose_cold_server_within_share(routers: usize, most: usize) {
+    let cold = Backend { cold_remaining: Millis(3_000), ..backend(1) };
+    let mut rig = Rig::with(vec![cold]);
+    let mut sent = 0;
+    while rig.choose(NOW, |want| (want.cold_per_second, want.routers) = (32.0, routers)).is_ok() {
+        sent += 1;
+        assert!(sent <= most, "{sent} requests to a cold server");
+    }
+    assert!(sent > 0);
+    let refused = rig.choose(NOW, |want| (want.cold_per_second, want.routers) = (32.0, routers));
+    assert_eq!(refused, Err(Unavailable::Cold));
+    assert!(rig.choose(NOW + Millis(3_000), |want| want.cold_per_second = 32.0).is_ok(), "it is warm again");
+}
+
+#[test]
+fn choose_avoids_unreachable_until_pause_ends() {
+    let mut rig = Rig::with(vec![backend(1), backend(2)]);
+    rig.pool.note(NOW, &backend(1), Outcome::Unreachable);
+    for _ in 0..5 {
+        assert_eq!(rig.choose(NOW, |_| {}).unwrap().as_str(), "b2");
+    }
+    assert_eq!(rig.choose(NOW + Millis(500), |_| {}).unwrap().as_str(), "b1");
+}
+
+#[test]
+fn choose_probes_failing_server_now_and_then() {
+    let mut rig = Rig::with(vec![backend(1), backend(2)]);
+    for _ in 0..10 {
+        rig.pool.note(NOW, &backend(1), Outcome::Failed);
+    }
+    let later = NOW + Millis(2_000);
+    let chosen: Vec<BackendId> = (0..6).map(|_| rig.choose(later, |_| {}).unwrap()).collect();
+    assert_eq!(chosen.iter().filter(|id| id.as_str() == "b1").count(), 1, "{chosen:?}");
+}
+
+#[test]
+fn choose_gives_slow_server_less() {
+    let mut rig = Rig::with(vec![backend(1), backend(2), backend(3)]);
+    for n in 1..=3 {
+        let slowness = if n == 1 { 5.0 } else { 1.0 };
+        for _ in 0..20 {
+            rig.pool.note(NOW, &backend(n), Outcome::Answered { slowness });
+        }
+    }
+    let slow = (0..30).filter(|_| rig.choose(NOW, |_| {}).unwrap().as_str() == "b1").count();
+    assert!(slow <= 4, "{slow} of 30 requests went to the slow server");
+}
+
+#[test]
+fn choose_version() {
+    let new = Backend { version: "v2".into(), ..backend(2) };
+    let mut rig = Rig::with(vec![backend(1), new]);
+    let v2 = VersionName::from("v2");
+    assert_eq!(rig.choose(NOW, |want| want.version = Some(&v2)).unwrap().as_str(), "b2");
+    assert_eq!(rig.choose(NOW, |want| want.barred_version = Some(&v2)).unwrap().as_str(), "b1");
+    let tried = [BackendId::from("b1")];
+    let refused = rig.choose(NOW, |want| (want.barred_version, want.tried) = (Some(&v2), &tried));
+    assert_eq!(refused, Err(Unavailable::AllTried));
+}
+
+#[test]
+fn note_replaced_forgets_server() {
+    let mut rig = Rig::with(vec![backend(1)]);
+    rig.pool.note_replaced(&backend(1));
+    assert_eq!(rig.choose(NOW, |_| {}), Err(Unavailable::NoneInService));
+}
--- /dev/null
+++ b/crates/core/tests/repeat.rs
@@ -0,0 +1,46 @@
+//! Guards against repeats that multiply the load of a service in trouble: a retry storm, and many routers at once.
+
+use eelgrasswell_core::{
+    repeat::{Bound, Purpose, RepeatBudget},
+    unit::Millis,
+};
+use test_case::test_case;
+
+const BOUND: Bound = Bound { ratio: 0.9, slack: 50.0, window: Millis(10_000) };
+
+fn granted(budget: &mut RepeatBudget, now: Millis, purpose: Purpose, routers: usize) -> usize {
+    (0..10_000).take_while(|_| budget.take(now, purpose, routers)).count()
+}
+
+#[test_case(1; "one router")]
+#[test_case(5; "five routers")]
+#[test_case(26; "many routers")]
+fn take_all_routers_stay_within_bound(routers: usize) {
+    let requests_each = 200;
+    let total: usize = (0..routers)
+        .map(|_| {
+            let mut budget = RepeatBudget::new(BOUND);
+            (0..requests_each).for_each(|n| budget.note_request(Millis(n * 10)));
+            granted(&mut budget, Millis(3_000), Purpose::Failure, routers)
+        })
+        .sum();
+    let bound = (routers as u64 * requests_each) as f64 * BOUND.ratio + BOUND.slack;
+    assert!(total as f64 <= bound, "{total} repeats, bound {bound}");
+    assert!(total as f64 >= bound * 0.7, "{total} repeats, bound {bound}: too few are allowed");
+}
+
+#[test]
+fn take_escalations_leave_room_for_failures() {
+    let mut budget = RepeatBudget::new(BOUND);
+    let escalations = granted(&mut budget, Millis(1_000), Purpose::Escalation, 1);
+    assert!(escalations > 0);
+    assert!(granted(&mut budget, Millis(1_000), Purpose::Failure, 1) > 0);
+}
+
+#[test]
+fn take_again_after_window() {
+    let mut budget = RepeatBudget::new(BOUND);
+    assert!(granted(&mut budget, Millis(1_000), Purpose::Failure, 1) > 0);
+    assert!(!budget.take(Millis(1_000), Purpose::Failure, 1));
+    assert!(budget.take(Millis(11_001), Purpose::Failure, 1));
+}
--- a/crates/core/tests/rollout.rs
+++ b/crates/core/tests/rollout.rs
@@ -96,7 +96,7 @@
 fn report_repeated_reordered_restarted() {
     let (model, version) = ("m".into(), "v".into());
     let counters = |answers, errors| Counters { answers, errors, ..Counters::default() };
-    let mut board = Board::default();
+    let mut board: Board = Board::default();
     board.report(&model, &version, Incarnation(1), counters(20, 2));
     board.report(&model, &version, Incarnation(1), counters(10, 1));
     board.report(&model, &version, Incarnation(1), counters(20, 2));
--- /dev/null
+++ b/crates/core/tests/site.rs
@@ -0,0 +1,92 @@
+//! Guards against requests that take the wrong route, and keys that are taken for others.
+
+use eelgrasswell_core::{
+    escalation::Ladder,
+    hash::HashMap,
+    id::{ModelName, Revision},
+    site::{Caller, CallerLimits, Customer, Route, RouteKind, Service, Site, Target},
+    unit::Millis,
+};
+use test_case::test_case;
+
+fn route(host: &str, prefix: &str, service: &str) -> Route {
+    Route {
+        name: prefix.into(),
+        host: host.into(),
+        prefix: prefix.into(),
+        kind: RouteKind::Safe,
+        timeout: Millis(1_000),
+        objective: Millis(100),
+        priority: 0,
+        models: Vec::new(),
+        targets: vec![Target { service: service.into(), weight: 1 }],
+        max_attempts: 1,
+        anonymous: false,
+        affinity: false,
+    }
+}
+
+fn site() -> Site {
+    let open = Route { anonymous: true, ..route("a.example", "/open/", "s3") };
+    let routes = vec![route("a.example", "/x/", "s1"), route("a.example", "/x/y/", "s2"), open];
+    let customer = |id: &str, key: &str| Customer { id: id.into(), priority: None, keys: vec![key.into()] };
+    let customers = vec![customer("c1", "k1"), customer("c2", "k2")];
+    Site::new(Revision(1), CallerLimits::default(), routes, HashMap::default(), customers)
+}
+
+#[test_case("a.example", "/x/1", Some("s1"); "prefix")]
+#[test_case("A.EXAMPLE:80", "/x/1", Some("s1"); "case and port of the host")]
+#[test_case("a.example", "/x/y/1", Some("s2"); "longest prefix")]
+#[test_case("a.example", "/x/yz", Some("s1"); "prefix ends with a slash")]
+#[test_case("a.example", "/x", None; "shorter than the prefix")]
+#[test_case("b.example", "/x/1", None; "other host")]
+fn route_case(host: &str, path: &str, service: Option<&str>) {
+    let site = site();
+    let found = site.route(host, path).map(|route| route.target(0).as_str());
+    assert_eq!(found, service);
+}
+
+#[test]
+fn caller_by_key() {
+    let site = site();
+    let (keyed, open) = (site.route("a.example", "/x/1").unwrap(), site.route("a.example", "/open/1").unwrap());
+    let id = |caller| match caller {
+        Caller::Customer(customer) => customer.id.to_string(),
+        Caller::Anonymous => "anonymous".into(),
+        Caller::Unknown => "unknown".into(),
+    };
+    assert_eq!(id(site.caller(keyed, Some("k2"))), "c2");
+    assert_eq!(id(site.caller(keyed, Some("k3"))), "unknown");
+    assert_eq!(id(site.caller(keyed, None)), "unknown");
+    assert_eq!(id(site.caller(open, None)), "anonymous");
+    assert_eq!(id(site.caller(open, Some("k1"))), "c1");
+}
+
+#[test]
+fn target_by_weight() {
+    let target = |service: &str, weight| Target { service: service.into(), weight };
+    let route = Route { targets: vec![target("s1", 90), target("s2", 10)], ..route("a", "/", "") };
+    let second = (0..1_000).filter(|hash| route.target(*hash).as_str() == "s2").count();
+    assert_eq!(second, 100);
+}
+
+#[test]
+fn relative_price_of_models() {
+    let models = HashMap::from_iter([("s".into(), 0.02), ("l".into(), 0.3)]);
+    let service = Service { models, ..Service::default() };
+    assert!((service.relative_price(&"l".into()) - 15.0).abs() < 1e-9);
+    assert!((service.relative_price(&"s".into()) - 1.0).abs() < 1e-9);
+    assert!((service.relative_price(&"unknown".into()) - 1.0).abs() < 1e-9);
+}
+
+#[test_case(&["s", "m", "l"], Some(10), 9_000, true; "low rating")]
+#[test_case(&["s", "m", "l"], Some(40), 9_000, false; "good rating")]
+#[test_case(&["s", "m", "l"], None, 9_000, false; "no rating")]
+#[test_case(&["s", "m", "l"], Some(10), 1_000, false; "too late")]
+#[test_case(&["s"], Some(10), 9_000, false; "no larger model")]
+fn escalates(models: &[&str], confidence: Option<u8>, left: u64, expected: bool) {
+    let models: Vec<ModelName> = models.iter().map(|&name| name.into()).collect();
+    let ladder = Ladder::new(&models);
+    assert_eq!(ladder.escalates(0, confidence, Millis(left), Millis(10_000)), expected);
+    assert!(!ladder.escalates(1, confidence, Millis(left), Millis(10_000)), "the largest model has the last word");
+}
