Let a gateway that is cut off from the store say so to those that follow it

Now the watch for the configuration waits 0.7 s with a limit of 0.5 s beyond, a failed call is told at once, and a follower that no sound watcher serves calls the store.

--- a/crates/core/tests/canary.rs
+++ b/crates/core/tests/canary.rs
@@ -86,7 +86,8 @@
         assert!(!on_target(&canary.rule(START + Millis(at), drawn, SESSION)), "moved after {at} ms");
     }
     assert_eq!(canary.kept_sessions(START + Millis(8_000), SESSION), [drawn]);
-    assert!(on_target(&canary.rule(START + Millis(14_000), drawn, SESSION)) || !canary.is_bad());
+    canary.judge(START + Millis(9_000), counters(80, 0), counters(1_000, 2));
+    assert!(on_target(&canary.rule(START + Millis(14_000), drawn, SESSION)));
 }
 
 #[test]
--- a/crates/daemon/src/gateway/follow.rs
+++ b/crates/daemon/src/gateway/follow.rs
@@ -35,15 +35,18 @@
     let began = Instant::now();
     let until = began + Duration::from(Millis(request.wait_ms).min(HOLD));
     let mut changes = gateway.mirror.subscribe();
+    let sound = |replicas: &[Replica]| replicas.iter().map(|replica| replica.sound).collect::<Vec<_>>();
+    let mut at_first = None;
     loop {
         changes.borrow_and_update();
         let replicas = gateway.replicas_for(request);
-        let has_news = replicas.iter().any(|replica| !replica.objects.is_empty());
-        let waited = has_news || timeout_at(until, changes.changed()).await.is_err();
-        if waited {
-            let replicas = if has_news { replicas } else { gateway.replicas_for(request) };
+        let has_objects = replicas.iter().any(|replica| !replica.objects.is_empty());
+        let has_news = has_objects || *at_first.get_or_insert_with(|| sound(&replicas)) != sound(&replicas);
+        if has_news || Instant::now() >= until {
             return FollowReply { held_ms: Millis::from(began.elapsed()).0, replicas };
         }
+        // Whether it ends by a change or by the time limit, the copies are looked at again.
+        let _ = timeout_at(until, changes.changed()).await;
     }
 }
 
@@ -57,6 +60,7 @@
                 let stays = wanted.contains(member);
                 if !stays {
                     task.abort();
+                    gateway.mirror.set_unserved(&member.id);
                 }
                 stays
             });
@@ -81,10 +85,14 @@
         match timeout_at(limit, client.follow(request)).await {
             Ok(Ok(reply)) => gateway.take_replicas(&watcher, reply.into_inner(), asked),
             Ok(Err(err)) => {
+                gateway.mirror.set_unserved(&watcher);
                 event!(Debug, "follow_failed", peer = watcher, error = err.message());
                 sleep(RETRY_PAUSE).await;
             }
-            Err(_) => event!(Debug, "follow_failed", peer = watcher, error = "timed out"),
+            Err(_) => {
+                gateway.mirror.set_unserved(&watcher);
+                event!(Debug, "follow_failed", peer = watcher, error = "timed out");
+            }
         }
     }
 }
@@ -142,13 +150,14 @@
     }
 
     fn replica_for(&self, kind: Kind, known: Option<&Replica>, now: Millis) -> Option<Replica> {
+        let reaches_store = self.mirror.reaches_store();
         let copy = lock(self.mirror.copy(kind));
         let mut replica = Replica {
             kind: kind.index() as u32,
             revision: copy.revision()?,
             changed: copy.changed(),
             proof_age_ms: copy.age(now)?.0,
-            sound: copy.is_sound(),
+            sound: reaches_store && copy.is_sound(),
             ..Replica::default()
         };
         let since = known.map_or(0, |known| known.changed);
@@ -175,9 +184,8 @@
                 event!(Warn, "copy_malformed", kind = kind, peer = watcher, error = err);
                 continue;
             }
-            if sound {
-                self.mirror.set_served_until(kind, self.clock.now() + SERVED_FOR);
-            }
+            let until = if sound { self.clock.now() + SERVED_FOR } else { Millis::ZERO };
+            self.mirror.set_served_until(watcher, kind, until);
         }
     }
 
--- a/crates/daemon/src/gateway/mirror.rs
+++ b/crates/daemon/src/gateway/mirror.rs
@@ -7,7 +7,7 @@
     canary::{Canary, Order},
     confirmation::{self, Confirmation},
     hash::{HashMap, HashSet},
-    id::ServiceName,
+    id::{HostId, ServiceName},
     unit::Millis,
 };
 use eelgrasswell_platform::{
@@ -23,10 +23,11 @@
 };
 use crate::{event, sync::lock};
 
-/// Longest wait of a watch for the configuration. It bounds the age of the proof that keys are still valid.
-const CONFIG_WAIT: Millis = Millis(1_500);
+/// Longest wait of a watch for the configuration. It bounds the age of the proof that keys are still valid, and the time
+/// until the gateways that follow this one hear that it is cut off from the store.
+const CONFIG_WAIT: Millis = Millis(700);
 /// Longest wait of the other watches, so that a connection gone silent is found in time.
-const WAIT: Millis = Millis(3_000);
+const WAIT: Millis = Millis(2_000);
 /// Pause between two watches for backend servers, whose entries change often; it gathers changes into one call.
 const GATHER: Duration = Duration::from_millis(200);
 /// Pause before a gateway that another one serves looks whether it still does.
@@ -39,8 +40,8 @@
 /// One copy for each kind.
 pub struct Mirror {
     copies: [Mutex<Replica>; Kind::ALL.len()],
-    /// Until when another gateway keeps each copy current.
-    served_until: Mutex<[Millis; Kind::ALL.len()]>,
+    /// Until when each watcher that is followed keeps each copy current.
+    served_until: Mutex<HashMap<HostId, [Millis; Kind::ALL.len()]>>,
     changes: watch::Sender<()>,
 }
 
@@ -83,9 +84,14 @@
         self.changes.subscribe()
     }
 
-    /// Leaves the copy of `kind` to another gateway until `until`.
-    pub fn set_served_until(&self, kind: Kind, until: Millis) {
-        lock(&self.served_until)[kind.index()] = until;
+    /// Leaves the copy of `kind` to `watcher` until `until`.
+    pub fn set_served_until(&self, watcher: &HostId, kind: Kind, until: Millis) {
+        lock(&self.served_until).entry(watcher.clone()).or_default()[kind.index()] = until;
+    }
+
+    /// Leaves nothing to `watcher` any more.
+    pub fn set_unserved(&self, watcher: &HostId) {
+        lock(&self.served_until).remove(watcher);
     }
 
     /// Tells the gateways that follow this one of a change.
@@ -103,11 +109,18 @@
         let mut copy = lock(self.copy(kind));
         copy.is_failing = true;
         copy.last_failure = Some(now);
+        drop(copy);
+        self.announce();
+    }
+
+    /// Whether this gateway's own calls reach the store.
+    pub fn reaches_store(&self) -> bool {
+        lock(self.copy(Kind::Config)).is_sound()
     }
 
     /// Whether another gateway keeps the copy of `kind` current.
     fn is_served(&self, kind: Kind, now: Millis) -> bool {
-        now < lock(&self.served_until)[kind.index()]
+        lock(&self.served_until).values().any(|until| now < until[kind.index()])
     }
 
     /// Age of the proof that the copy of `kind` is current.
--- a/crates/daemon/src/gateway/store.rs
+++ b/crates/daemon/src/gateway/store.rs
@@ -19,6 +19,8 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(600);
 /// Longest time for an answer, beyond the time that a watch waits.
 const ANSWER_TIMEOUT: Millis = Millis(900);
+/// The same for the watch by which a broken way to the store is found.
+const PROBE_TIMEOUT: Millis = Millis(500);
 
 /// A connection to the store, opened anew when it is lost. One call at a time.
 pub struct StoreClient {
@@ -64,7 +66,7 @@
         let mut revision = None;
         loop {
             let after = objects.last().map(|object: &Object| object.metadata.name.clone());
-            let (status, body) = self.call("list", store::list(kind, after.as_deref()), Millis::ZERO).await?;
+            let (status, body) = self.call("list", store::list(kind, after.as_deref()), ANSWER_TIMEOUT).await?;
             let page = store::read_page(status, &body)?;
             // Changes between two pages are seen again by a watch from the revision of the first.
             let first = *revision.get_or_insert(page.revision);
@@ -78,7 +80,8 @@
 
     /// Waits up to `wait` for changes of a kind after `revision`.
     pub async fn watch(&mut self, kind: Kind, revision: u64, wait: Millis) -> Result<Changes, CallError> {
-        let (status, body) = self.call("watch", store::watch(kind, revision, wait), wait).await?;
+        let limit = if kind == Kind::Config { PROBE_TIMEOUT } else { ANSWER_TIMEOUT };
+        let (status, body) = self.call("watch", store::watch(kind, revision, wait), wait + limit).await?;
         Ok(store::read_changes(status, &body)?)
     }
 
@@ -90,7 +93,7 @@
         value: &serde_json::Value,
     ) -> Result<Object, CallError> {
         let req = store::put_status(kind, &object.metadata.name, object.metadata.revision, value);
-        let (status, body) = self.call("put_status", req, Millis::ZERO).await?;
+        let (status, body) = self.call("put_status", req, ANSWER_TIMEOUT).await?;
         Ok(store::read_object(status, &body)?)
     }
 
@@ -98,12 +101,11 @@
         &mut self,
         name: &'static str,
         req: Request<Full<Bytes>>,
-        wait: Millis,
+        limit: Millis,
     ) -> Result<(StatusCode, Bytes), CallError> {
-        let limit = Duration::from(wait + ANSWER_TIMEOUT);
         // The connection is given back only after a whole answer: whatever comes late belongs to no later call.
         let result = match self.take_conn().await {
-            Ok(conn) => timeout(limit, exchange(conn, req)).await.unwrap_or_else(|_| Err("timed out".into())),
+            Ok(conn) => timeout(limit.into(), exchange(conn, req)).await.unwrap_or_else(|_| Err("timed out".into())),
             Err(err) => Err(format!("could not connect to {}: {err}", self.address)),
         };
         let label = if result.is_ok() { "answered" } else { "lost" };
