Wait for the configuration after a start, escalate elsewhere, avoid silent servers

Cause: after a loss of power requests came 5 to 20 ms before the configuration was read, were refused, and used up their one retry; an escalation that a restarted server refused (421) fell back to the small answer; servers that had gone silent kept getting requests until one had waited for its deadline. Ruled out: a slow start (15 to 20 ms from start to serving).

--- a/crates/core/src/pool.rs
+++ b/crates/core/src/pool.rs
@@ -1,8 +1,8 @@
 //! Choice of the backend server for a request, from what this router sees and what the other routers tell.
 //!
 //! Load patterns that it answers: prompts with a shared part meet at one server while its load stays near the mean
-//! (bounded-load consistent hashing), so that a subject in high demand spills over to others; servers that fail or slow
-//! down get less work, and are tried again after a pause; a cold server gets no more than its share of requests.
+//! (bounded-load consistent hashing), so that a subject in high demand spills over to others; servers that fail, slow down
+//! or go silent get less work, and are tried again after a pause; a cold server gets no more than its share of requests.
 
 use std::{cmp::Reverse, sync::Arc};
 
@@ -44,6 +44,7 @@
 #[derive(Debug, Default)]
 pub struct Pool {
     entries: HashMap<BackendId, Entry>,
+    last_send: u64,
     evacuated: HashSet<DomainId>,
 }
 
@@ -56,9 +57,15 @@
     load: Cost,
     peer_load: Cost,
     sends: RecentSends,
+    /// Sends without an answer yet, with the time from which each is overdue.
+    unanswered: Vec<(SendId, Millis)>,
     health: Health,
 }
 
+/// Names a send among those of one router.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct SendId(u64);
+
 #[derive(Clone, Copy, Debug, Default)]
 struct Health {
     down_until: Millis,
@@ -77,6 +84,8 @@
     pub affinity: Option<u64>,
     /// Size of the request.
     pub cost: Cost,
+    /// Time within which its answer should begin.
+    pub objective: Millis,
     /// Version that it is to run on.
     pub version: Option<&'a VersionName>,
     /// Version that it must not run on.
@@ -221,7 +230,12 @@
     }
 
     /// Chooses a server and counts the send.
-    pub fn choose(&mut self, now: Millis, want: &Want<'_>, rng: &mut impl Rng) -> Result<Arc<Backend>, Unavailable> {
+    pub fn choose(
+        &mut self,
+        now: Millis,
+        want: &Want<'_>,
+        rng: &mut impl Rng,
+    ) -> Result<(Arc<Backend>, SendId), Unavailable> {
         if !self.is_served(want.service) {
             return Err(Unavailable::NoneInService);
         }
@@ -237,7 +251,7 @@
         if open.is_empty() {
             return Err(Unavailable::Cold);
         }
-        let sound: Vec<BackendId> = open.iter().filter(|id| self.entries[*id].health.is_usable(now)).cloned().collect();
+        let sound: Vec<BackendId> = open.iter().filter(|id| self.entries[*id].is_sound(now)).cloned().collect();
         let candidates = if sound.is_empty() { open } else { sound };
         let id = self.best(&candidates, want, rng);
         let entry = self.entries.get_mut(&id).expect("the chosen server is in the pool");
@@ -245,12 +259,23 @@
         entry.health.note_probe(now);
         entry.outstanding += 1;
         entry.load += want.cost;
-        Ok(Arc::clone(&entry.backend))
+        self.last_send += 1;
+        let send = SendId(self.last_send);
+        entry.unanswered.push((send, now + want.objective));
+        Ok((Arc::clone(&entry.backend), send))
+    }
+
+    /// Takes in that the answer to a send has begun.
+    pub fn answered(&mut self, backend: &Backend, send: SendId) {
+        if let Some(entry) = self.known(backend) {
+            entry.unanswered.retain(|(other, _)| *other != send);
+        }
     }
 
     /// Ends a send that `choose` has counted.
-    pub fn release(&mut self, backend: &Backend, cost: Cost) {
+    pub fn release(&mut self, backend: &Backend, send: SendId, cost: Cost) {
         if let Some(entry) = self.known(backend) {
+            entry.unanswered.retain(|(other, _)| *other != send);
             entry.outstanding = entry.outstanding.saturating_sub(1);
             entry.load = if entry.outstanding == 0 { 0.0 } else { (entry.load - cost).max(0.0) };
         }
@@ -342,10 +367,17 @@
             load: 0.0,
             peer_load: 0.0,
             sends: RecentSends::default(),
+            unanswered: Vec::new(),
             health: Health::default(),
         }
     }
 
+    /// Whether nothing speaks against the server. One that owes an answer for too long may have gone silent; the
+    /// requests that it holds can't tell before their deadline.
+    fn is_sound(&self, now: Millis) -> bool {
+        self.health.is_usable(now) && self.unanswered.iter().all(|(_, overdue)| now < *overdue)
+    }
+
     fn load(&self, want: &Want<'_>, median_slowness: f64) -> f64 {
         let factor = self.health.slowness.map_or(1.0, |slowness| slowness / median_slowness);
         let factor = if factor > SLOW_FACTOR { factor } else { 1.0 };
--- a/crates/core/tests/pool.rs
+++ b/crates/core/tests/pool.rs
@@ -46,6 +46,7 @@
             service: &self.service,
             affinity: None,
             cost: 1.0,
+            objective: Millis(300),
             version: None,
             barred_version: None,
             tried: &[],
@@ -54,7 +55,7 @@
             routers: 1,
         };
         change(&mut want);
-        self.pool.choose(now, &want, &mut self.rng).map(|backend| backend.id.clone())
+        self.pool.choose(now, &want, &mut self.rng).map(|(backend, _)| backend.id.clone())
     }
 }
 
@@ -191,3 +192,19 @@
     rig.pool.note_replaced(&backend(1));
     assert_eq!(rig.choose(NOW, |_| {}), Err(Unavailable::NoneInService));
 }
+
+#[test]
+fn choose_avoids_server_that_owes_an_answer() {
+    let mut rig = Rig::with(vec![backend(1), backend(2)]);
+    let silent = rig.choose(NOW, |_| {}).unwrap();
+    for _ in 0..6 {
+        assert_ne!(rig.choose(NOW + Millis(300), |want| want.objective = Millis(9_000)).unwrap(), silent);
+    }
+}
+
+#[test]
+fn choose_among_servers_that_all_owe_answers() {
+    let mut rig = Rig::with(vec![backend(1), backend(2)]);
+    (0..4).for_each(|_| drop(rig.choose(NOW, |_| {}).unwrap()));
+    assert!(rig.choose(NOW + Millis(400), |_| {}).is_ok(), "slow servers are better than none");
+}
--- a/crates/daemon/src/gateway/attempt.rs
+++ b/crates/daemon/src/gateway/attempt.rs
@@ -7,7 +7,7 @@
     backend::Backend,
     canary::VersionRule,
     id::{BackendId, ModelName, RequestId},
-    pool::{Cost, Outcome, Unavailable, Want},
+    pool::{Cost, Outcome, SendId, Unavailable, Want},
     unit::Millis,
 };
 use eelgrasswell_platform::{
@@ -74,6 +74,7 @@
     gateway: Gateway,
     /// The server.
     pub backend: Arc<Backend>,
+    send: SendId,
     cost: Cost,
     id: RequestId,
     conn: Option<Conn>,
@@ -140,6 +141,7 @@
             service: &call.service,
             affinity: call.subject.filter(|_| call.route.affinity),
             cost,
+            objective: call.route.objective,
             version: self.rule.only.as_ref(),
             barred_version: self.rule.barred.as_ref(),
             tried: self.tried,
@@ -156,7 +158,8 @@
             }
             chosen => chosen,
         };
-        Ok(Place { gateway: gateway.clone(), backend: chosen?, cost, id: call.id.clone(), conn: None })
+        let (backend, send) = chosen?;
+        Ok(Place { gateway: gateway.clone(), backend, send, cost, id: call.id.clone(), conn: None })
     }
 
     /// Load that the request puts on a server.
@@ -211,6 +214,7 @@
         let (head, body) = response.into_parts();
         let meta = answer::read(head.status, &head.headers);
         let backend = Arc::clone(&place.backend);
+        lock(&gateway.pool).answered(&backend, place.send);
         if let Some(remaining) = meta.cold.filter(|cold| *cold > Millis::ZERO) {
             lock(&gateway.pool).note_cold(gateway.clock.now(), &backend, remaining);
         }
@@ -304,6 +308,6 @@
 
 impl Drop for Place {
     fn drop(&mut self) {
-        lock(&self.gateway.pool).release(&self.backend, self.cost);
+        lock(&self.gateway.pool).release(&self.backend, self.send, self.cost);
     }
 }
--- a/crates/daemon/src/gateway/execute.rs
+++ b/crates/daemon/src/gateway/execute.rs
@@ -72,6 +72,13 @@
             let answer = match self.attempt(None).await {
                 Ok(answer) => answer,
                 Err(ended) => {
+                    let elsewhere = smaller.is_some()
+                        && matches!(ended, Ended::NotRun { .. })
+                        && self.may_repeat(Purpose::Escalation);
+                    if elsewhere {
+                        event!(Info, "send_ended", request = self.call.id, error = ended);
+                        continue;
+                    }
                     // An answer that is there is better than none.
                     if let Some(answer) = smaller.take() {
                         self.step -= 1;
--- a/crates/daemon/src/gateway/request.rs
+++ b/crates/daemon/src/gateway/request.rs
@@ -19,7 +19,7 @@
     body::{Body as _, Incoming},
     header::HOST,
 };
-use tokio::time::{Instant, timeout_at};
+use tokio::time::{Instant, sleep, timeout_at};
 use uuid::Uuid;
 
 use super::{State, refusal::Refusal};
@@ -28,6 +28,11 @@
 /// old to serve keyed requests. The rest covers the clock's granularity.
 const FRESH_SHARE: f64 = 0.92;
 
+/// Longest time that a request waits for a configuration, or for the proof that it is current.
+const START_WAIT: Millis = Millis(500);
+/// Interval at which a waiting request looks again.
+const START_POLL: Duration = Duration::from_millis(10);
+
 /// A request that may be run.
 pub struct Call {
     /// Id of the caller's attempt.
@@ -86,9 +91,18 @@
     let meta = request::read(&head.headers);
     let id = meta.id.clone().unwrap_or_else(|| RequestId::from(Uuid::now_v7().to_string().as_str()));
     let refuse = |refusal| (id.clone(), refusal);
-    let site = state.site().filter(|_| state.mirror.is_complete()).ok_or_else(|| refuse(Refusal::NotReady))?;
     let host = head.headers.get(HOST).and_then(|host| host.to_str().ok()).or_else(|| head.uri.host());
-    let (route, caller) = authorise(state, &site, host.unwrap_or_default(), head.uri.path(), &meta).map_err(refuse)?;
+    let patience = meta.deadline.map_or(START_WAIT, |deadline| START_WAIT.min(Millis(deadline.0 / 4)));
+    let until = arrived + Duration::from(patience);
+    let (site, route, caller) = loop {
+        match authorise(state, host.unwrap_or_default(), head.uri.path(), &meta) {
+            Ok(found) => break found,
+            // A process that has just started, or lost the store for a moment, knows more within milliseconds; a
+            // caller that is sent away uses up one of its few retries.
+            Err(Refusal::NotReady | Refusal::StaleConfig(_)) if Instant::now() < until => sleep(START_POLL).await,
+            Err(refusal) => return Err(refuse(refusal)),
+        }
+    };
     let wait = meta.deadline.map_or(route.timeout, |deadline| deadline.min(route.timeout));
     let deadline = arrived + Duration::from(wait);
     let body = read_body(body, site.limits.body.0, deadline).await.map_err(refuse)?;
@@ -121,20 +135,21 @@
 /// Finds the route and the customer. A configuration that may be out of date refuses nobody for good.
 fn authorise(
     state: &State,
-    site: &Site,
     host: &str,
     path: &str,
     meta: &RequestMeta,
-) -> Result<(Arc<Route>, Caller), Refusal> {
+) -> Result<(Arc<Site>, Arc<Route>, Caller), Refusal> {
+    let site = state.site().filter(|_| state.mirror.is_complete()).ok_or(Refusal::NotReady)?;
     let age = state.mirror.age(Kind::Config, state.clock.now());
     let limit = Millis((state.settings().bounds.revoke_ms as f64 * FRESH_SHARE) as u64);
     let fresh = age.is_some_and(|age| age < limit);
     let unless_stale = |refusal| if fresh { refusal } else { Refusal::StaleConfig(age) };
     let route = site.route(host, path).ok_or_else(|| unless_stale(Refusal::NoRoute))?;
-    match site.caller(route, meta.key.as_deref()) {
+    let route = Arc::clone(route);
+    match site.caller(&route, meta.key.as_deref()) {
         Caller::Unknown => Err(unless_stale(Refusal::UnknownKey)),
         Caller::Customer(_) if !fresh => Err(Refusal::StaleConfig(age)),
-        caller => Ok((Arc::clone(route), caller)),
+        caller => Ok((site, route, caller)),
     }
 }
 
