Give up on silent servers by the usual time of an answer

Cause: a server that had gone dark held a stream's first send for 2.5 times the objective (5 to 7.5 s), and kept getting requests for a whole objective. Now a send is given up after 6 times the usual time of its model and prompt, and a server that owes an answer for 4 times the usual time gets nothing new. A stream that stalls waits on when no repeat is allowed, and moves otherwise.

--- a/crates/core/src/pool.rs
+++ b/crates/core/src/pool.rs
@@ -84,8 +84,8 @@
     pub affinity: Option<u64>,
     /// Size of the request.
     pub cost: Cost,
-    /// Time within which its answer should begin.
-    pub objective: Millis,
+    /// Time after which its server gets no further requests until it answers.
+    pub overdue_after: Millis,
     /// Version that it is to run on.
     pub version: Option<&'a VersionName>,
     /// Version that it must not run on.
@@ -261,7 +261,7 @@
         entry.load += want.cost;
         self.last_send += 1;
         let send = SendId(self.last_send);
-        entry.unanswered.push((send, now + want.objective));
+        entry.unanswered.push((send, now + want.overdue_after));
         Ok((Arc::clone(&entry.backend), send))
     }
 
--- a/crates/core/src/site.rs
+++ b/crates/core/src/site.rs
@@ -83,6 +83,8 @@
     pub timeout: Millis,
     /// Time within which an answer has its full value.
     pub objective: Millis,
+    /// Longest pause between two events of a stream whose answer has its full value.
+    pub max_pause: Option<Millis>,
     /// Rank, 0 first.
     pub priority: u32,
     /// Models that may answer a request that names none, smallest first.
--- a/crates/core/tests/pool.rs
+++ b/crates/core/tests/pool.rs
@@ -46,7 +46,7 @@
             service: &self.service,
             affinity: None,
             cost: 1.0,
-            objective: Millis(300),
+            overdue_after: Millis(300),
             version: None,
             barred_version: None,
             tried: &[],
@@ -198,7 +198,7 @@
     let mut rig = Rig::with(vec![backend(1), backend(2)]);
     let silent = rig.choose(NOW, |_| {}).unwrap();
     for _ in 0..6 {
-        assert_ne!(rig.choose(NOW + Millis(300), |want| want.objective = Millis(9_000)).unwrap(), silent);
+        assert_ne!(rig.choose(NOW + Millis(300), |want| want.overdue_after = Millis(9_000)).unwrap(), silent);
     }
 }
 
--- a/crates/core/tests/site.rs
+++ b/crates/core/tests/site.rs
@@ -17,6 +17,7 @@
         kind: RouteKind::Safe,
         timeout: Millis(1_000),
         objective: Millis(100),
+        max_pause: None,
         priority: 0,
         models: Vec::new(),
         targets: vec![Target { service: service.into(), weight: 1 }],
--- a/crates/daemon/src/cmd/gateway.rs
+++ b/crates/daemon/src/cmd/gateway.rs
@@ -28,7 +28,7 @@
     };
     let settings: GatewaySettings = settings::open(&path)?;
     settings.check().wrap_err_with(|| format!("could not use settings {}", path.display()))?;
-    log::init(&settings.log_level)?;
+    log::init_queued(&settings.log_level)?;
     let metrics = telemetry::install()?;
     let runtime = Builder::new_multi_thread()
         .worker_threads(settings.cores)
--- a/crates/daemon/src/gateway/attempt.rs
+++ b/crates/daemon/src/gateway/attempt.rs
@@ -53,6 +53,8 @@
     pub tried: &'a [BackendId],
     /// When to stop waiting for the head of the answer.
     pub limit: Instant,
+    /// Time after which the server gets no further requests until it answers.
+    pub overdue_after: Millis,
 }
 
 /// An answer whose head has come.
@@ -141,7 +143,7 @@
             service: &call.service,
             affinity: call.subject.filter(|_| call.route.affinity),
             cost,
-            objective: call.route.objective,
+            overdue_after: self.overdue_after,
             version: self.rule.only.as_ref(),
             barred_version: self.rule.barred.as_ref(),
             tried: self.tried,
--- a/crates/daemon/src/gateway/evidence.rs
+++ b/crates/daemon/src/gateway/evidence.rs
@@ -49,13 +49,18 @@
 }
 
 impl Evidence {
+    /// Usual time to the beginning of an answer; none before the first.
+    pub fn expected(&self, service: &ServiceName, model: &ModelName, prompt: u64) -> Option<Millis> {
+        let relative = lock(&self.state).usual.get(&(service.clone(), model.clone())).copied()?;
+        Some(Millis((relative * work(prompt)) as u64))
+    }
+
     /// Counts a sample; returns how many times the usual time it took.
     pub fn note(&self, sample: Sample<'_>) -> f64 {
         let mut state = lock(&self.state);
         let slowness = sample.elapsed.map(|elapsed| {
-            let work = FIXED_MS + sample.prompt as f64 / PROMPT_TOKENS_PER_MS;
             let key = (sample.service.clone(), sample.model.clone());
-            let relative = elapsed.0 as f64 / work;
+            let relative = elapsed.0 as f64 / work(sample.prompt);
             let usual = state.usual.entry(key).or_insert(relative.max(f64::MIN_POSITIVE));
             let slowness = relative / *usual;
             // One very slow answer must not make the others look fast.
@@ -98,3 +103,8 @@
         (sum(true), sum(false))
     }
 }
+
+/// Time that a prompt takes, relative to others.
+fn work(prompt: u64) -> f64 {
+    FIXED_MS + prompt as f64 / PROMPT_TOKENS_PER_MS
+}
--- a/crates/daemon/src/gateway/execute.rs
+++ b/crates/daemon/src/gateway/execute.rs
@@ -12,7 +12,7 @@
     repeat::Purpose,
     unit::Millis,
 };
-use eelgrasswell_platform::{answer, request::ModelWish};
+use eelgrasswell_platform::{answer, objects::Kind, request::ModelWish};
 use http_body_util::{BodyExt, Full};
 use hyper::{HeaderMap, Response, StatusCode, header::CONTENT_LENGTH};
 use tokio::time::{Instant, sleep, timeout_at};
@@ -25,12 +25,20 @@
     relay::Relay,
     request::Call,
 };
-use crate::{event, sync::lock};
+use crate::{event, sync::lock, telemetry};
 
 /// Sends of one request, refused ones included.
 const MAX_SENDS: u32 = 5;
 /// Multiple of the objective after which a server that has not answered counts as silent.
 const PATIENCE: f64 = 2.5;
+/// Multiple of the usual time after which a server that has not answered counts as silent, beside `LEAST_PATIENCE`.
+const USUAL_PATIENCE: f64 = 6.0;
+/// Time that any answer may take, however short the usual time.
+const LEAST_PATIENCE: Duration = Duration::from_millis(500);
+/// Multiple of the usual time after which a server gets no further requests until it answers.
+const OVERDUE_FACTOR: u64 = 4;
+/// Time that any answer may take before its server gets no further requests.
+const OVERDUE_LEAST: Millis = Millis(200);
 /// Largest share of the time left that is spent waiting for one server while another may be asked.
 const PATIENCE_SHARE: f64 = 0.45;
 /// Time without which a request is not sent once more.
@@ -107,7 +115,7 @@
                 return self.respond(answer).await;
             }
             if self.escalates(&answer) {
-                event!(Debug, "escalated", request = self.call.id, confidence = answer.meta.confidence.unwrap_or(0));
+                event!(Info, "escalated", request = self.call.id, confidence = answer.meta.confidence.unwrap_or(0));
                 smaller = Some(answer);
                 self.step += 1;
                 self.tried.clear();
@@ -120,9 +128,11 @@
         }
     }
 
-    /// Goes on with a stream after the event `last_id`, at another server. None when that can't be done.
-    pub async fn resume(&mut self, last_id: Option<&str>) -> Option<Answer> {
-        while self.may_repeat(Purpose::Failure) {
+    /// Goes on with a stream after the event `last_id`, at another server. None when that can't be done. The first
+    /// send has been `granted` by the budget, or is taken from it.
+    pub async fn resume(&mut self, last_id: Option<&str>, granted: bool) -> Option<Answer> {
+        let mut granted = granted;
+        while std::mem::take(&mut granted) || self.may_repeat(Purpose::Failure) {
             match self.attempt(last_id).await {
                 Ok(answer) if answer.status.is_success() => return Some(answer),
                 Ok(answer) => {
@@ -149,6 +159,30 @@
             && self.gateway.take_repeat(&self.call.service, purpose)
     }
 
+    fn log_answer(&self, answer: &Answer) {
+        let call = &self.call;
+        let backend = &answer.place.backend;
+        let elapsed = Millis::from(call.arrived.elapsed());
+        let kind = if call.route.kind.is_stream() { "stream" } else { "plain" };
+        metrics::histogram!(telemetry::FIRST_BYTE, "kind" => kind).record(elapsed.0 as f64 / 1_000.0);
+        metrics::counter!(telemetry::ANSWERS, "kind" => kind).increment(1);
+        event!(
+            Info,
+            "answered",
+            request = call.id,
+            route = call.route.name,
+            status = answer.status.as_u16(),
+            after = elapsed,
+            backend = backend.id,
+            version = backend.version,
+            model = self.model().unwrap_or_default(),
+            confidence = answer.meta.confidence.map_or_else(|| "none".into(), |rating| rating.to_string()),
+            sends = self.sends,
+            config = call.site.version,
+            config_age = self.gateway.mirror.age(Kind::Config, self.gateway.clock.now()).unwrap_or_default()
+        );
+    }
+
     /// Counts an answer that broke off against its server and version.
     pub fn note_broken(&self, backend: &Backend) {
         let model = self.model().unwrap_or_default();
@@ -171,6 +205,7 @@
             rule: &self.rule,
             tried: &self.tried,
             limit: self.patience(),
+            overdue_after: self.overdue_after(),
         };
         let result = attempt.run(&self.gateway).await;
         match &result {
@@ -207,8 +242,25 @@
         if !may_go_elsewhere {
             return self.call.deadline;
         }
-        let patience = Duration::from(self.call.route.objective).mul_f64(PATIENCE);
-        Instant::now() + patience.min(self.call.remaining().mul_f64(PATIENCE_SHARE))
+        let by_objective = Duration::from(self.call.route.objective).mul_f64(PATIENCE);
+        let by_experience = self
+            .expected()
+            .map_or(by_objective, |usual| Duration::from(usual).mul_f64(USUAL_PATIENCE) + LEAST_PATIENCE);
+        let by_time_left = self.call.remaining().mul_f64(PATIENCE_SHARE);
+        Instant::now() + by_objective.min(by_experience).min(by_time_left)
+    }
+
+    /// Usual time to the beginning of the answer.
+    fn expected(&self) -> Option<Millis> {
+        let model = self.model().unwrap_or_default();
+        self.gateway.evidence.expected(&self.call.service, &model, self.call.meta.prompt.0)
+    }
+
+    /// Time after which a server that has not answered counts as silent for other requests.
+    fn overdue_after(&self) -> Millis {
+        let objective = self.call.route.objective;
+        let usual = self.expected().map_or(objective, |usual| Millis(usual.0 * OVERDUE_FACTOR) + OVERDUE_LEAST);
+        objective.min(usual)
     }
 
     fn escalates(&self, answer: &Answer) -> bool {
@@ -275,6 +327,7 @@
 
     /// The caller's answer: a stream is relayed, anything else is read whole first.
     async fn respond(mut self, answer: Answer) -> Result<Response<Body>, Refusal> {
+        self.log_answer(&answer);
         let is_stream = self.call.route.kind.is_stream() && answer.status.is_success();
         let mut answer = answer;
         loop {
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -45,6 +45,7 @@
     router::bind,
     shutdown::Shutdown,
     sync::lock,
+    telemetry,
 };
 
 /// Body of an answer to a caller.
@@ -166,7 +167,14 @@
     /// Takes a repeat of a request for `service` from the budget.
     fn take_repeat(&self, service: &ServiceName, purpose: Purpose) -> bool {
         let (now, routers) = (self.clock.now(), self.routers());
-        self.with_budget(service, |budget| budget.take(now, purpose, routers))
+        let taken = self.with_budget(service, |budget| budget.take(now, purpose, routers));
+        let purpose = match (taken, purpose) {
+            (false, _) => "denied",
+            (true, Purpose::Escalation) => "escalation",
+            (true, Purpose::Failure) => "failure",
+        };
+        metrics::counter!(telemetry::REPEATS, "purpose" => purpose).increment(1);
+        taken
     }
 
     /// Counts a request of a caller for `service`.
--- a/crates/daemon/src/gateway/relay.rs
+++ b/crates/daemon/src/gateway/relay.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use compact_str::CompactString;
-use eelgrasswell_core::event_stream::Splitter;
+use eelgrasswell_core::{event_stream::Splitter, repeat::Purpose};
 use eyre::{Report, eyre};
 use futures::stream;
 use http_body_util::{BodyExt, StreamBody};
@@ -14,8 +14,11 @@
 use super::{Body, attempt::Answer, execute::Execution, net::describe};
 use crate::event;
 
-/// Silence inside a stream after which it goes on elsewhere.
-const STALL: Duration = Duration::from_millis(2_500);
+/// Silence inside a stream after which it goes on elsewhere, when its route names no longest pause.
+const DEFAULT_STALL: Duration = Duration::from_millis(2_500);
+/// Multiple of the route's longest pause after which a stream goes on elsewhere. A server under load pauses for a while
+/// without being lost, and a stream that moves has its prompt read again.
+const STALL_FACTOR: f64 = 2.5;
 
 /// Outcome of one read from a backend server.
 enum Read {
@@ -45,8 +48,10 @@
     answer: Option<Answer>,
     splitter: Splitter,
     last_id: Option<CompactString>,
-    /// Whether the splitter must pass on what it holds before the stream ends.
+    /// Whether the stream may go on elsewhere.
     resumable: bool,
+    /// Silence after which it does; none once it has to wait for its server whatever happens.
+    stall: Option<Duration>,
 }
 
 impl Relay {
@@ -54,7 +59,10 @@
     pub fn new(execution: Execution, answer: Answer) -> Self {
         let last_id = execution.call.meta.resume_after.clone();
         let resumable = execution.call.route.kind.is_idempotent();
+        let pause = execution.call.route.max_pause;
+        let stall = pause.map_or(DEFAULT_STALL, |pause| Duration::from(pause).mul_f64(STALL_FACTOR));
         Self::Events(Box::new(Events {
+            stall: Some(stall).filter(|_| resumable),
             execution,
             answer: Some(answer),
             splitter: Splitter::default(),
@@ -114,6 +122,7 @@
 impl Events {
     async fn next(&mut self) -> Result<Option<Bytes>, Report> {
         loop {
+            let mut granted = false;
             let why = match self.read().await {
                 Read::Data(data) => match self.splitter.push(&data) {
                     Some(events) => {
@@ -131,7 +140,14 @@
                     return Ok(None);
                 }
                 Read::Broken(why) => why,
-                Read::Stalled => "it stalled".into(),
+                Read::Stalled if self.execution.may_repeat(Purpose::Failure) => {
+                    granted = true;
+                    "it stalled".into()
+                }
+                Read::Stalled => {
+                    self.stall = None;
+                    continue;
+                }
                 Read::DeadlinePassed => return Err(self.cut("the deadline passed")),
             };
             if let Some(answer) = self.answer.take() {
@@ -142,7 +158,7 @@
             if !self.resumable {
                 return Err(self.cut(&why));
             }
-            self.answer = self.execution.resume(self.last_id.as_deref()).await;
+            self.answer = self.execution.resume(self.last_id.as_deref(), granted).await;
             if self.answer.is_none() {
                 return Err(self.cut(&why));
             }
@@ -151,8 +167,7 @@
 
     async fn read(&mut self) -> Read {
         let deadline = self.execution.call.deadline;
-        let stall = Instant::now() + STALL;
-        let limit = if self.resumable { stall.min(deadline) } else { deadline };
+        let limit = self.stall.map_or(deadline, |stall| deadline.min(Instant::now() + stall));
         let Some(answer) = &mut self.answer else { return Read::Broken("no answer".into()) };
         loop {
             match timeout_at(limit, answer.body.frame()).await {
--- a/crates/daemon/src/telemetry.rs
+++ b/crates/daemon/src/telemetry.rs
@@ -15,6 +15,10 @@
 pub const BROKEN_INVARIANTS: &str = "eelgrasswell_broken_invariants_total";
 /// Requests answered, by `kind`.
 pub const ANSWERS: &str = "eelgrasswell_answers_total";
+/// Seconds from a request's arrival to the beginning of its answer, by `kind`.
+pub const FIRST_BYTE: &str = "eelgrasswell_first_byte_seconds";
+/// Requests sent once more by a gateway, by `purpose`.
+pub const REPEATS: &str = "eelgrasswell_repeats_total";
 /// Calls to the platform, by `kind` and `result`.
 pub const PLATFORM_CALLS: &str = "eelgrasswell_platform_calls_total";
 /// Changes to the configuration that this router committed, by `result`.
--- a/crates/testbed/src/process.rs
+++ b/crates/testbed/src/process.rs
@@ -33,7 +33,7 @@
 }
 
 impl Process {
-    /// Starts `program` from the build directory; its standard error goes to `log`.
+    /// Starts `program` from the build directory; its output goes to `log`.
     pub fn spawn(name: &str, program: &str, args: &[&str], log: &Path) -> Result<Self> {
         Self::spawn_with(name, program, args, log, &[])
     }
@@ -49,11 +49,12 @@
         let path = build_dir()?.join(program);
         let log = fs::OpenOptions::new().create(true).append(true).open(log);
         let log = log.wrap_err_with(|| format!("could not open the log of {name}"))?;
+        let output = log.try_clone().wrap_err_with(|| format!("could not open the log of {name} twice"))?;
         let child = Command::new(&path)
             .args(args)
             .envs(variables.iter().cloned())
             .stdin(Stdio::null())
-            .stdout(Stdio::null())
+            .stdout(output)
             .stderr(log)
             .spawn()
             .wrap_err_with(|| {
