--- a/crates/testbed/tests/gateway.rs
+++ b/crates/testbed/tests/gateway.rs
@@ -11,7 +11,11 @@
 use hyper::StatusCode;
 use serde_json::json;
 use test_case::test_case;
-use tokio::time::{Instant, sleep};
+use tokio::{
+    io::AsyncWriteExt,
+    net::TcpStream,
+    time::{Instant, sleep},
+};
 
 fn events(range: std::ops::RangeInclusive<usize>, model: &str) -> String {
     range.map(|number| event(number, model)).collect()
@@ -402,3 +406,38 @@
     leaver.abort();
     until("the backend server is told", async || rig.engines.iter().all(|engine| engine.streams() == 0)).await
 }
+
+/// Guards against callers that do not read and whose answers fill the memory of the gateway, or hold up other callers.
+#[tokio::test]
+async fn slow_readers() -> Result<()> {
+    const STALLED: usize = 200;
+    /// Memory of the process, in megabytes; a gateway of the smallest host may use 88.
+    const MOST_MEMORY_MB: f64 = 88.0;
+    let rig = Rig::start(RigPlan { engines: 1, desks: 1, ..RigPlan::default() }).await?;
+    rig.engines[0].set(|behaviour| {
+        behaviour.events = 20_000;
+        behaviour.pause = Duration::ZERO;
+        behaviour.confidence = [("small".into(), 80)].into();
+    });
+    let mut stalled = Vec::new();
+    for n in 0..STALLED {
+        let mut caller = TcpStream::connect(rig.gateways[0].callers).await?;
+        let head = format!(
+            "POST /chat/1 HTTP/1.1\r\nhost: site.example\r\nauthorization: Bearer key-b\r\nx-attempt-id: stalled-{n}\r\n\
+             x-model: *\r\ncontent-length: 0\r\n\r\n"
+        );
+        caller.write_all(head.as_bytes()).await?;
+        stalled.push(caller);
+    }
+    until("the streams run", async || rig.engines[0].streams() == STALLED).await?;
+    sleep(Duration::from_millis(500)).await;
+    for _ in 0..20 {
+        let asked = Instant::now();
+        assert_eq!(read(&rig, 0, "key-a").await?.status, StatusCode::OK);
+        assert!(asked.elapsed() < Duration::from_secs(2), "{:?}", asked.elapsed());
+    }
+    let memory = rig.gateways[0].process.memory_mb()?;
+    println!("{STALLED} stalled readers, {memory} MB");
+    assert!(memory < MOST_MEMORY_MB, "{memory} MB with {STALLED} stalled readers");
+    Ok(())
+}
