--- a/crates/daemon/src/cmd/gateway.rs
+++ b/crates/daemon/src/cmd/gateway.rs
@@ -10,7 +10,7 @@
 
 use crate::{gateway, log, shutdown, telemetry};
 
-/// Serve callers on an entry host and send their requests to backend servers directly.
+/// Serve callers on an entry host without agents.
 #[derive(FromArgs)]
 #[argh(subcommand, name = "gateway")]
 pub struct GatewayCmd {
