--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -29,3 +29,4 @@
 pub mod shard;
 pub mod site;
 pub mod unit;
+pub mod usual;
--- a/crates/daemon/src/gateway/evidence.rs
+++ b/crates/daemon/src/gateway/evidence.rs
@@ -7,19 +7,11 @@
     hash::HashMap,
     id::{Incarnation, ModelName, ServiceName, VersionName},
     unit::Millis,
+    usual::{SLOW_FACTOR, UsualTimes},
 };
 
 use crate::sync::lock;
 
-/// Weight of the newest answer in the usual time of a service and model.
-const NEWEST_WEIGHT: f64 = 0.05;
-/// Multiple of the usual time above which an answer counts as slow.
-const SLOW_FACTOR: f64 = 4.0;
-/// Fixed part of the time to an answer; the rest grows with the prompt.
-const FIXED_MS: f64 = 60.0;
-/// Prompt tokens that take a millisecond. Only the ratio to the fixed part matters.
-const PROMPT_TOKENS_PER_MS: f64 = 60.0;
-
 /// Answers counted by this router and reported by others.
 #[derive(Default)]
 pub struct Evidence {
@@ -30,7 +22,7 @@
 struct State {
     own: HashMap<(ServiceName, VersionName), Counters>,
     board: Board<ServiceName>,
-    usual: HashMap<(ServiceName, ModelName), f64>,
+    usual: UsualTimes,
 }
 
 /// An answer, or the lack of one.
@@ -51,22 +43,14 @@
 impl Evidence {
     /// Usual time to the beginning of an answer; none before the first.
     pub fn expected(&self, service: &ServiceName, model: &ModelName, prompt: u64) -> Option<Millis> {
-        let relative = lock(&self.state).usual.get(&(service.clone(), model.clone())).copied()?;
-        Some(Millis((relative * work(prompt)) as u64))
+        lock(&self.state).usual.expected(service, model, prompt)
     }
 
     /// Counts a sample; returns how many times the usual time it took.
     pub fn note(&self, sample: Sample<'_>) -> f64 {
         let mut state = lock(&self.state);
-        let slowness = sample.elapsed.map(|elapsed| {
-            let key = (sample.service.clone(), sample.model.clone());
-            let relative = elapsed.0 as f64 / work(sample.prompt);
-            let usual = state.usual.entry(key).or_insert(relative.max(f64::MIN_POSITIVE));
-            let slowness = relative / *usual;
-            // One very slow answer must not make the others look fast.
-            *usual += NEWEST_WEIGHT * (relative.min(*usual * SLOW_FACTOR) - *usual);
-            slowness
-        });
+        let usual = &mut state.usual;
+        let slowness = sample.elapsed.map(|elapsed| usual.note(sample.service, sample.model, sample.prompt, elapsed));
         let counters = state.own.entry((sample.service.clone(), sample.version.clone())).or_default();
         counters.answers += 1;
         counters.errors += u64::from(slowness.is_none());
@@ -103,8 +87,3 @@
         (sum(true), sum(false))
     }
 }
-
-/// Time that a prompt takes, relative to others.
-fn work(prompt: u64) -> f64 {
-    FIXED_MS + prompt as f64 / PROMPT_TOKENS_PER_MS
-}
--- a/crates/daemon/src/gateway/execute.rs
+++ b/crates/daemon/src/gateway/execute.rs
@@ -11,6 +11,7 @@
     pool::{Outcome, Unavailable},
     repeat::Purpose,
     unit::Millis,
+    usual,
 };
 use eelgrasswell_platform::{answer, objects::Kind, request::ModelWish};
 use http_body_util::{BodyExt, Full};
@@ -29,18 +30,6 @@
 
 /// Sends of one request, refused ones included.
 const MAX_SENDS: u32 = 5;
-/// Multiple of the objective after which a server that has not answered counts as silent.
-const PATIENCE: f64 = 2.5;
-/// Multiple of the usual time after which a server that has not answered counts as silent, beside `LEAST_PATIENCE`.
-const USUAL_PATIENCE: f64 = 6.0;
-/// Time that any answer may take, however short the usual time.
-const LEAST_PATIENCE: Duration = Duration::from_millis(500);
-/// Multiple of the usual time after which a server gets no further requests until it answers.
-const OVERDUE_FACTOR: u64 = 4;
-/// Time that any answer may take before its server gets no further requests.
-const OVERDUE_LEAST: Millis = Millis(200);
-/// Largest share of the time left that is spent waiting for one server while another may be asked.
-const PATIENCE_SHARE: f64 = 0.45;
 /// Time without which a request is not sent once more.
 const LEAST_TIME: Duration = Duration::from_millis(60);
 /// Longest time that a request waits for a cold server's share to come free.
@@ -242,12 +231,8 @@
         if !may_go_elsewhere {
             return self.call.deadline;
         }
-        let by_objective = Duration::from(self.call.route.objective).mul_f64(PATIENCE);
-        let by_experience = self
-            .expected()
-            .map_or(by_objective, |usual| Duration::from(usual).mul_f64(USUAL_PATIENCE) + LEAST_PATIENCE);
-        let by_time_left = self.call.remaining().mul_f64(PATIENCE_SHARE);
-        Instant::now() + by_objective.min(by_experience).min(by_time_left)
+        let left = Millis::from(self.call.remaining());
+        Instant::now() + Duration::from(usual::give_up_after(self.call.route.objective, self.expected(), left))
     }
 
     /// Usual time to the beginning of the answer.
@@ -258,9 +243,7 @@
 
     /// Time after which a server that has not answered counts as silent for other requests.
     fn overdue_after(&self) -> Millis {
-        let objective = self.call.route.objective;
-        let usual = self.expected().map_or(objective, |usual| Millis(usual.0 * OVERDUE_FACTOR) + OVERDUE_LEAST);
-        objective.min(usual)
+        usual::overdue_after(self.call.route.objective, self.expected())
     }
 
     fn escalates(&self, answer: &Answer) -> bool {
--- a/crates/testbed/tests/gateway.rs
+++ b/crates/testbed/tests/gateway.rs
@@ -168,6 +168,20 @@
     Ok(())
 }
 
+/// Guards against callers that are sent away in the moment after a start, which costs them one of their few retries.
+#[tokio::test]
+async fn request_waits_for_first_configuration() -> Result<()> {
+    let rig = Rig::start_unready(RigPlan::default()).await?;
+    until("the gateway listens", async || Http::open().get(rig.gateways[0].callers, "/x").await.is_ok()).await?;
+    let put = async {
+        sleep(Duration::from_millis(100)).await;
+        rig.store.put("config", "main", config(1));
+    };
+    let (reply, ()) = futures::join!(read(&rig, 0, "key-a"), put);
+    assert_eq!(reply?.status, StatusCode::OK);
+    Ok(())
+}
+
 /// Guards against entries of other writers that stop the others from being used.
 #[test_case(json!("not an object"); "no object")]
 #[test_case(json!({"service": "desk"}); "fields missing")]
