Serve both interfaces for callers through one endpoint, one reader of bodies and one form of refusals

Cause: the callers' interface and the gateway each had an accept loop, a graceful stop, a reader of bodies, a list of hop-by-hop fields and a type for refusals. They are now in crates/daemon/src/callers/; the gateway's refusals have the reasons of core::refusal, with not_ready and expired new.

--- a/crates/core/src/refusal.rs
+++ b/crates/core/src/refusal.rs
@@ -122,6 +122,8 @@
     BudgetExhausted = "budget_exhausted", 402;
     /// The customer's share of the spend cap cannot be drawn now.
     BudgetUnavailable = "budget_unavailable", 503;
+    /// The deadline has passed before the request could be sent anywhere, so that a caller may try again.
+    Expired = "expired", 503;
     /// The deadline cannot be met.
     Deadline = "deadline", 504;
     /// All backend servers that could serve it are at their limits.
@@ -140,6 +142,8 @@
     NotLoaded = "not_loaded", 503;
     /// No backend server can be reached.
     NoBackend = "no_backend", 503;
+    /// The process has not read its configuration, or the list of backend servers, yet.
+    NotReady = "not_ready", 503;
     /// The request id was barred from running.
     Barred = "barred", 409;
     /// The configuration of one side is too old.
--- a/crates/daemon/src/filter/failure.rs
+++ b/crates/daemon/src/callers/failure.rs
@@ -1,20 +1,20 @@
 //! Errors as callers see them.
 
-use bytes::Bytes;
+use std::fmt::Display;
+
 use eelgrasswell_core::{
     id::RequestId,
     refusal::{Outcome, Reason, Refusal},
+    unit::Millis,
 };
-use http_body_util::{BodyExt, Full};
 use hyper::{
     Response,
     header::{CONTENT_TYPE, RETRY_AFTER},
 };
 use serde::Serialize;
-use uuid::Uuid;
 
-use super::Body;
-use crate::telemetry;
+use super::body::{Body, full};
+use crate::{event, telemetry};
 
 /// A request that ends without its answer.
 #[derive(Clone, Debug)]
@@ -23,7 +23,7 @@
     pub refusal: Refusal,
     /// What went wrong, for people.
     pub message: String,
-    /// Id of the last attempt; none when no agent was asked.
+    /// Id of the last attempt; none when it has the id of the request.
     pub request_id: Option<RequestId>,
 }
 
@@ -63,14 +63,28 @@
         Self { message, ..self }
     }
 
-    /// The error answer; counts the refusal. `id` names the request when no agent was asked.
-    pub fn into_response(self, id: Uuid) -> Response<Body> {
+    /// Adds the time after which another attempt makes sense.
+    pub fn retry_after(self, after: Millis) -> Self {
+        Self { refusal: self.refusal.retry_after(after), ..self }
+    }
+
+    /// The error answer; counts and logs the refusal. `id` names the request when no attempt has its own.
+    pub fn into_response(self, id: &dyn Display) -> Response<Body> {
         let Refusal { reason, outcome, retry_after } = self.refusal;
         metrics::counter!(
             telemetry::REFUSALS, "reason" => reason.as_str(), "outcome" => outcome.to_string()
         )
         .increment(1);
         let request_id = self.request_id.map_or_else(|| id.to_string(), |id| id.to_string());
+        event!(
+            Info,
+            "refused",
+            request = request_id,
+            status = reason.http_status(),
+            reason = reason,
+            outcome = outcome,
+            detail = self.message
+        );
         let error = Error {
             reason: reason.as_str(),
             outcome,
@@ -96,8 +110,3 @@
         Self { refusal, message, request_id: None }
     }
 }
-
-/// A body that is known as a whole.
-pub fn full(bytes: impl Into<Bytes>) -> Body {
-    Full::new(bytes.into()).map_err(|never| match never {}).boxed_unsync()
-}
--- a/crates/daemon/src/filter/answer.rs
+++ b/crates/daemon/src/filter/answer.rs
@@ -23,20 +23,26 @@
 use tokio_stream::wrappers::ReceiverStream;
 
 use super::{
-    Body, Chain, claim,
-    endpoint::Cut,
+    Chain, claim,
     events::{self, Event, Events},
     execute::Run,
-    failure::{Failure, full},
-    parse::{Fetch, is_hop_by_hop},
+    parse::Fetch,
     settlement::Settlement,
 };
-use crate::{event, telemetry};
+use crate::{
+    callers::{
+        body::{Body, full},
+        endpoint::Cut,
+        failure::Failure,
+        headers::is_hop_by_hop,
+    },
+    event, telemetry,
+};
 
 const COST: HeaderName = HeaderName::from_static("x-cost-micros");
 const REQUEST_ID: &str = "x-request-id";
 /// Header fields that only the router sets.
-const OWN_FIELDS: [&str; 4] = [REQUEST_ID, "x-model", "x-version", "x-cost-micros"];
+const OWN_FIELDS: [&str; 6] = ["content-length", REQUEST_ID, "x-model", "x-version", "x-session", "x-cost-micros"];
 /// Frames between an agent's stream and a caller's connection. One keeps the reader's pace: the
 /// next event is not read before the caller has taken the last.
 const FRAMES: usize = 1;
--- a/crates/daemon/src/filter/authenticate.rs
+++ b/crates/daemon/src/filter/authenticate.rs
@@ -6,7 +6,8 @@
 use eelgrasswell_manifest::config::Config;
 use hyper::{HeaderMap, header::AUTHORIZATION};
 
-use super::{Chain, failure::Failure};
+use super::Chain;
+use crate::callers::failure::Failure;
 
 /// An authenticated caller, with the configuration that the request is decided by.
 pub struct Caller {
--- a/crates/daemon/src/filter/budget.rs
+++ b/crates/daemon/src/filter/budget.rs
@@ -2,8 +2,8 @@
 
 use eelgrasswell_core::unit::Cost;
 
-use super::{Chain, choose::Plan, failure::Failure, parse::Call};
-use crate::controller::budgets::Reservation;
+use super::{Chain, choose::Plan, parse::Call};
+use crate::{callers::failure::Failure, controller::budgets::Reservation};
 
 /// Money held for a request. Dropping it counts the whole amount as spent.
 pub struct Held {
--- a/crates/daemon/src/filter/choose.rs
+++ b/crates/daemon/src/filter/choose.rs
@@ -12,10 +12,10 @@
 use super::{
     Chain,
     backends::Candidate,
-    failure::Failure,
     parse::{Call, ModelCall, Target},
     session::{self, Pin},
 };
+use crate::callers::failure::Failure;
 
 /// Where a request may run, the preferred choice first.
 pub struct Plan {
--- a/crates/daemon/src/filter/claim.rs
+++ b/crates/daemon/src/filter/claim.rs
@@ -19,10 +19,10 @@
     backends::Candidate,
     choose::{self, Choice, Plan},
     execute::attempt_id,
-    failure::{Failure, full},
     parse::{Call, Fetch, Target},
 };
 use crate::{
+    callers::{body::full, failure::Failure},
     controller::shards::{ClaimCall, ClaimEnd, ClaimResult},
     event,
 };
--- a/crates/daemon/src/filter/execute.rs
+++ b/crates/daemon/src/filter/execute.rs
@@ -24,12 +24,12 @@
     choose::{self, Choice, Plan},
     claim::{self, Claim, Claimed},
     events::{self, Event, Events, Lost},
-    failure::Failure,
     parse::{Call, ModelCall, SessionWish, Target},
     session::Pin,
     settlement::{SERVER_ERROR, Settlement},
 };
 use crate::{
+    callers::failure::Failure,
     controller::{evidence::AnswerSample, links::Outstanding, peers},
     invariant::{self, Promise},
     telemetry,
--- a/crates/daemon/src/filter/mod.rs
+++ b/crates/daemon/src/filter/mod.rs
@@ -6,20 +6,19 @@
 mod budget;
 pub mod choose;
 mod claim;
-mod endpoint;
 mod events;
 mod execute;
-mod failure;
 pub mod parse;
 pub mod session;
 mod settlement;
 
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::{
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
 
-use bytes::Bytes;
 use eelgrasswell_core::{refusal::Reason, retry::RetryBudget, route};
 use eyre::Result;
-use http_body_util::combinators::UnsyncBoxBody;
 use hyper::{Request, Response, body::Incoming};
 use tokio::{
     net::TcpListener,
@@ -32,13 +31,19 @@
 use self::{
     backends::{Backends, Live},
     claim::Claimed,
-    endpoint::Cut,
-    failure::Failure,
     parse::Parsed,
 };
-use crate::{router::Router, shutdown::Shutdown, telemetry};
-
-pub use self::endpoint::{bind, run};
+use crate::{
+    callers::{
+        Body,
+        endpoint::{ConnectionLimits, Cut, Endpoint, StopTimes},
+        failure::Failure,
+    },
+    event,
+    router::Router,
+    shutdown::Shutdown,
+    telemetry,
+};
 
 /// Stalled callers that a router keeps. Each was measured at 150 KB with its connection, so this bounds
 /// them at 77 MB. Further ones are cut off and may fetch the rest of their answers from the agents.
@@ -47,14 +52,37 @@
 /// Tasks that may outlive their callers; more than there can be requests.
 const MAX_TASKS: u32 = 1 << 24;
 
-/// Body of an answer to a caller.
-type Body = UnsyncBoxBody<Bytes, eyre::Report>;
+/// Time within which a caller must send the head of a request; also the longest idle time of an
+/// HTTP/1.1 connection.
+const HEAD_TIMEOUT: Duration = Duration::from_secs(60);
 
 /// Serves callers until `shutdown` is requested and the running requests have finished.
-pub async fn serve(router: Router, listener: TcpListener, mut shutdown: Shutdown) -> Result<()> {
+pub async fn serve(router: Router, listener: TcpListener, mut shutdown: Shutdown) {
     let backends = Arc::new(Live::new(&router));
     let chain = Chain::new(router, backends);
-    run(chain, listener, async move { shutdown.wait().await }).await
+    run(chain, listener, async move { shutdown.wait().await }).await;
+}
+
+/// Serves `chain` on `listener` until `stop` is ready and the running requests have finished, at
+/// most for the drain time of the settings.
+pub async fn run(chain: Chain, listener: TcpListener, stop: impl Future<Output = ()>) {
+    let settings = Arc::clone(&chain.router.settings);
+    let limits =
+        ConnectionLimits { http2: true, head_timeout: HEAD_TIMEOUT, max_head: settings.limits.max_headers.0 as usize };
+    let served = chain.clone();
+    let endpoint = Endpoint {
+        max_connections: settings.limits.max_connections as usize,
+        limits: Box::new(move || limits),
+        handler: Arc::new(move |req| {
+            let chain = served.clone();
+            Box::pin(async move { chain.handle(req).await })
+        }),
+        stop: StopTimes { linger: Duration::ZERO, grace: settings.host.drain.into() },
+    };
+    let stopped_at = endpoint.serve(listener, stop).await;
+    if timeout_at(stopped_at + Duration::from(settings.host.drain), chain.idle()).await.is_err() {
+        event!(Warn, "drain_limit_reached", limit = settings.host.drain);
+    }
 }
 
 /// What the filters share. Cheap to clone.
@@ -106,7 +134,7 @@
     /// Answers one request of a caller.
     async fn handle(&self, req: Request<Incoming>) -> Response<Body> {
         let id = Uuid::now_v7();
-        self.filter(id, req).await.unwrap_or_else(|failure| failure.into_response(id))
+        self.filter(id, req).await.unwrap_or_else(|failure| failure.into_response(&id))
     }
 
     /// Choice memory. The state stays usable when a holder of the lock has panicked.
--- a/crates/daemon/src/filter/parse.rs
+++ b/crates/daemon/src/filter/parse.rs
@@ -12,18 +12,13 @@
 };
 use eelgrasswell_manifest::{config::Config, manifest::ServiceKind};
 use eelgrasswell_proto::v1;
-use http_body_util::{BodyExt, LengthLimitError, Limited};
-use hyper::{
-    HeaderMap, Method, Request,
-    body::{Body as _, Incoming},
-    header::HeaderName,
-    http::request::Parts,
-};
+use hyper::{HeaderMap, Method, Request, body::Incoming, header::HeaderName, http::request::Parts};
 use serde::Deserialize;
-use tokio::time::{Instant, timeout_at};
+use tokio::time::Instant;
 use uuid::Uuid;
 
-use super::{Chain, authenticate::Caller, failure::Failure};
+use super::{Chain, authenticate::Caller};
+use crate::callers::{body, failure::Failure, headers};
 
 /// Bytes of the request body that are counted as one token.
 const BYTES_PER_TOKEN: u64 = 4;
@@ -35,24 +30,8 @@
 const MAX_KEY: usize = 128;
 /// Characters of each leading message that count for the prefix hash.
 const PREFIX_CHARS: usize = 1_024;
-/// Header fields that concern one connection or this router only and are not passed on.
-const HELD_BACK: [&str; 15] = [
-    "authorization",
-    "connection",
-    "content-length",
-    "expect",
-    "host",
-    "keep-alive",
-    "proxy-authenticate",
-    "proxy-authorization",
-    "proxy-connection",
-    "te",
-    "trailer",
-    "transfer-encoding",
-    "upgrade",
-    "x-deadline-ms",
-    "x-session",
-];
+/// Header fields that are for this router only.
+const HELD_BACK: [&str; 6] = ["authorization", "content-length", "expect", "host", "x-deadline-ms", "x-session"];
 
 /// What a caller asks for.
 pub enum Parsed {
@@ -177,7 +156,7 @@
         return fetch(caller, &head, request_id).map(Parsed::Fetch);
     }
     let deadline = deadline(&head.headers, limits.default_deadline)?;
-    let body = read_body(body, limits.max_body.0, deadline).await?;
+    let body = body::read(body, limits.max_body, deadline, Reason::Deadline).await?;
     let path = head.uri.path();
     if path == "/v1/chat/completions" {
         return model_call(id, caller, &head, body, deadline).map(Parsed::Call);
@@ -206,20 +185,6 @@
     Ok(Instant::now() + Duration::from(wait.min(MAX_DEADLINE)))
 }
 
-async fn read_body(body: Incoming, limit: u64, deadline: Instant) -> Result<Bytes, Failure> {
-    let too_large = || Failure::not_run(Reason::TooLarge, format!("the body is larger than {limit} bytes"));
-    if body.size_hint().lower() > limit {
-        return Err(too_large());
-    }
-    let collected = timeout_at(deadline, Limited::new(body, limit as usize).collect()).await;
-    let collected = collected.map_err(|_| Failure::not_run(Reason::Deadline, "the body came too slowly"))?;
-    match collected {
-        Ok(collected) => Ok(collected.to_bytes()),
-        Err(err) if err.is::<LengthLimitError>() => Err(too_large()),
-        Err(err) => Err(bad_request(format!("could not read the body: {err}"))),
-    }
-}
-
 fn model_call(id: Uuid, caller: Caller, head: &Parts, body: Bytes, deadline: Instant) -> Result<Call, Failure> {
     if head.method != Method::POST {
         return Err(Failure::not_run(Reason::NotFound, "completions are asked for with POST"));
@@ -320,7 +285,7 @@
 /// Header fields for the backend server, without those that concern one connection.
 fn passed_on(headers: &HeaderMap) -> Result<Vec<v1::Header>, Failure> {
     let mut passed = Vec::new();
-    for (name, value) in headers {
+    for (name, value) in &headers::end_to_end(headers) {
         if HELD_BACK.contains(&name.as_str()) {
             continue;
         }
@@ -329,11 +294,6 @@
     Ok(passed)
 }
 
-/// Whether a header field of a backend server's answer concerns one connection only.
-pub fn is_hop_by_hop(name: &str) -> bool {
-    HELD_BACK.iter().any(|held_back| name.eq_ignore_ascii_case(held_back))
-}
-
 fn text<'a>(headers: &'a HeaderMap, name: &'static str) -> Result<Option<&'a str>, Failure> {
     let Some(value) = headers.get(name) else { return Ok(None) };
     printable(&HeaderName::from_static(name), value.to_str().ok()).map(Some)
--- a/crates/daemon/src/filter/session.rs
+++ b/crates/daemon/src/filter/session.rs
@@ -8,10 +8,9 @@
 
 use super::{
     Chain,
-    failure::Failure,
     parse::{Call, SessionWish, Target},
 };
-use crate::controller::sessions;
+use crate::{callers::failure::Failure, controller::sessions};
 
 /// Model and version that a session pins.
 pub struct Pin {
--- a/crates/daemon/src/gateway/execute.rs
+++ b/crates/daemon/src/gateway/execute.rs
@@ -2,31 +2,40 @@
 
 use std::{sync::Arc, time::Duration};
 
-use bytes::{Bytes, BytesMut};
+use bytes::BytesMut;
 use eelgrasswell_core::{
     backend::Backend,
     canary::VersionRule,
     escalation::Ladder,
     id::{BackendId, ModelName},
     pool::{Outcome, Unavailable},
+    refusal::Reason,
     repeat::Purpose,
     unit::Millis,
     usual,
 };
-use eelgrasswell_platform::{answer, objects::Kind, request::ModelWish};
-use http_body_util::{BodyExt, Full};
+use eelgrasswell_platform::{objects::Kind, request::ModelWish};
+use http_body_util::BodyExt;
 use hyper::{HeaderMap, Response, StatusCode, header::CONTENT_LENGTH};
 use tokio::time::{Instant, sleep, timeout_at};
 
 use super::{
-    Body, Gateway,
+    Gateway,
     attempt::{Answer, Attempt, Ended},
     evidence::Sample,
-    refusal::Refusal,
     relay::Relay,
     request::Call,
 };
-use crate::{event, sync::lock, telemetry};
+use crate::{
+    callers::{
+        body::{Body, full},
+        failure::Failure,
+        headers,
+    },
+    event,
+    sync::lock,
+    telemetry,
+};
 
 /// Sends of one request, refused ones included.
 const MAX_SENDS: u32 = 5;
@@ -36,6 +45,8 @@
 const COLD_WAIT: Duration = Duration::from_millis(250);
 /// Pause before a cold server's share is asked for again.
 const COLD_PAUSE: Duration = Duration::from_millis(40);
+/// Time after which a caller should come back when no server can take its request.
+const NO_BACKEND_PAUSE: Millis = Millis(400);
 /// Largest answer that is read whole before it is passed on.
 const MAX_WHOLE: usize = 1 << 20;
 
@@ -63,7 +74,7 @@
     }
 
     /// Runs the request until its answer begins.
-    pub async fn start(mut self) -> Result<Response<Body>, Refusal> {
+    pub async fn start(mut self) -> Result<Response<Body>, Failure> {
         let mut smaller: Option<Answer> = None;
         loop {
             let answer = match self.attempt(None).await {
@@ -254,10 +265,10 @@
     }
 
     /// Decides whether to go on after a send without an answer.
-    async fn after(&mut self, ended: Ended) -> Result<(), Refusal> {
+    async fn after(&mut self, ended: Ended) -> Result<(), Failure> {
         event!(Info, "send_ended", request = self.call.id, error = ended);
         if self.call.remaining().is_zero() {
-            return Err(if self.runs > 0 { Refusal::DeadlineRun } else { Refusal::DeadlineNotRun });
+            return Err(if self.runs > 0 { deadline_passed() } else { expired() });
         }
         match ended {
             Ended::Unavailable(why) => self.after_unavailable(why).await,
@@ -269,23 +280,19 @@
                     return Ok(());
                 }
                 // An earlier send may have run, so that a promise would be false.
-                Err(if self.runs > 0 {
-                    Refusal::Lost("refused elsewhere".into())
-                } else {
-                    Refusal::NoBackend("refused")
-                })
+                Err(if self.runs > 0 { lost("refused elsewhere") } else { no_backend("refused") })
             }
             Ended::Lost { why, .. } => {
                 if self.may_repeat(Purpose::Failure) {
                     Ok(())
                 } else {
-                    Err(Refusal::Lost(why))
+                    Err(lost(&why))
                 }
             }
         }
     }
 
-    async fn after_unavailable(&mut self, why: Unavailable) -> Result<(), Refusal> {
+    async fn after_unavailable(&mut self, why: Unavailable) -> Result<(), Failure> {
         let waited = self.call.arrived.elapsed();
         match why {
             Unavailable::Cold if waited < COLD_WAIT => {
@@ -299,9 +306,9 @@
             Unavailable::Cold | Unavailable::AllTried | Unavailable::NoneInService => {}
         }
         if self.runs > 0 {
-            return Err(Refusal::Lost("no other server can take the request".into()));
+            return Err(lost("no other server can take the request"));
         }
-        Err(Refusal::NoBackend(match why {
+        Err(no_backend(match why {
             Unavailable::NoneInService => "none in service",
             Unavailable::Cold => "all are cold",
             Unavailable::AllTried => "all have refused",
@@ -309,12 +316,12 @@
     }
 
     /// The caller's answer: a stream is relayed, anything else is read whole first.
-    async fn respond(mut self, answer: Answer) -> Result<Response<Body>, Refusal> {
+    async fn respond(mut self, answer: Answer) -> Result<Response<Body>, Failure> {
         self.log_answer(&answer);
         let is_stream = self.call.route.kind.is_stream() && answer.status.is_success();
         let mut answer = answer;
         loop {
-            let (status, headers) = (answer.status, answer::headers_for_caller(&answer.headers));
+            let (status, headers) = (answer.status, headers::end_to_end(&answer.headers));
             if is_stream {
                 return Ok(response(status, headers, Relay::new(self, answer).into_body()));
             }
@@ -322,12 +329,12 @@
             let why = match whole {
                 Ok(Ok(body)) => return Ok(response(status, headers, body)),
                 Ok(Err(why)) => why,
-                Err(_) => return Err(Refusal::DeadlineRun),
+                Err(_) => return Err(deadline_passed()),
             };
             event!(Info, "answer_broken", request = self.call.id, error = why);
             loop {
                 if !self.may_repeat(Purpose::Failure) {
-                    return Err(Refusal::Lost(why));
+                    return Err(lost(&why));
                 }
                 match self.attempt(None).await {
                     Ok(next) => {
@@ -364,6 +371,26 @@
     }
 }
 
+/// The deadline has passed, and the request has not run.
+fn expired() -> Failure {
+    Failure::not_run(Reason::Expired, "the deadline passed before the request could run")
+}
+
+/// The deadline has passed, and the request may have run.
+fn deadline_passed() -> Failure {
+    Failure::unknown(Reason::Deadline, "the deadline passed before an answer came")
+}
+
+/// The request may have run, and no answer came.
+fn lost(why: &str) -> Failure {
+    Failure::unknown(Reason::ConnectionLost, format!("the backend server gave no answer: {why}"))
+}
+
+fn no_backend(why: &str) -> Failure {
+    let message = format!("no backend server can take the request: {why}");
+    Failure::not_run(Reason::NoBackend, message).retry_after(NO_BACKEND_PAUSE)
+}
+
 fn response(status: StatusCode, headers: HeaderMap, body: Body) -> Response<Body> {
     let mut response = Response::new(body);
     *response.status_mut() = status;
@@ -385,5 +412,5 @@
         }
     }
     answer.finish();
-    Ok(Full::new(Bytes::from(buf)).map_err(|never| match never {}).boxed_unsync())
+    Ok(full(buf))
 }
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -11,7 +11,6 @@
 pub mod net;
 mod orders;
 mod readiness;
-mod refusal;
 mod relay;
 mod reload;
 mod request;
@@ -22,7 +21,6 @@
     sync::{Arc, Mutex, PoisonError, RwLock},
 };
 
-use bytes::Bytes;
 use eelgrasswell_core::{
     canary::Canary,
     fleet::Fleet,
@@ -35,11 +33,11 @@
 };
 use eelgrasswell_manifest::gateway::GatewaySettings;
 use eyre::Result;
-use http_body_util::combinators::UnsyncBoxBody;
 use metrics_exporter_prometheus::PrometheusHandle;
 
 use self::{connections::Connections, evidence::Evidence, mirror::Mirror};
 use crate::{
+    callers::endpoint,
     clock::{self, BootClock},
     event,
     router::bind,
@@ -48,9 +46,6 @@
     telemetry,
 };
 
-/// Body of an answer to a caller.
-type Body = UnsyncBoxBody<Bytes, eyre::Report>;
-
 /// Routers that are assumed to share a limit before others were heard of.
 const LEAST_ROUTERS: usize = 3;
 
@@ -97,7 +92,7 @@
     let gateway = Gateway::new(settings, shutdown);
     reload::spawn(gateway.clone(), path)?;
     let settings = &gateway.settings;
-    let callers = callers::bind(settings.callers)?;
+    let callers = endpoint::bind(settings.callers)?;
     let ready = bind(settings.readiness, "readiness endpoint").await?;
     let inner = bind(settings.exchange, "exchange endpoint").await?;
     readiness::spawn(gateway.clone(), ready);
--- a/crates/daemon/src/gateway/relay.rs
+++ b/crates/daemon/src/gateway/relay.rs
@@ -11,8 +11,8 @@
 use hyper::body::Frame;
 use tokio::time::{Instant, timeout_at};
 
-use super::{Body, attempt::Answer, execute::Execution, net::describe};
-use crate::event;
+use super::{attempt::Answer, execute::Execution, net::describe};
+use crate::{callers::Body, event};
 
 /// Silence inside a stream after which it goes on elsewhere, when its route names no longest pause.
 const DEFAULT_STALL: Duration = Duration::from_millis(2_500);
--- a/crates/daemon/src/gateway/request.rs
+++ b/crates/daemon/src/gateway/request.rs
@@ -6,6 +6,7 @@
 use eelgrasswell_core::{
     hash::stable_hash,
     id::{CustomerId, ModelName, RequestId, ServiceName},
+    refusal::Reason,
     site::{Caller, Customer, Route, Site},
     unit::Millis,
 };
@@ -13,16 +14,12 @@
     objects::Kind,
     request::{self, ModelWish, RequestMeta},
 };
-use http_body_util::{BodyExt, LengthLimitError, Limited};
-use hyper::{
-    HeaderMap, Method, Request, Uri,
-    body::{Body as _, Incoming},
-    header::HOST,
-};
-use tokio::time::{Instant, sleep, timeout_at};
+use hyper::{HeaderMap, Method, Request, Uri, body::Incoming, header::HOST};
+use tokio::time::{Instant, sleep};
 use uuid::Uuid;
 
-use super::{State, refusal::Refusal};
+use super::State;
+use crate::callers::{body, failure::Failure, headers};
 
 /// Share of the time within which a withdrawn key must stop working, above which a proof of the configuration is too
 /// old to serve keyed requests. The rest covers the clock's granularity.
@@ -33,13 +30,18 @@
 /// Interval at which a waiting request looks again.
 const START_POLL: Duration = Duration::from_millis(10);
 
+/// Time after which a caller of a process that has just started should come back. A retry reaches another host.
+const NOT_READY_PAUSE: Millis = Millis(50);
+/// Time after which a caller should come back when the configuration is not proved to be current.
+const STALE_PAUSE: Millis = Millis(250);
+
 /// A request that may be run.
 pub struct Call {
     /// Id of the caller's attempt.
     pub id: RequestId,
     /// What the header fields say.
     pub meta: RequestMeta,
-    /// Header fields as the caller sent them.
+    /// Header fields of the caller that may be passed on.
     pub headers: HeaderMap,
     /// Method.
     pub method: Method,
@@ -86,11 +88,11 @@
 }
 
 /// Reads `req`, which arrived at `arrived`. The id is told with a refusal, too.
-pub async fn read(state: &State, req: Request<Incoming>, arrived: Instant) -> Result<Call, (RequestId, Refusal)> {
+pub async fn read(state: &State, req: Request<Incoming>, arrived: Instant) -> Result<Call, (RequestId, Failure)> {
     let (head, body) = req.into_parts();
     let meta = request::read(&head.headers);
     let id = meta.id.clone().unwrap_or_else(|| RequestId::from(Uuid::now_v7().to_string().as_str()));
-    let refuse = |refusal| (id.clone(), refusal);
+    let refuse = |failure| (id.clone(), failure);
     let host = head.headers.get(HOST).and_then(|host| host.to_str().ok()).or_else(|| head.uri.host());
     let patience = meta.deadline.map_or(START_WAIT, |deadline| START_WAIT.min(Millis(deadline.0 / 4)));
     let until = arrived + Duration::from(patience);
@@ -99,13 +101,13 @@
             Ok(found) => break found,
             // A process that has just started, or lost the store for a moment, knows more within milliseconds; a
             // caller that is sent away uses up one of its few retries.
-            Err(Refusal::NotReady | Refusal::StaleConfig(_)) if Instant::now() < until => sleep(START_POLL).await,
-            Err(refusal) => return Err(refuse(refusal)),
+            Err(failure) if is_passing(&failure) && Instant::now() < until => sleep(START_POLL).await,
+            Err(failure) => return Err(refuse(failure)),
         }
     };
     let wait = meta.deadline.map_or(route.timeout, |deadline| deadline.min(route.timeout));
     let deadline = arrived + Duration::from(wait);
-    let body = read_body(body, site.limits.body.0, deadline).await.map_err(refuse)?;
+    let body = body::read(body, site.limits.body, deadline, Reason::Expired).await.map_err(refuse)?;
     let session = meta.session.as_deref().unwrap_or(id.as_str());
     let session = stable_hash(&[session]);
     let service = route.target(session).clone();
@@ -117,7 +119,7 @@
     Ok(Call {
         id,
         meta,
-        headers: head.headers,
+        headers: headers::end_to_end(&head.headers),
         method: head.method,
         uri: path_only(&head.uri),
         body,
@@ -138,34 +140,39 @@
     host: &str,
     path: &str,
     meta: &RequestMeta,
-) -> Result<(Arc<Site>, Arc<Route>, Caller), Refusal> {
-    let site = state.site().filter(|_| state.mirror.is_complete()).ok_or(Refusal::NotReady)?;
+) -> Result<(Arc<Site>, Arc<Route>, Caller), Failure> {
+    let site = state.site().filter(|_| state.mirror.is_complete()).ok_or_else(not_ready)?;
     let age = state.mirror.age(Kind::Config, state.clock.now());
     let limit = Millis((state.settings().bounds.revoke_ms as f64 * FRESH_SHARE) as u64);
     let fresh = age.is_some_and(|age| age < limit);
-    let unless_stale = |refusal| if fresh { refusal } else { Refusal::StaleConfig(age) };
-    let route = site.route(host, path).ok_or_else(|| unless_stale(Refusal::NoRoute))?;
+    let unless_stale = |reason, message: &str| {
+        if fresh { Failure::not_run(reason, message) } else { stale(age) }
+    };
+    let no_route = || unless_stale(Reason::NotFound, "no route fits the host and path");
+    let route = site.route(host, path).ok_or_else(no_route)?;
     let route = Arc::clone(route);
     match site.caller(&route, meta.key.as_deref()) {
-        Caller::Unknown => Err(unless_stale(Refusal::UnknownKey)),
-        Caller::Customer(_) if !fresh => Err(Refusal::StaleConfig(age)),
+        Caller::Unknown => Err(unless_stale(Reason::Unauthenticated, "the key is unknown or missing")),
+        Caller::Customer(_) if !fresh => Err(stale(age)),
         caller => Ok((site, route, caller)),
     }
 }
 
-async fn read_body(body: Incoming, limit: u64, deadline: Instant) -> Result<Bytes, Refusal> {
-    if body.is_end_stream() {
-        return Ok(Bytes::new());
-    }
-    if body.size_hint().lower() > limit {
-        return Err(Refusal::TooLarge);
-    }
-    let collected = timeout_at(deadline, Limited::new(body, limit as usize).collect()).await;
-    match collected.map_err(|_| Refusal::DeadlineNotRun)? {
-        Ok(collected) => Ok(collected.to_bytes()),
-        Err(err) if err.is::<LengthLimitError>() => Err(Refusal::TooLarge),
-        Err(_) => Err(Refusal::UnreadableBody),
-    }
+fn not_ready() -> Failure {
+    Failure::not_run(Reason::NotReady, "the gateway has not read its configuration yet").retry_after(NOT_READY_PAUSE)
+}
+
+fn stale(age: Option<Millis>) -> Failure {
+    let message = match age {
+        Some(age) => format!("the configuration was last confirmed {age} ago"),
+        None => "the configuration was never confirmed".into(),
+    };
+    Failure::not_run(Reason::StaleConfig, message).retry_after(STALE_PAUSE)
+}
+
+/// Whether the reason for a failure may be gone within milliseconds.
+fn is_passing(failure: &Failure) -> bool {
+    matches!(failure.refusal.reason, Reason::NotReady | Reason::StaleConfig)
 }
 
 /// Hash of the last part of the prompt that others share: the one before the request's own.
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -1,6 +1,7 @@
 //! The eelgrasswell daemon: the router on entry hosts and the agent beside each backend server.
 
 pub mod agent;
+pub mod callers;
 pub mod clock;
 pub mod cmd;
 pub mod config;
--- a/crates/daemon/src/router.rs
+++ b/crates/daemon/src/router.rs
@@ -12,6 +12,7 @@
 use tonic::service::interceptor::InterceptedService;
 
 use crate::{
+    callers::endpoint,
     clock::{self, Clock},
     config::ConfigHandle,
     controller::{
@@ -101,7 +102,7 @@
     pub async fn serve(self, mut shutdown: Shutdown) -> Result<()> {
         let secret = settings::read_secret(&self.settings.host.inner_credential)?;
         let inner = bind(self.settings.host.inner, "inner endpoint").await?;
-        let callers = filter::bind(self.settings.callers)?;
+        let callers = endpoint::bind(self.settings.callers)?;
         let operators = bind(self.settings.operators, "operators' endpoint").await?;
         self.spawn_controllers();
         let require = Require::new(secret);
@@ -118,7 +119,7 @@
         event!(Info, "router_started", id = self.settings.host.id, incarnation = self.incarnation);
         shutdown.wait().await;
         self.members.announce_leaving();
-        callers.await.wrap_err("could not finish the callers' endpoint")??;
+        callers.await.wrap_err("could not finish the callers' endpoint")?;
         self.bills.flush(self.settings.host.drain).await;
         self.budgets.release(self.settings.host.drain).await;
         self.shards.release(self.settings.host.drain).await;
--- a/crates/daemon/tests/fake/mod.rs
+++ b/crates/daemon/tests/fake/mod.rs
@@ -17,6 +17,7 @@
     unit::Millis,
 };
 use eelgrasswell_daemon::{
+    callers::endpoint,
     controller::{
         links::Client,
         shards::{ClaimCall, ClaimEnd, ClaimResult},
@@ -191,7 +192,7 @@
     pub agents: Vec<Arc<FakeAgent>>,
     pub address: SocketAddr,
     pub stop: Option<oneshot::Sender<()>>,
-    pub served: JoinHandle<eyre::Result<()>>,
+    pub served: JoinHandle<()>,
     client: legacy::Client<HttpConnector, Full<Bytes>>,
 }
 
@@ -253,7 +254,7 @@
             fakes.candidates.lock().unwrap().push(candidate);
             bench.push(agent);
         }
-        let listener = filter::bind("127.0.0.1:0".parse().unwrap()).unwrap();
+        let listener = endpoint::bind("127.0.0.1:0".parse().unwrap()).unwrap();
         let address = listener.local_addr().unwrap();
         let (stop, stopped) = oneshot::channel();
         let backends: Arc<dyn Backends> = fakes.clone();
--- a/crates/daemon/tests/filters.rs
+++ b/crates/daemon/tests/filters.rs
@@ -119,7 +119,7 @@
     tx.send(data(3, "two")).await.unwrap();
     tx.send(finished(6)).await.unwrap();
     assert_eq!(response.into_body().collect().await.unwrap().to_bytes(), Bytes::from("onetwo"));
-    bench.served.await.unwrap().unwrap();
+    bench.served.await.unwrap();
 }
 
 /// Guards against wrong reasons, statuses and outcomes of refusals before any agent is asked.
@@ -275,7 +275,7 @@
         assert!(!bench.served.is_finished());
         tx.send(event).await.unwrap();
     }
-    bench.served.await.unwrap().unwrap();
+    bench.served.await.unwrap();
     let end = bench.fakes.completed.lock().unwrap().remove(0).1;
     assert_eq!(end, ClaimEnd::Done { status: 200, body: Some(Bytes::from("booked")) });
 }
