Ask a store that is away by one call at a time, and make exchanges smaller

Change: after a failure the configuration is asked for first, and the other kinds wait until it is answered. Gateways that others may serve pause up to 1.6 s, those that watch up to 0.8 s as before. The time of the last failure of the configuration counts for the grace of missing servers, too. Counters go grouped by version, and only for rollouts under way; 4 members are told in place of 8.

Ruled out: longer watches. A connection gone silent under a watch is found by its time limit.

--- a/crates/daemon/src/gateway/exchange.rs
+++ b/crates/daemon/src/gateway/exchange.rs
@@ -4,6 +4,7 @@
 use std::{net::SocketAddr, time::Duration};
 
 use eelgrasswell_core::{
+    canary::{Canary, OrderState},
     evidence::Counters,
     fleet::Member,
     hash::HashMap,
@@ -11,7 +12,7 @@
     unit::Millis,
 };
 use eelgrasswell_proto::v1::{
-    AnswerCounters, BackendLoad, FleetMember, FleetState, FollowReply, FollowRequest, OrderProgress,
+    BackendLoad, FleetMember, FleetState, FollowReply, FollowRequest, OrderProgress, ReporterCounters, FleetCounters,
     fleet_client::FleetClient,
     fleet_server::{Fleet, FleetServer},
 };
@@ -32,7 +33,7 @@
 /// intervals.
 const FANOUT: usize = 5;
 /// Members told in one exchange.
-const MEMBERS_TOLD: usize = 8;
+const MEMBERS_TOLD: usize = 4;
 /// Longest time for one exchange.
 const TIMEOUT: Duration = Duration::from_millis(700);
 /// Age above which what a router told of its load no longer counts.
@@ -157,18 +158,28 @@
         }
     }
 
-    fn counters(&self) -> Vec<AnswerCounters> {
-        let services: Vec<ServiceName> = lock(&self.canaries).keys().cloned().collect();
-        let reports = self.evidence.reports(self.incarnation).into_iter();
-        reports
-            .filter(|(service, ..)| services.contains(service))
-            .map(|(service, version, reporter, counters)| AnswerCounters {
+    /// Counters of the services with a rollout under way.
+    fn counters(&self) -> Vec<FleetCounters> {
+        let is_open = |canary: &&Canary| matches!(canary.order().state, OrderState::New | OrderState::Running);
+        let services: Vec<ServiceName> =
+            lock(&self.canaries).values().filter(is_open).map(|canary| canary.order().service.clone()).collect();
+        let mut versions: HashMap<(ServiceName, VersionName), Vec<ReporterCounters>> = HashMap::default();
+        for (service, version, reporter, counters) in self.evidence.reports(self.incarnation) {
+            if services.contains(&service) {
+                versions.entry((service, version)).or_default().push(ReporterCounters {
+                    reporter: reporter.0,
+                    answers: counters.answers,
+                    errors: counters.errors,
+                    slow: counters.slow,
+                });
+            }
+        }
+        versions
+            .into_iter()
+            .map(|((service, version), reporters)| FleetCounters {
                 service: service.to_string(),
                 version: version.to_string(),
-                reporter: reporter.0,
-                answers: counters.answers,
-                errors: counters.errors,
-                slow: counters.slow,
+                reporters,
             })
             .collect()
     }
@@ -195,25 +206,20 @@
     fn hear(&self, state: &FleetState) {
         let now = self.clock.now();
         self.hear_members(state, now);
-        for counters in &state.counters {
-            if counters.reporter != self.incarnation.0 {
-                self.evidence.report(
-                    &ServiceName::from(counters.service.as_str()),
-                    &VersionName::from(counters.version.as_str()),
-                    Incarnation(counters.reporter),
-                    Counters {
-                        answers: counters.answers,
-                        errors: counters.errors,
-                        slow: counters.slow,
-                        ..Counters::default()
-                    },
-                );
-            }
-        }
+        state.counters.iter().for_each(|version| self.hear_counters(version));
         self.hear_orders(state, now);
         self.hear_loads(state, now);
     }
 
+    fn hear_counters(&self, told: &FleetCounters) {
+        let service = ServiceName::from(told.service.as_str());
+        let version = VersionName::from(told.version.as_str());
+        for of in told.reporters.iter().filter(|of| of.reporter != self.incarnation.0) {
+            let counters = Counters { answers: of.answers, errors: of.errors, slow: of.slow, ..Counters::default() };
+            self.evidence.report(&service, &version, Incarnation(of.reporter), counters);
+        }
+    }
+
     fn hear_members(&self, state: &FleetState, now: Millis) {
         let mut fleet = lock(&self.fleet);
         let mut hear = |member: &FleetMember, leaving: bool| {
--- a/crates/daemon/src/gateway/mirror.rs
+++ b/crates/daemon/src/gateway/mirror.rs
@@ -34,8 +34,11 @@
 const SERVED_PAUSE: Duration = Duration::from_millis(100);
 /// Longest pause before the first call after a failed one.
 const BACKOFF_BASE: Duration = Duration::from_millis(150);
-/// Longest pause after failed calls. A store that turns some hosts away must be found sound soon after.
-const BACKOFF_MAX: Duration = Duration::from_millis(800);
+/// Longest pause after failed calls of a gateway that watches for others. A store that turns some hosts away must be
+/// found sound soon after.
+const WATCHER_BACKOFF_MAX: Duration = Duration::from_millis(800);
+/// Longest pause after failed calls of the other gateways, which hear of the store's return from those that watch.
+const FOLLOWER_BACKOFF_MAX: Duration = Duration::from_millis(1_600);
 
 /// One copy for each kind.
 pub struct Mirror {
@@ -100,9 +103,33 @@
     }
 
     fn note_success(&self, kind: Kind) {
+        self.set_source(kind, true);
+    }
+
+    /// Takes in that another gateway keeps the copy of `kind` current.
+    fn note_served(&self, kind: Kind) {
+        self.set_source(kind, false);
+    }
+
+    fn set_source(&self, kind: Kind, is_own: bool) {
         let mut copy = lock(self.copy(kind));
-        copy.is_own = true;
-        copy.is_failing = false;
+        copy.is_own = is_own;
+        let was_failing = std::mem::take(&mut copy.is_failing);
+        drop(copy);
+        if was_failing {
+            self.announce();
+        }
+    }
+
+    /// Waits while the calls for the configuration fail. They go first, so that a store that is away is asked by one
+    /// call at a time, not by one for each kind.
+    async fn store_reached(&self) {
+        let mut changes = self.subscribe();
+        while lock(self.copy(Kind::Config)).is_failing {
+            if changes.changed().await.is_err() {
+                return;
+            }
+        }
     }
 
     fn note_failure(&self, kind: Kind, now: Millis) {
@@ -235,7 +262,7 @@
     let mut in_doubt = false;
     loop {
         if !gateway.is_watcher() && gateway.mirror.is_served(kind, gateway.clock.now()) {
-            lock(gateway.mirror.copy(kind)).is_own = false;
+            gateway.mirror.note_served(kind);
             in_doubt = true;
             failures = 0;
             sleep(SERVED_PAUSE).await;
@@ -260,7 +287,10 @@
         failures += 1;
         in_doubt = true;
         gateway.mirror.note_failure(kind, gateway.clock.now());
-        sleep(backoff(failures)).await;
+        sleep(backoff(failures, gateway.is_watcher())).await;
+        if kind != Kind::Config {
+            gateway.mirror.store_reached().await;
+        }
     }
 }
 
@@ -292,8 +322,9 @@
     Ok(())
 }
 
-fn backoff(failures: u32) -> Duration {
-    let limit = (BACKOFF_BASE * (1 << failures.min(4))).min(BACKOFF_MAX);
+fn backoff(failures: u32, is_watcher: bool) -> Duration {
+    let max = if is_watcher { WATCHER_BACKOFF_MAX } else { FOLLOWER_BACKOFF_MAX };
+    let limit = (BACKOFF_BASE * (1 << failures.min(4))).min(max);
     limit.mul_f64(rand::rng().random_range(0.3..1.0))
 }
 
@@ -333,10 +364,13 @@
 
     fn apply_backends(&self) {
         let now = self.clock.now();
-        let others_proof = lock(self.mirror.copy(Kind::Config)).others_proof;
+        let (others_proof, last_failure) = {
+            let config = lock(self.mirror.copy(Kind::Config));
+            (config.others_proof, config.last_failure)
+        };
         let (list, grace) = {
             let copy = lock(self.mirror.copy(Kind::Backends));
-            let grace = confirmation::missing_grace(now, copy.last_failure, others_proof);
+            let grace = confirmation::missing_grace(now, copy.last_failure.max(last_failure), others_proof);
             (copy.objects().map(objects::backend).collect::<Vec<_>>(), grace)
         };
         let mut backends = Vec::with_capacity(list.len());
--- a/crates/testbed/tests/gateway.rs
+++ b/crates/testbed/tests/gateway.rs
@@ -383,6 +383,33 @@
     Ok(())
 }
 
+/// Guards against a store that is away and is asked for each kind of object by each gateway.
+#[tokio::test]
+async fn absent_store_is_asked_by_one_call_at_a_time() -> Result<()> {
+    let rig = Rig::start(RigPlan { gateways: 3, engines: 1, desks: 1 }).await?;
+    sleep(Duration::from_millis(2_500)).await;
+    rig.store.fault(|faults| faults.down = true);
+    sleep(Duration::from_millis(1_000)).await;
+    let calls = |kind| (0..3).map(|door| rig.store.calls(door, kind)).sum::<u64>();
+    let others = || ["servers", "rollouts", "evacuations"].map(calls).iter().sum::<u64>();
+    let (config_before, others_before) = (calls("config"), others());
+    sleep(Duration::from_millis(3_000)).await;
+    assert!(calls("config") > config_before, "nobody looks whether the store is back");
+    // One call of each kind may have been due when the first one for the configuration failed.
+    assert!(others() - others_before <= 9, "{} other calls", others() - others_before);
+    rig.store.fault(|faults| faults.down = false);
+    rig.store.delete("servers", "desk-0");
+    until("all gateways see what has changed", async || {
+        let mut gone = 0;
+        for gateway in 0..3 {
+            let status = read(&rig, gateway, "key-a").await.map(|reply| reply.status);
+            gone += usize::from(status.is_ok_and(|status| status == StatusCode::SERVICE_UNAVAILABLE));
+        }
+        gone == 3
+    })
+    .await
+}
+
 /// Guards against gateways that stay without news when those that watch the store for them are cut off from it.
 #[tokio::test]
 async fn followers_call_the_store_when_watchers_are_cut_off() -> Result<()> {
