Judge a version by its answers, not by connections that break

Change: failures, answers that are not the server's own, and slow or silent servers count for a version; a connection that breaks counts for the server only. The platform's bad versions fail or are slow.

Ruled out: counting one loss a server. Each router would count its own.

Test: rollout_survives_lost_answers (rolled back before).

--- a/crates/daemon/src/gateway/attempt.rs
+++ b/crates/daemon/src/gateway/attempt.rs
@@ -20,7 +20,7 @@
 
 use super::{
     Gateway, State,
-    evidence::Sample,
+    evidence::{Sample, SampleOutcome},
     net::{Conn, SendError},
     request::Call,
 };
@@ -128,8 +128,10 @@
                 gateway.note(&backend, Outcome::Unreachable);
                 return Err(Ended::NotRun { backend, why });
             }
-            Ok(Err(SendError::Lost(why))) => return Err(self.lost(gateway, backend, why)),
-            Err(_) => return Err(self.lost(gateway, backend, "it is silent".into())),
+            Ok(Err(SendError::Lost(why))) => return Err(self.lost(gateway, backend, None, why)),
+            Err(_) => {
+                return Err(self.lost(gateway, backend, Some(SampleOutcome::Silent), "it is silent".into()));
+            }
         };
         self.judge(gateway, place, response, started)
     }
@@ -222,7 +224,8 @@
         }
         let foreign = meta.id.as_deref().is_some_and(|id| id != self.call.id.as_str());
         if foreign {
-            return Err(self.lost(gateway, backend, "an answer to another request came".into()));
+            let why = "an answer to another request came".into();
+            return Err(self.lost(gateway, backend, Some(SampleOutcome::Failed), why));
         }
         if meta.replaced {
             lock(&gateway.pool).note_replaced(&backend);
@@ -235,37 +238,41 @@
             return Err(Ended::NotRun { backend, why: format!("it refused with {status}") });
         }
         if status.is_success() && (!meta.sealed || meta.encoded) {
-            return Err(self.lost(gateway, backend, "the answer is not sealed".into()));
+            let why = "the answer is not sealed".into();
+            return Err(self.lost(gateway, backend, Some(SampleOutcome::Failed), why));
         }
         if status.is_server_error() {
             self.failed(gateway, &backend);
         } else {
             let elapsed = Millis::from(started.elapsed());
-            let slowness = gateway.evidence.note(self.sample(&backend, Some(elapsed)));
+            let slowness = gateway.evidence.note(self.sample(&backend, SampleOutcome::Answered(elapsed)));
             gateway.note(&backend, Outcome::Answered { slowness });
         }
         Ok(Answer { status, headers: head.headers, meta, body, place })
     }
 
-    fn lost(&self, gateway: &Gateway, backend: Arc<Backend>, why: String) -> Ended {
-        gateway.evidence.note(self.sample(&backend, None));
+    /// Ends a send that may have run; `outcome` is what that tells of the version.
+    fn lost(&self, gateway: &Gateway, backend: Arc<Backend>, outcome: Option<SampleOutcome>, why: String) -> Ended {
+        if let Some(outcome) = outcome {
+            gateway.evidence.note(self.sample(&backend, outcome));
+        }
         gateway.note(&backend, Outcome::Unreachable);
         Ended::Lost { backend, why }
     }
 
     fn failed(&self, gateway: &Gateway, backend: &Backend) {
-        gateway.evidence.note(self.sample(backend, None));
+        gateway.evidence.note(self.sample(backend, SampleOutcome::Failed));
         gateway.note(backend, Outcome::Failed);
     }
 
-    fn sample<'b>(&'b self, backend: &'b Backend, elapsed: Option<Millis>) -> Sample<'b> {
+    fn sample<'b>(&'b self, backend: &'b Backend, outcome: SampleOutcome) -> Sample<'b> {
         static NO_MODEL: std::sync::LazyLock<ModelName> = std::sync::LazyLock::new(ModelName::default);
         Sample {
             service: &backend.service,
             version: &backend.version,
             model: self.model.unwrap_or(&NO_MODEL),
             prompt: self.call.meta.prompt.0,
-            elapsed,
+            outcome,
         }
     }
 }
--- a/crates/daemon/src/gateway/evidence.rs
+++ b/crates/daemon/src/gateway/evidence.rs
@@ -25,7 +25,7 @@
     usual: UsualTimes,
 }
 
-/// An answer, or the lack of one.
+/// One send, as far as it tells of the version.
 #[derive(Clone, Copy, Debug)]
 pub struct Sample<'a> {
     /// Service that was asked.
@@ -36,8 +36,20 @@
     pub model: &'a ModelName,
     /// Tokens of the prompt.
     pub prompt: u64,
-    /// Time to the beginning of the answer; none when it failed.
-    pub elapsed: Option<Millis>,
+    /// What came of it.
+    pub outcome: SampleOutcome,
+}
+
+/// What a send tells of the version that it went to. A connection that breaks tells nothing: it is the server, or the
+/// way to it, that has failed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SampleOutcome {
+    /// The answer began after this time.
+    Answered(Millis),
+    /// The server answered with a failure, or with an answer that is not its own.
+    Failed,
+    /// It was given up because the server was silent for several times the usual time.
+    Silent,
 }
 
 impl Evidence {
@@ -49,13 +61,16 @@
     /// Counts a sample; returns how many times the usual time it took.
     pub fn note(&self, sample: Sample<'_>) -> f64 {
         let mut state = lock(&self.state);
-        let usual = &mut state.usual;
-        let slowness = sample.elapsed.map(|elapsed| usual.note(sample.service, sample.model, sample.prompt, elapsed));
+        let slowness = match sample.outcome {
+            SampleOutcome::Answered(elapsed) => state.usual.note(sample.service, sample.model, sample.prompt, elapsed),
+            SampleOutcome::Failed => 1.0,
+            SampleOutcome::Silent => f64::INFINITY,
+        };
         let counters = state.own.entry((sample.service.clone(), sample.version.clone())).or_default();
         counters.answers += 1;
-        counters.errors += u64::from(slowness.is_none());
-        counters.slow += u64::from(slowness.is_some_and(|slowness| slowness > SLOW_FACTOR));
-        slowness.unwrap_or(1.0)
+        counters.errors += u64::from(sample.outcome == SampleOutcome::Failed);
+        counters.slow += u64::from(slowness > SLOW_FACTOR);
+        slowness
     }
 
     /// Takes in what a router has counted.
--- a/crates/daemon/src/gateway/exchange.rs
+++ b/crates/daemon/src/gateway/exchange.rs
@@ -12,7 +12,7 @@
     unit::Millis,
 };
 use eelgrasswell_proto::v1::{
-    BackendLoad, FleetMember, FleetState, FollowReply, FollowRequest, OrderProgress, ReporterCounters, FleetCounters,
+    BackendLoad, FleetCounters, FleetMember, FleetState, FollowReply, FollowRequest, OrderProgress, ReporterCounters,
     fleet_client::FleetClient,
     fleet_server::{Fleet, FleetServer},
 };
--- a/crates/daemon/src/gateway/execute.rs
+++ b/crates/daemon/src/gateway/execute.rs
@@ -4,11 +4,10 @@
 
 use bytes::BytesMut;
 use eelgrasswell_core::{
-    backend::Backend,
     canary::VersionRule,
     escalation::Ladder,
     id::{BackendId, ModelName},
-    pool::{Outcome, Unavailable},
+    pool::Unavailable,
     refusal::Reason,
     repeat::Purpose,
     unit::Millis,
@@ -22,7 +21,6 @@
 use super::{
     Gateway,
     attempt::{Answer, Attempt, Ended},
-    evidence::Sample,
     relay::Relay,
     request::Call,
 };
@@ -107,7 +105,8 @@
                         "repeated",
                         request = self.call.id,
                         reason = "failed",
-                        status = answer.status.as_u16()
+                        status = answer.status.as_u16(),
+                        backend = answer.place.backend.id
                     );
                     tokio::spawn(answer.drain());
                     continue;
@@ -183,19 +182,6 @@
         );
     }
 
-    /// Counts an answer that broke off against its server and version.
-    pub fn note_broken(&self, backend: &Backend) {
-        let model = self.model().unwrap_or_default();
-        self.gateway.evidence.note(Sample {
-            service: &backend.service,
-            version: &backend.version,
-            model: &model,
-            prompt: self.call.meta.prompt.0,
-            elapsed: None,
-        });
-        self.gateway.note(backend, Outcome::Failed);
-    }
-
     async fn attempt(&mut self, resume_after: Option<&str>) -> Result<Answer, Ended> {
         let model = self.model();
         let attempt = Attempt {
--- a/crates/daemon/src/gateway/relay.rs
+++ b/crates/daemon/src/gateway/relay.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use compact_str::CompactString;
-use eelgrasswell_core::{event_stream::Splitter, repeat::Purpose};
+use eelgrasswell_core::{event_stream::Splitter, pool::Outcome, repeat::Purpose};
 use eyre::{Report, eyre};
 use futures::stream;
 use http_body_util::{BodyExt, StreamBody};
@@ -151,7 +151,7 @@
                 Read::DeadlinePassed => return Err(self.cut("the deadline passed")),
             };
             if let Some(answer) = self.answer.take() {
-                self.execution.note_broken(&answer.place.backend);
+                self.execution.gateway.note(&answer.place.backend, Outcome::Failed);
             }
             self.splitter.reset();
             event!(Info, "stream_broken", request = self.execution.call.id, error = why);
--- a/crates/testbed/tests/gateway.rs
+++ b/crates/testbed/tests/gateway.rs
@@ -324,6 +324,37 @@
     Ok(())
 }
 
+/// Guards against a good version that is rolled back because its servers crash for a while.
+#[tokio::test]
+async fn rollout_survives_lost_answers() -> Result<()> {
+    let rig = Rig::start(RigPlan { gateways: 2, engines: 2, ..RigPlan::default() }).await?;
+    rig.engines.iter().for_each(|engine| rate(engine, 80));
+    let mut new = Vec::new();
+    for n in 0..4 {
+        let id = format!("chat-new-{n}");
+        let worker = Worker::bind(&id).await?;
+        rate(&worker, 80);
+        worker.set(|behaviour| behaviour.loses_answer = true);
+        rig.store.put("servers", &id, worker.entry("chat", "v2", "ready"));
+        new.push(worker);
+    }
+    rig.store.put("rollouts", "chat", json!({"service": "chat", "target": "v2", "duration_s": 8}));
+    let client = rig.chat("r").with("x-deadline-ms", "2000");
+    let began = Instant::now();
+    let mut sent = 0;
+    while rig.store.status("rollouts", "chat")["state"] != "completed" {
+        ensure!(rig.store.status("rollouts", "chat")["state"] != "rolled_back", "a good version was rolled back");
+        ensure!(began.elapsed() < Duration::from_secs(8), "not completed in time");
+        if began.elapsed() > Duration::from_millis(3_500) {
+            new.iter().for_each(|worker| worker.set(|behaviour| behaviour.loses_answer = false));
+        }
+        sent += 1;
+        let callers = rig.gateways[sent % 2].callers;
+        client.with("session", &format!("session-{sent}")).post_json(callers, "/chat/1", &json!({})).await?;
+    }
+    Ok(())
+}
+
 /// Guards against a good version that is not completed, a bad one that is not rolled back, and work against the verdict.
 #[test_case(false, "completed"; "good")]
 #[test_case(true, "rolled_back"; "bad")]
