--- a/completions/eelgrasswell.bash
+++ b/completions/eelgrasswell.bash
@@ -42,6 +42,9 @@
             bill)
                 cmd="eelgrasswell_bill"
                 ;;
+            explain)
+                cmd="eelgrasswell_explain"
+                ;;
             completions)
                 cmd="eelgrasswell_completions"
                 ;;
@@ -51,7 +54,7 @@
     case "${cmd}" in
         eelgrasswell)
             opts="--help --router --credential --json"
-            cmds="check diff submit show status rollout domain drain bill completions"
+            cmds="check diff submit show status rollout domain drain bill explain completions"
             case "${prev}" in
                 --router)
                     COMPREPLY=()
@@ -184,6 +187,15 @@
                     ;;
             esac
             ;;
+        eelgrasswell_explain)
+            opts="--help"
+            case "${prev}" in
+                *)
+                    COMPREPLY=( $(compgen -W "${opts} ${cmds}" -- "${cur}") )
+                    return 0
+                    ;;
+            esac
+            ;;
         eelgrasswell_completions)
             opts="--help"
             case "${prev}" in
--- /dev/null
+++ b/crates/client/src/cmd/explain.rs
@@ -0,0 +1,62 @@
+//! `eelgrasswell explain`
+
+use std::path::PathBuf;
+
+use argh::{ArgsInfo, FromArgs};
+use eyre::eyre;
+use serde_json::json;
+
+use crate::{
+    cause, cmd,
+    error::Error,
+    log::{self, Line},
+};
+
+/// Tell what became of a request, from the logs of gateways.
+#[derive(FromArgs, ArgsInfo)]
+#[argh(subcommand, name = "explain")]
+pub struct ExplainCmd {
+    /// id of the request
+    #[argh(positional)]
+    id: String,
+
+    /// files with logs
+    #[argh(positional)]
+    files: Vec<PathBuf>,
+}
+
+pub fn run(cmd: &ExplainCmd, json: bool) -> Result<String, Error> {
+    if cmd.files.is_empty() {
+        return Err(Error::Usage("could not explain a request without logs: name at least one file".into()));
+    }
+    let mut all: Vec<Line> = Vec::new();
+    for file in &cmd.files {
+        all.extend(log::read(file)?);
+    }
+    all.sort_by(|a, b| a.time.cmp(&b.time));
+    let own: Vec<Line> = all.iter().filter(|line| line.get("request") == Some(&cmd.id)).cloned().collect();
+    if own.is_empty() {
+        return Err(eyre!("could not find request {} in the logs", cmd.id).into());
+    }
+    let cause = cause::of(&own, &all);
+    let context = cause::context(&own, &all);
+    if json {
+        let lines = |lines: &mut dyn Iterator<Item = &Line>| {
+            lines.map(|line| json!({"time": line.time, "source": line.source, "line": line.text})).collect::<Vec<_>>()
+        };
+        let value = json!({
+            "cause": cause,
+            "lines": lines(&mut own.iter()),
+            "context": lines(&mut context.iter().copied()),
+        });
+        return Ok(cmd::pretty(&value));
+    }
+    let show = |line: &Line| format!("  {} {} {}\n", line.time, line.source, line.text);
+    let mut text = format!("{cause}\n\nits lines:\n");
+    text.extend(own.iter().map(show));
+    if !context.is_empty() {
+        text.push_str("\nknown by then:\n");
+        text.extend(context.into_iter().map(show));
+    }
+    Ok(text)
+}
--- a/crates/client/src/cmd/mod.rs
+++ b/crates/client/src/cmd/mod.rs
@@ -6,6 +6,7 @@
 mod diff;
 mod domain;
 mod drain;
+mod explain;
 mod rollout;
 mod show;
 mod status;
@@ -65,6 +66,7 @@
     Domain(domain::DomainCmd),
     Drain(drain::DrainCmd),
     Bill(bill::BillCmd),
+    Explain(explain::ExplainCmd),
     Completions(completions::CompletionsCmd),
 }
 
@@ -103,6 +105,7 @@
             Sub::Domain(sub) => domain::run(sub, &api()?, cmd.json).await,
             Sub::Drain(sub) => drain::run(sub, &api()?, cmd.json).await,
             Sub::Bill(sub) => bill::run(sub, &api()?, cmd.json).await,
+            Sub::Explain(sub) => explain::run(sub, cmd.json),
             Sub::Completions(sub) => Ok(completions::run(sub)),
         }
     })
--- a/crates/client/src/main.rs
+++ b/crates/client/src/main.rs
@@ -1,8 +1,10 @@
 //! The operators' client of eelgrasswell.
 
 mod api;
+mod cause;
 mod cmd;
 mod error;
+mod log;
 mod table;
 mod wait;
 
