--- a/crates/client/src/cause.rs
+++ b/crates/client/src/cause.rs
@@ -57,15 +57,15 @@
     let mut found: Vec<&Line> = Vec::new();
     let before = || all.iter().filter(|line| line.time <= end.time);
     for event in STATE_EVENTS {
-        let newest = before().filter(|line| line.event() == event && lines.iter().any(|own| own.source == line.source));
-        found.extend(newest.last());
+        let is_told_by_own = |line: &&Line| line.event() == event && lines.iter().any(|own| own.source == line.source);
+        found.extend(before().rfind(is_told_by_own));
     }
     for event in BACKEND_EVENTS {
         let names_backend = |line: &&Line| {
             let backend = line.get("backend").filter(|backend| !backend.is_empty());
             line.event() == event && backend.is_some_and(|backend| lines.iter().any(|own| own.text.contains(backend)))
         };
-        found.extend(before().filter(names_backend).last());
+        found.extend(before().rfind(names_backend));
     }
     found.sort_by(|a, b| a.time.cmp(&b.time));
     found
--- a/crates/daemon/src/gateway/execute.rs
+++ b/crates/daemon/src/gateway/execute.rs
@@ -259,14 +259,17 @@
         match ended {
             Ended::Unavailable(why) => self.after_unavailable(why).await,
             Ended::NotRun { .. } => {
-                let again = self.sends < MAX_SENDS
-                    && self.call.remaining() > LEAST_TIME
-                    && self.gateway.take_repeat(&self.call.service, Purpose::Failure);
-                if again {
+                let why = if self.sends >= MAX_SENDS {
+                    "each one asked has refused"
+                } else if self.call.remaining() <= LEAST_TIME {
+                    "one has refused, and no time is left for another"
+                } else if !self.gateway.take_repeat(&self.call.service, Purpose::Failure) {
+                    "one has refused, and the budget of repeats is used up"
+                } else {
                     return Ok(());
-                }
+                };
                 // An earlier send may have run, so that a promise would be false.
-                Err(if self.runs > 0 { lost("refused elsewhere") } else { no_backend("refused") })
+                Err(if self.runs > 0 { lost(why) } else { no_backend(why) })
             }
             Ended::Lost { why, .. } => {
                 if self.may_repeat(Purpose::Failure) {
