--- a/crates/daemon/src/cmd/gateway.rs
+++ b/crates/daemon/src/cmd/gateway.rs
@@ -17,6 +17,10 @@
     /// settings file; by default the one that the platform names in the environment
     #[argh(option)]
     settings: Option<PathBuf>,
+
+    /// check the settings and exit
+    #[argh(switch)]
+    check: bool,
 }
 
 pub fn run(cmd: GatewayCmd) -> Result<()> {
@@ -28,6 +32,10 @@
     };
     let settings: GatewaySettings = settings::open(&path)?;
     settings.check().wrap_err_with(|| format!("could not use settings {}", path.display()))?;
+    if cmd.check {
+        println!("{}: valid, gateway {} in {}", path.display(), settings.id, settings.domain);
+        return Ok(());
+    }
     log::init_queued(&settings.log_level)?;
     let metrics = telemetry::install()?;
     let runtime = Builder::new_multi_thread()
--- a/crates/daemon/tests/pages.rs
+++ b/crates/daemon/tests/pages.rs
@@ -30,6 +30,7 @@
 
 #[test_case("router")]
 #[test_case("agent")]
+#[test_case("gateway")]
 fn pages_name_every_setting_of_the_examples(kind: &str) {
     let (manual, operations) = (file("man/eelgrasswelld.8"), file("docs/OPERATIONS.md"));
     let settings = file(&format!("examples/viti-west/{kind}.yaml"));
@@ -40,6 +41,26 @@
     }
 }
 
+/// Guards against examples that a gateway does not accept, and against a check that starts one or passes bad settings.
+#[test_case("tunis-north", "", 0, "valid, gateway front-carthage-1 in carthage"; "tunis north")]
+#[test_case("viti-west", "", 0, "valid, gateway front-lautoka-1 in lautoka"; "viti west")]
+#[test_case("viti-west", "colour: blue\n", 1, "colour"; "unknown key")]
+#[test_case("viti-west", "cores: 0\n", 1, "cores"; "key twice")]
+fn gateway_check(site: &str, added: &str, code: i32, said: &str) {
+    let settings = file(&format!("examples/{site}/gateway.yaml")) + added;
+    let dir = concat!(env!("CARGO_TARGET_TMPDIR"), "/gateway-check");
+    fs::create_dir_all(dir).unwrap();
+    let path = format!("{dir}/{}.yaml", uuid::Uuid::new_v4());
+    fs::write(&path, settings).unwrap();
+    let output = Command::new(env!("CARGO_BIN_EXE_eelgrasswelld"))
+        .args(["gateway", "--check", "--settings", &path])
+        .output()
+        .unwrap();
+    let text = String::from_utf8_lossy(&output.stdout).into_owned() + &String::from_utf8_lossy(&output.stderr);
+    assert_eq!(output.status.code(), Some(code), "{text}");
+    assert!(text.contains(said), "{text}");
+}
+
 #[test]
 fn manual_page_names_every_subcommand() {
     let output = Command::new(env!("CARGO_BIN_EXE_eelgrasswelld")).arg("--help").output().unwrap();
