Escalate only when the larger model's answer would usually begin within the objective

Escalations go to the largest model, ten times as slow as the smallest, as long as 0.35 of the deadline is left, though its answer begins after the objective. The small answer was there in time.

Change: the usual time of the larger model for this prompt must fit in what is left to the objective and the deadline.

Ruled out: failures of gateways, which were ready within half a second of the store's return; requests between 26 and 30 s are not owed.

Tests: core/tests/escalation.rs, with a rising usual time.

--- a/crates/core/src/escalation.rs
+++ b/crates/core/src/escalation.rs
@@ -1,6 +1,10 @@
 //! Which model answers a request that names none: the smallest first, then the largest when the smallest rates its own
 //! answer low.
 //!
+//! Load pattern that it answers: under overload, and for long prompts, the largest model would begin its answer after the
+//! objective. The small answer, which is there, is then worth more than the late one, and the larger model's time goes to
+//! requests that it still helps.
+//!
 //! The models between the two lose on both ends: they read the prompt once more, and seldom rate themselves high where
 //! the smallest does not.
 
@@ -8,8 +12,6 @@
 
 /// Self-rating, from 0 to 100, under which an answer is asked for again at the largest model.
 pub const ESCALATE_BELOW: u8 = 40;
-/// Least share of the deadline that must be left for an escalation.
-const LEAST_TIME_SHARE: f64 = 0.35;
 
 /// Models of a request in the order in which they are asked.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -33,11 +35,11 @@
         self.steps.get(step)
     }
 
-    /// Whether an answer of step `step` with self-rating `confidence` is to be asked for again, with `left` of
-    /// `deadline` to go.
-    pub fn escalates(&self, step: usize, confidence: Option<u8>, left: Millis, deadline: Millis) -> bool {
+    /// Whether an answer of step `step` with self-rating `confidence` is to be asked for again at the next model, whose
+    /// answers usually begin after `usual`, with `left` to the objective or the deadline, whichever is first.
+    pub fn escalates(&self, step: usize, confidence: Option<u8>, usual: Option<Millis>, left: Millis) -> bool {
         let Some(confidence) = confidence else { return false };
-        let in_time = left.0 as f64 >= deadline.0 as f64 * LEAST_TIME_SHARE;
+        let in_time = left > usual.unwrap_or(Millis::ZERO);
         step + 1 < self.steps.len() && confidence < ESCALATE_BELOW && in_time
     }
 }
--- /dev/null
+++ b/crates/core/tests/escalation.rs
@@ -0,0 +1,51 @@
+//! Guards against escalations that cost more than they bring: of good answers, and to a model whose answer comes too late.
+
+use eelgrasswell_core::{
+    escalation::Ladder,
+    id::{ModelName, ServiceName},
+    unit::Millis,
+    usual::UsualTimes,
+};
+use test_case::test_case;
+
+fn ladder(models: &[&str]) -> Ladder {
+    Ladder::new(&models.iter().map(|&name| name.into()).collect::<Vec<ModelName>>())
+}
+
+#[test_case(&["s", "m", "l"], Some(10), Some(500), 1_000, true; "low rating")]
+#[test_case(&["s", "m", "l"], Some(40), Some(500), 1_000, false; "good rating")]
+#[test_case(&["s", "m", "l"], None, Some(500), 1_000, false; "no rating")]
+#[test_case(&["s", "m", "l"], Some(10), Some(1_500), 1_000, false; "answer after the objective")]
+#[test_case(&["s", "m", "l"], Some(10), None, 1_000, true; "usual time unknown")]
+#[test_case(&["s", "m", "l"], Some(10), None, 0, false; "objective has passed")]
+#[test_case(&["s"], Some(10), Some(500), 1_000, false; "no larger model")]
+fn escalates_case(models: &[&str], confidence: Option<u8>, usual: Option<u64>, left: u64, expected: bool) {
+    let (ladder, usual) = (ladder(models), usual.map(Millis));
+    assert_eq!(ladder.escalates(0, confidence, usual, Millis(left)), expected);
+    assert!(!ladder.escalates(1, confidence, usual, Millis(left)), "the largest model has the last word");
+}
+
+/// Under overload the usual time of the largest model rises, and escalations give way: first those of long prompts.
+#[test]
+fn escalates_less_under_overload() {
+    let (service, model): (ServiceName, ModelName) = ("chat".into(), "l".into());
+    let mut usual = UsualTimes::default();
+    let ladder = ladder(&["s", "l"]);
+    let escalated = |usual: &UsualTimes| {
+        let prompts = [500, 2_000, 8_000, 20_000];
+        prompts.map(|prompt| ladder.escalates(0, Some(10), usual.expected(&service, &model, prompt), Millis(1_500)))
+    };
+    let calm = |prompt: u64| Millis(150 + prompt / 20);
+    for prompt in [500, 2_000, 8_000, 20_000].repeat(20) {
+        usual.note(&service, &model, prompt, calm(prompt));
+    }
+    assert_eq!(escalated(&usual), [true, true, true, true]);
+    for prompt in [500, 2_000, 8_000, 20_000].repeat(20) {
+        usual.note(&service, &model, prompt, Millis(calm(prompt).0 * 3));
+    }
+    assert_eq!(escalated(&usual), [true, true, false, false]);
+    for prompt in [500, 2_000, 8_000, 20_000].repeat(20) {
+        usual.note(&service, &model, prompt, Millis(calm(prompt).0 * 12));
+    }
+    assert_eq!(escalated(&usual), [false, false, false, false]);
+}
--- a/crates/daemon/src/gateway/execute.rs
+++ b/crates/daemon/src/gateway/execute.rs
@@ -232,10 +232,14 @@
         Instant::now() + Duration::from(usual::give_up_after(self.call.route.objective, self.expected(), left))
     }
 
-    /// Usual time to the beginning of the answer.
+    /// Usual time to the beginning of the answer of the model in use.
     fn expected(&self) -> Option<Millis> {
-        let model = self.model().unwrap_or_default();
-        self.gateway.evidence.expected(&self.call.service, &model, self.call.meta.prompt.0)
+        self.usual(&self.model().unwrap_or_default())
+    }
+
+    /// Usual time to the beginning of an answer of `model` to this request.
+    fn usual(&self, model: &ModelName) -> Option<Millis> {
+        self.gateway.evidence.expected(&self.call.service, model, self.call.meta.prompt.0)
     }
 
     /// Time after which a server that has not answered counts as silent for other requests.
@@ -245,9 +249,10 @@
 
     fn escalates(&self, answer: &Answer) -> bool {
         let call = &self.call;
-        let deadline = Millis::from(call.deadline - call.arrived);
-        let left = Millis::from(call.remaining());
-        self.ladder.escalates(self.step, answer.meta.confidence, left, deadline) && self.may_repeat(Purpose::Escalation)
+        let to_objective = call.route.objective.saturating_sub(Millis::from(call.arrived.elapsed()));
+        let left = to_objective.min(Millis::from(call.remaining()));
+        let usual = self.ladder.model(self.step + 1).and_then(|larger| self.usual(larger));
+        self.ladder.escalates(self.step, answer.meta.confidence, usual, left) && self.may_repeat(Purpose::Escalation)
     }
 
     /// Decides whether to go on after a send without an answer.
