Pass on the rank of the customer or route to engines; clearer names in the gateway

Cause: operators rank routes and customers, and engines admit by rank, but every request reached them with the same one.

--- a/crates/daemon/src/gateway/attempt.rs
+++ b/crates/daemon/src/gateway/attempt.rs
@@ -39,6 +39,9 @@
 /// A dearer model takes more of a server's time, though less than its price tells.
 const PRICE_TO_COST: f64 = 0.6;
 
+/// Rank of the least urgent requests.
+const MAX_URGENCY: u32 = 9;
+
 /// How one send is to be done.
 pub struct Attempt<'a> {
     /// The request.
@@ -191,6 +194,12 @@
         if conn.ready().await { Ok(conn) } else { Err(format!("{} closed the connection", backend.address)) }
     }
 
+    /// Rank among the requests of a server: that of the customer, or else of the route.
+    fn urgency(&self) -> u8 {
+        let customer = self.call.customer.as_ref().and_then(|customer| customer.priority);
+        customer.unwrap_or(self.call.route.priority).min(MAX_URGENCY) as u8
+    }
+
     fn request(&self, backend: &Backend) -> Request<Full<Bytes>> {
         let call = self.call;
         let send = Send {
@@ -199,7 +208,7 @@
             customer: call.customer(),
             model: self.model,
             resume_after: self.resume_after,
-            urgency: None,
+            urgency: Some(self.urgency()),
         };
         let mut req = Request::new(Full::new(call.body.clone()));
         *req.method_mut() = call.method.clone();
--- a/crates/daemon/src/gateway/exchange.rs
+++ b/crates/daemon/src/gateway/exchange.rs
@@ -43,7 +43,7 @@
 
 /// What other routers last told of their loads and orders.
 #[derive(Default)]
-pub struct Told {
+pub struct PeerReports {
     loads: HashMap<HostId, (Millis, Vec<BackendLoad>)>,
     orders: HashMap<HostId, (Millis, Vec<OrderProgress>)>,
 }
@@ -264,11 +264,11 @@
                 }
             }
         }
-        lock(&self.told).orders.insert(state.id.as_str().into(), (now, state.orders.clone()));
+        lock(&self.peer_reports).orders.insert(state.id.as_str().into(), (now, state.orders.clone()));
     }
 
     fn hear_loads(&self, state: &FleetState, now: Millis) {
-        let mut told = lock(&self.told);
+        let mut told = lock(&self.peer_reports);
         told.loads.insert(state.id.as_str().into(), (now, state.loads.clone()));
         told.loads.retain(|_, (at, _)| now.saturating_sub(*at) < LOAD_FOR);
         let mut sums: HashMap<BackendId, f64> = HashMap::default();
@@ -281,7 +281,7 @@
 
     /// Requests of the other routers at servers of `service` with other versions than `target`.
     pub fn outstanding_at_others(&self, service: &ServiceName, target: &VersionName) -> u32 {
-        let told = lock(&self.told);
+        let told = lock(&self.peer_reports);
         let now = self.clock.now();
         let recent = told.orders.values().filter(|(at, _)| now.saturating_sub(*at) < LOAD_FOR);
         recent
--- a/crates/daemon/src/gateway/mirror.rs
+++ b/crates/daemon/src/gateway/mirror.rs
@@ -42,7 +42,7 @@
 
 /// One copy for each kind.
 pub struct Mirror {
-    copies: [Mutex<Replica>; Kind::ALL.len()],
+    copies: [Mutex<ObjectCopy>; Kind::ALL.len()],
     /// Until when each watcher that is followed keeps each copy current.
     served_until: Mutex<HashMap<HostId, [Millis; Kind::ALL.len()]>>,
     changes: watch::Sender<()>,
@@ -56,7 +56,7 @@
 
 /// Copy of the objects of a kind.
 #[derive(Default)]
-pub struct Replica {
+pub struct ObjectCopy {
     objects: BTreeMap<CompactString, Object>,
     revision: Option<u64>,
     /// Revision of the store at which the copy last changed.
@@ -73,7 +73,7 @@
 
 impl Mirror {
     /// The copy of `kind`.
-    pub fn copy(&self, kind: Kind) -> &Mutex<Replica> {
+    pub fn copy(&self, kind: Kind) -> &Mutex<ObjectCopy> {
         &self.copies[kind.index()]
     }
 
@@ -156,7 +156,7 @@
     }
 }
 
-impl Replica {
+impl ObjectCopy {
     /// Revision of the store that the copy is as of.
     pub fn revision(&self) -> Option<u64> {
         self.revision
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -70,7 +70,7 @@
     evidence: Evidence,
     mirror: Mirror,
     fleet: Mutex<Fleet>,
-    told: Mutex<exchange::Told>,
+    peer_reports: Mutex<exchange::PeerReports>,
     connections: Connections,
 }
 
@@ -123,7 +123,7 @@
             evidence: Evidence::default(),
             mirror: Mirror::default(),
             fleet: Mutex::default(),
-            told: Mutex::default(),
+            peer_reports: Mutex::default(),
             connections: Connections::default(),
         }))
     }
