--- a/crates/daemon/src/log.rs
+++ b/crates/daemon/src/log/mod.rs
@@ -1,21 +1,17 @@
 //! Logging: one line of key=value pairs for each event.
 
+pub mod queue;
+
 use std::{
     fmt::{Display, Write},
-    io,
-    sync::{
-        Arc,
-        atomic::{AtomicU64, Ordering},
-        mpsc::{Receiver, SyncSender, sync_channel},
-    },
-    thread,
+    io, thread,
 };
 
 use eyre::{Result, WrapErr};
 use log::LevelFilter;
 use simplelog::{ColorChoice, Config, ConfigBuilder, TermLogger, TerminalMode, WriteLogger};
 
-/// Lines that may wait for a slow reader of the log. Further ones are dropped and counted.
+/// Lines that may wait for a slow reader of the log.
 const MAX_WAITING: usize = 4_096;
 
 /// Starts logging to standard error at `level` (`error`, `warn`, `info`, `debug`).
@@ -26,12 +22,10 @@
 
 /// Starts logging to standard output at `level`. Whoever logs never waits for the reader of the log.
 pub fn init_queued(level: &str) -> Result<()> {
-    let (tx, rx) = sync_channel(MAX_WAITING);
-    let dropped = Arc::new(AtomicU64::new(0));
-    let queue = Queue { line: Vec::new(), tx, dropped: Arc::clone(&dropped) };
+    let (queue, waiting) = queue::bounded(MAX_WAITING);
     thread::Builder::new()
         .name("log".into())
-        .spawn(move || write_lines(&rx, &dropped))
+        .spawn(move || waiting.write_to(&mut io::stdout()))
         .wrap_err("could not start the log's thread")?;
     WriteLogger::init(parse(level)?, config(), queue).wrap_err("could not start the log")
 }
@@ -49,49 +43,6 @@
         .build()
 }
 
-/// Collects a line and hands it to the log's thread.
-struct Queue {
-    line: Vec<u8>,
-    tx: SyncSender<Vec<u8>>,
-    dropped: Arc<AtomicU64>,
-}
-
-impl io::Write for Queue {
-    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
-        self.line.extend_from_slice(bytes);
-        if self.line.ends_with(b"\n") {
-            let line = std::mem::take(&mut self.line);
-            if self.tx.try_send(line).is_err() {
-                self.dropped.fetch_add(1, Ordering::Relaxed);
-            }
-        }
-        Ok(bytes.len())
-    }
-
-    fn flush(&mut self) -> io::Result<()> {
-        Ok(())
-    }
-}
-
-/// Writes lines as they come; tells of those that were dropped once there is room again.
-fn write_lines(rx: &Receiver<Vec<u8>>, dropped: &AtomicU64) {
-    let mut out = io::stdout();
-    while let Ok(line) = rx.recv() {
-        let missing = dropped.swap(0, Ordering::Relaxed);
-        let written = io::Write::write_all(&mut out, &line).and_then(|()| {
-            if missing == 0 {
-                Ok(())
-            } else {
-                io::Write::write_fmt(&mut out, format_args!("event=log_lines_dropped count={missing}\n"))
-            }
-        });
-        if written.is_err() {
-            // Nobody reads the log any more, and there is no other place to say so.
-            return;
-        }
-    }
-}
-
 /// Formats an event with its fields as `event=NAME key=value ...`. Values with white space, quotes
 /// or control characters are quoted and escaped.
 pub fn line(event: &str, fields: &[(&str, &dyn Display)]) -> String {
