Decide in one place of core whether a request may be sent once more

Both executions, to agents and to backend servers, counted sends and runs by themselves to keep requests that are not idempotent from running twice. core::attempt counts and decides for both; a property test covers it.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -2,6 +2,7 @@
 //! the time and the state, so that tests and experiments can drive every decision directly.
 
 pub mod admission;
+pub mod attempt;
 pub mod backend;
 pub mod budget;
 pub mod canary;
--- /dev/null
+++ b/crates/core/tests/attempt.rs
@@ -0,0 +1,54 @@
+//! Guards against a request that runs twice though it must not, and one that is refused as not run though it may have.
+
+use eelgrasswell_core::{
+    attempt::{Attempts, Limits},
+    refusal::Outcome,
+};
+use proptest::prelude::*;
+use test_case::test_case;
+
+const LIMITS: Limits = Limits { idempotent: true, max_runs: 2, max_sends: 4 };
+
+#[test_case("", true, true; "first send")]
+#[test_case("n", false, true; "refused")]
+#[test_case("r", false, false; "may have run")]
+#[test_case("r", true, true; "idempotent")]
+#[test_case("rr", true, false; "runs used up")]
+#[test_case("nnnn", true, false; "sends used up")]
+#[test_case("nr", false, false; "refused, then may have run")]
+fn allows_another_case(sends: &str, idempotent: bool, expected: bool) {
+    let mut attempts = Attempts::default();
+    for send in sends.chars() {
+        match send {
+            'r' => attempts.note_run(),
+            _ => attempts.note_not_run(),
+        }
+    }
+    assert_eq!(attempts.allows_another(Limits { idempotent, ..LIMITS }), expected);
+    assert_eq!(attempts.outcome() == Outcome::Unknown, sends.contains('r'));
+}
+
+proptest! {
+    #[test]
+    fn request_runs_within_limits(idempotent: bool, max_runs in 1_u32..5, ran in prop::collection::vec(any::<bool>(), 20)) {
+        let limits = Limits { idempotent, max_runs, max_sends: 10 };
+        let mut attempts = Attempts::default();
+        let (mut runs, mut sends) = (0, 0);
+        for ran in ran {
+            if !attempts.allows_another(limits) {
+                break;
+            }
+            sends += 1;
+            if ran {
+                runs += 1;
+                attempts.note_run();
+            } else {
+                attempts.note_not_run();
+            }
+        }
+        let most = if idempotent { max_runs } else { 1 };
+        prop_assert!(runs <= most);
+        prop_assert!(sends <= limits.max_sends);
+        prop_assert_eq!(attempts.may_have_run(), runs > 0);
+    }
+}
--- a/crates/daemon/src/filter/execute.rs
+++ b/crates/daemon/src/filter/execute.rs
@@ -4,6 +4,7 @@
 
 use bytes::Bytes;
 use eelgrasswell_core::{
+    attempt::{Attempts, Limits},
     id::{HostId, Incarnation, RequestId, Revision},
     refusal::{Outcome, Reason, Refusal},
     unit::{Cost, Millis, Tokens},
@@ -84,7 +85,7 @@
         claim,
         in_flight: None,
         tried: Vec::new(),
-        may_have_run: false,
+        attempts: Attempts::default(),
         last: None,
     };
     let result = execution.run().await;
@@ -104,8 +105,8 @@
     in_flight: Option<InFlight>,
     /// Agents that have been asked for the choice in use.
     tried: Vec<HostId>,
-    /// Whether an earlier attempt may have run.
-    may_have_run: bool,
+    /// Sends so far.
+    attempts: Attempts,
     last: Option<Failure>,
 }
 
@@ -335,6 +336,7 @@
     ) -> Result<(), Failure> {
         let reason = refusal.reason;
         let failure = Failure::from(refusal).at(id);
+        self.attempts.note_not_run();
         self.chain.memory().note_refusal(&agent.view.id, self.chain.router.clock.now());
         self.tried.push(agent.view.id.clone());
         let again = goes_elsewhere(reason) && self.chain.take_retry(reason);
@@ -398,7 +400,7 @@
             let sample = AnswerSample { error: true, first_token: None };
             self.chain.router.evidence.record(&model, &version, sample);
         }
-        self.may_have_run = true;
+        self.attempts.note_run();
         let reason = events::reason(&failed.reason);
         let failure = Failure::unknown(reason, format!("agent {} failed the request: {reason}", agent.view.id)).at(id);
         let spent = failed.bill.as_ref().map_or(Cost::ZERO, |bill| Cost(bill.cost_micros));
@@ -427,11 +429,12 @@
             }
             return self.after_refusal(agent, id, Refusal::not_run(reason), Revision(0), false).await;
         }
-        self.may_have_run = true;
+        self.attempts.note_run();
         // The lost attempt may yet be billed, so its reservation stays spent.
         self.held = None;
         let failure = Failure::unknown(reason, message).at(id);
-        if fate.is_some() || self.claim.is_some() || reason == Reason::Deadline || !self.chain.take_retry(reason) {
+        let may_go_on = fate.is_none() && reason != Reason::Deadline && self.attempts.allows_another(self.limits());
+        if !may_go_on || !self.chain.take_retry(reason) {
             return Err(failure);
         }
         self.tried.push(agent.view.id.clone());
@@ -439,6 +442,15 @@
         self.hold_anew().await
     }
 
+    /// Bounds on the sends; their number is left to the retry budget.
+    fn limits(&self) -> Limits {
+        let idempotent = match &self.call.target {
+            Target::Model(_) => true,
+            Target::Plain(target) => target.idempotent,
+        };
+        Limits { idempotent, max_runs: u32::MAX, max_sends: u32::MAX }
+    }
+
     fn can_escalate(&self) -> bool {
         self.claim.is_none() && self.level + 1 < self.plan.choices.len()
     }
@@ -468,7 +480,7 @@
     /// Settles the budget of a request that ends without an answer, and corrects the outcome when an
     /// earlier attempt may have run.
     fn close(&mut self, mut failure: Failure) -> Failure {
-        if self.may_have_run {
+        if self.attempts.may_have_run() {
             failure.refusal.outcome = Outcome::Unknown;
         }
         if let Some(held) = self.held.take() {
--- a/crates/daemon/src/gateway/execute.rs
+++ b/crates/daemon/src/gateway/execute.rs
@@ -4,6 +4,7 @@
 
 use bytes::BytesMut;
 use eelgrasswell_core::{
+    attempt::{Attempts, Limits},
     canary::VersionRule,
     escalation::Ladder,
     id::{BackendId, ModelName},
@@ -58,8 +59,7 @@
     step: usize,
     rule: VersionRule,
     tried: Vec<BackendId>,
-    runs: u32,
-    sends: u32,
+    attempts: Attempts,
 }
 
 impl Execution {
@@ -68,7 +68,7 @@
         gateway.note_request(&call.service);
         let rule = gateway.version_rule(&call);
         let ladder = Ladder::new(call.models());
-        Self { gateway, call: Arc::new(call), ladder, step: 0, rule, tried: Vec::new(), runs: 0, sends: 0 }
+        Self { gateway, call: Arc::new(call), ladder, step: 0, rule, tried: Vec::new(), attempts: Attempts::default() }
     }
 
     /// Runs the request until its answer begins.
@@ -151,13 +151,16 @@
 
     /// Whether another send is allowed; takes it from the budget.
     pub fn may_repeat(&self, purpose: Purpose) -> bool {
-        self.call.route.kind.is_idempotent()
-            && self.runs < self.call.route.max_attempts
-            && self.sends < MAX_SENDS
+        self.attempts.allows_another(self.limits())
             && self.call.remaining() > LEAST_TIME
             && self.gateway.take_repeat(&self.call.service, purpose)
     }
 
+    fn limits(&self) -> Limits {
+        let route = &self.call.route;
+        Limits { idempotent: route.kind.is_idempotent(), max_runs: route.max_attempts, max_sends: MAX_SENDS }
+    }
+
     fn log_answer(&self, answer: &Answer) {
         let call = &self.call;
         let backend = &answer.place.backend;
@@ -176,7 +179,7 @@
             version = backend.version,
             model = self.model().unwrap_or_default(),
             confidence = answer.meta.confidence.map_or_else(|| "none".into(), |rating| rating.to_string()),
-            sends = self.sends,
+            sends = self.attempts.sends(),
             config = call.site.version,
             config_age = self.gateway.mirror.age(Kind::Config, self.gateway.clock.now()).unwrap_or_default()
         );
@@ -196,17 +199,15 @@
         let result = attempt.run(&self.gateway).await;
         match &result {
             Ok(answer) => {
-                self.sends += 1;
-                self.runs += 1;
+                self.attempts.note_run();
                 self.tried.push(answer.place.backend.id.clone());
             }
             Err(Ended::Lost { backend, .. }) => {
-                self.sends += 1;
-                self.runs += 1;
+                self.attempts.note_run();
                 self.tried.push(backend.id.clone());
             }
             Err(Ended::NotRun { backend, .. }) => {
-                self.sends += 1;
+                self.attempts.note_not_run();
                 self.tried.push(backend.id.clone());
             }
             Err(Ended::Unavailable(_)) => {}
@@ -224,7 +225,9 @@
 
     /// When to stop waiting for the head of an answer.
     fn patience(&self) -> Instant {
-        let may_go_elsewhere = self.call.route.kind.is_idempotent() && self.runs + 1 < self.call.route.max_attempts;
+        let mut after_loss = self.attempts;
+        after_loss.note_run();
+        let may_go_elsewhere = after_loss.allows_another(self.limits());
         if !may_go_elsewhere {
             return self.call.deadline;
         }
@@ -259,13 +262,13 @@
     async fn after(&mut self, ended: Ended) -> Result<(), Failure> {
         event!(Info, "send_ended", request = self.call.id, error = ended);
         if self.call.remaining().is_zero() {
-            return Err(if self.runs > 0 { deadline_passed() } else { expired() });
+            return Err(if self.attempts.may_have_run() { deadline_passed() } else { expired() });
         }
         match ended {
             Ended::Unavailable(why) => self.after_unavailable(why).await,
             Ended::NotRun { .. } => {
-                let why = if self.sends >= MAX_SENDS {
-                    "each one asked has refused"
+                let why = if !self.attempts.allows_another(self.limits()) {
+                    "one has refused, and its tries are used up"
                 } else if self.call.remaining() <= LEAST_TIME {
                     "one has refused, and no time is left for another"
                 } else if !self.gateway.take_repeat(&self.call.service, Purpose::Failure) {
@@ -274,7 +277,7 @@
                     return Ok(());
                 };
                 // An earlier send may have run, so that a promise would be false.
-                Err(if self.runs > 0 { lost(why) } else { no_backend(why) })
+                Err(if self.attempts.may_have_run() { lost(why) } else { no_backend(why) })
             }
             Ended::Lost { why, .. } => {
                 if self.may_repeat(Purpose::Failure) {
@@ -293,13 +296,13 @@
                 sleep(COLD_PAUSE).await;
                 return Ok(());
             }
-            Unavailable::AllTried if !self.tried.is_empty() && self.sends < MAX_SENDS => {
+            Unavailable::AllTried if !self.tried.is_empty() && self.attempts.sends() < MAX_SENDS => {
                 self.tried.clear();
                 return Ok(());
             }
             Unavailable::Cold | Unavailable::AllTried | Unavailable::NoneInService => {}
         }
-        if self.runs > 0 {
+        if self.attempts.may_have_run() {
             return Err(lost("no other server can take the request"));
         }
         Err(no_backend(match why {
