--- a/crates/daemon/src/gateway/execute.rs
+++ b/crates/daemon/src/gateway/execute.rs
@@ -73,58 +73,49 @@
 
     /// Runs the request until its answer begins.
     pub async fn start(mut self) -> Result<Response<Body>, Failure> {
-        let mut smaller: Option<Answer> = None;
-        loop {
-            let answer = match self.attempt(None).await {
-                Ok(answer) => answer,
-                Err(ended) => {
-                    let elsewhere = smaller.is_some()
-                        && matches!(ended, Ended::NotRun { .. })
-                        && self.may_repeat(Purpose::Escalation);
-                    if elsewhere {
-                        event!(Info, "send_ended", request = self.call.id, error = ended);
-                        continue;
-                    }
-                    // An answer that is there is better than none.
-                    if let Some(answer) = smaller.take() {
-                        self.step -= 1;
-                        return self.respond(answer).await;
-                    }
-                    self.after(ended).await?;
-                    continue;
+        let answer = loop {
+            match self.attempt(None).await {
+                Ok(answer) if answer.status.is_server_error() && self.may_repeat(Purpose::Failure) => {
+                    self.log_repeat(&answer);
+                    tokio::spawn(answer.drain());
                 }
-            };
-            if answer.status.is_server_error() {
-                if let Some(answer) = smaller.take() {
-                    self.step -= 1;
+                Ok(answer) => break answer,
+                Err(ended) => self.after(ended).await?,
+            }
+        };
+        if !answer.status.is_server_error() && self.escalates(&answer) {
+            return self.escalate(answer).await;
+        }
+        self.respond(answer).await
+    }
+
+    /// Asks the larger model. The smaller one's answer is kept until the larger one's begins: an answer that is there is
+    /// better than none.
+    async fn escalate(mut self, smaller: Answer) -> Result<Response<Body>, Failure> {
+        event!(Info, "escalated", request = self.call.id, confidence = smaller.meta.confidence.unwrap_or(0));
+        self.step += 1;
+        self.tried.clear();
+        loop {
+            match self.attempt(None).await {
+                Ok(answer) if !answer.status.is_server_error() => {
+                    tokio::spawn(smaller.drain());
                     return self.respond(answer).await;
                 }
-                if self.may_repeat(Purpose::Failure) {
-                    event!(
-                        Info,
-                        "repeated",
-                        request = self.call.id,
-                        reason = "failed",
-                        status = answer.status.as_u16(),
-                        backend = answer.place.backend.id
-                    );
-                    tokio::spawn(answer.drain());
-                    continue;
+                Ok(answer) => {
+                    let error = format!("failed at {} with {}", answer.place.backend.id, answer.status);
+                    event!(Info, "send_ended", request = self.call.id, error = error);
+                    break;
+                }
+                Err(ended) => {
+                    event!(Info, "send_ended", request = self.call.id, error = ended);
+                    if !matches!(ended, Ended::NotRun { .. }) || !self.may_repeat(Purpose::Escalation) {
+                        break;
+                    }
                 }
-                return self.respond(answer).await;
-            }
-            if self.escalates(&answer) {
-                event!(Info, "escalated", request = self.call.id, confidence = answer.meta.confidence.unwrap_or(0));
-                smaller = Some(answer);
-                self.step += 1;
-                self.tried.clear();
-                continue;
-            }
-            if let Some(smaller) = smaller {
-                tokio::spawn(smaller.drain());
             }
-            return self.respond(answer).await;
         }
+        self.step -= 1;
+        self.respond(smaller).await
     }
 
     /// Goes on with a stream after the event `last_id`, at another server. None when that can't be done. The first
@@ -161,6 +152,18 @@
         Limits { idempotent: route.kind.is_idempotent(), max_runs: route.max_attempts, max_sends: MAX_SENDS }
     }
 
+    /// Logs that a failure is not passed on, since the request is repeated.
+    fn log_repeat(&self, failed: &Answer) {
+        event!(
+            Info,
+            "repeated",
+            request = self.call.id,
+            reason = "failed",
+            status = failed.status.as_u16(),
+            backend = failed.place.backend.id
+        );
+    }
+
     fn log_answer(&self, answer: &Answer) {
         let call = &self.call;
         let backend = &answer.place.backend;
