--- a/crates/daemon/src/callers/endpoint.rs
+++ b/crates/daemon/src/callers/endpoint.rs
@@ -116,7 +116,9 @@
     pub async fn serve(self, listener: TcpListener, stop: impl Future<Output = ()>) -> Instant {
         let (stage, stage_rx) = watch::channel(Stage::Serving);
         let times = self.stop;
-        let accepting = self.accept(listener, stage_rx);
+        let most = self.max_connections.min(Semaphore::MAX_PERMITS);
+        let slots = Arc::new(Semaphore::new(most));
+        let accepting = self.accept(listener, Arc::clone(&slots), stage_rx);
         let stopping = async {
             stop.await;
             let stopped_at = Instant::now();
@@ -125,7 +127,7 @@
             stage.send_replace(Stage::Closing);
             let rest = times.grace.saturating_sub(stopped_at.elapsed());
             if timeout(rest, stage.closed()).await.is_err() {
-                event!(Warn, "connections_cut", count = stage.receiver_count());
+                event!(Warn, "connections_cut", count = most - slots.available_permits());
                 stage.send_replace(Stage::Cut);
                 // What is left after this ends with the process.
                 let _ = timeout(CUT_TIME, stage.closed()).await;
@@ -136,8 +138,7 @@
     }
 
     /// Accepts connections until they are to be closed.
-    async fn accept(self, listener: TcpListener, stage: watch::Receiver<Stage>) {
-        let slots = Arc::new(Semaphore::new(self.max_connections.min(Semaphore::MAX_PERMITS)));
+    async fn accept(self, listener: TcpListener, slots: Arc<Semaphore>, stage: watch::Receiver<Stage>) {
         let mut closing = stage.clone();
         let mut closing = pin!(closing.wait_for(|stage| *stage >= Stage::Closing));
         loop {
