--- a/crates/daemon/src/gateway/follow.rs
+++ b/crates/daemon/src/gateway/follow.rs
@@ -17,7 +17,7 @@
 use tonic::transport::Channel;
 
 use super::{Gateway, State, exchange};
-use crate::{event, sync::lock};
+use crate::{event, sync::lock, telemetry};
 
 /// Number of gateways that a gateway follows.
 const FOLLOWED_GATEWAYS: usize = 2;
@@ -82,22 +82,33 @@
 /// Sends follow requests to `watcher`, one after the other, and applies the copies that it returns.
 async fn follow(gateway: Gateway, watcher: HostId, channel: Channel) {
     let mut client = FleetClient::new(channel);
+    let mut failures: u32 = 0;
     loop {
         let sent_at = gateway.clock.now();
         let request = FollowRequest { wait_ms: MAX_HOLD.0, replicas: gateway.own_replicas() };
         let limit = Instant::now() + Duration::from(MAX_HOLD) + RESPONSE_MARGIN;
-        match timeout_at(limit, client.follow(request)).await {
-            Ok(Ok(reply)) => gateway.apply_replicas(&watcher, reply.into_inner(), sent_at),
-            Ok(Err(err)) => {
-                gateway.mirror.clear_synced(&watcher);
-                event!(Debug, "follow_failed", peer = watcher, error = err.message());
-                sleep(RETRY_PAUSE).await;
-            }
-            Err(_) => {
-                gateway.mirror.clear_synced(&watcher);
-                event!(Debug, "follow_failed", peer = watcher, error = "timed out");
+        let result = timeout_at(limit, client.follow(request)).await;
+        let label = if matches!(result, Ok(Ok(_))) { "answered" } else { "failed" };
+        metrics::counter!(telemetry::FOLLOWS, "result" => label).increment(1);
+        let (error, pause) = match result {
+            Ok(Ok(reply)) => {
+                if failures > 0 {
+                    event!(Info, "follow_regained", peer = watcher, failures = failures);
+                }
+                failures = 0;
+                gateway.apply_replicas(&watcher, reply.into_inner(), sent_at);
+                continue;
             }
+            Ok(Err(err)) => (err.message().to_owned(), RETRY_PAUSE),
+            Err(_) => ("timed out".to_owned(), Duration::ZERO),
+        };
+        gateway.mirror.clear_synced(&watcher);
+        if failures == 0 {
+            let after = gateway.clock.now().saturating_sub(sent_at);
+            event!(Warn, "follow_lost", peer = watcher, after = after, error = error);
         }
+        failures += 1;
+        sleep(pause).await;
     }
 }
 
@@ -191,7 +202,7 @@
         for replica in reply.replicas {
             let Some(&kind) = Kind::ALL.get(replica.kind as usize) else { continue };
             let is_synced = replica.sound;
-            if let Err(err) = self.apply_replica(kind, replica, responded_at) {
+            if let Err(err) = self.apply_replica(watcher, kind, replica, responded_at) {
                 event!(Warn, "copy_malformed", kind = kind, peer = watcher, error = err);
                 continue;
             }
@@ -200,7 +211,13 @@
         }
     }
 
-    fn apply_replica(&self, kind: Kind, replica: Replica, responded_at: Millis) -> Result<(), serde_json::Error> {
+    fn apply_replica(
+        &self,
+        watcher: &HostId,
+        kind: Kind,
+        replica: Replica,
+        responded_at: Millis,
+    ) -> Result<(), serde_json::Error> {
         let age = Millis(replica.proof_age_ms);
         {
             let mut copy = lock(self.mirror.copy(kind));
@@ -219,7 +236,7 @@
             copy.merge(objects, &replica.names, replica.revision, replica.changed);
             copy.confirm_from_peer(replica.revision, responded_at, age);
         }
-        self.apply(kind);
+        self.apply(kind, watcher.as_str());
         Ok(())
     }
 }
--- a/crates/daemon/src/gateway/mirror.rs
+++ b/crates/daemon/src/gateway/mirror.rs
@@ -22,7 +22,7 @@
     Gateway, State,
     store::{CallError, StoreClient},
 };
-use crate::{event, sync::lock};
+use crate::{event, sync::lock, telemetry};
 
 /// Longest wait of a watch for the configuration. It bounds the age of the confirmation that keys are still valid, and
 /// the time until the gateways that follow this one learn that it can't reach the store.
@@ -34,6 +34,8 @@
 const BACKENDS_WATCH_PAUSE: Duration = Duration::from_millis(200);
 /// Interval at which a gateway checks whether a watcher still keeps its copy current.
 const SYNC_CHECK_INTERVAL: Duration = Duration::from_millis(100);
+/// Name of the store as the source of a change, in logs.
+const STORE_SOURCE: &str = "store";
 /// Base of the exponential backoff after failed calls. The longest pause is twice this after the first failure and
 /// doubles with each further one, up to the maximum for the gateway's role.
 const BACKOFF_BASE: Duration = Duration::from_millis(150);
@@ -323,7 +325,7 @@
         copy.confirmation.confirm_by_watch(sent, if changed { Millis::ZERO } else { wait });
     }
     if changed {
-        gateway.apply(kind);
+        gateway.apply(kind, STORE_SOURCE);
         gateway.mirror.notify_followers();
         if kind == Kind::Backends {
             sleep(BACKENDS_WATCH_PAUSE).await;
@@ -349,25 +351,37 @@
             copy.replace(objects, revision);
             copy.confirmation.confirm_by_read(sent);
         }
-        self.apply(kind);
+        self.apply(kind, STORE_SOURCE);
         self.mirror.notify_followers();
     }
 
-    /// Updates the state that is derived from the copy of `kind`.
-    pub fn apply(&self, kind: Kind) {
+    /// Updates the state that is derived from the copy of `kind`, which changed by data from `source`: the store, or
+    /// another gateway.
+    pub fn apply(&self, kind: Kind, source: &str) {
         match kind {
-            Kind::Config => self.apply_config(),
+            Kind::Config => self.apply_config(source),
             Kind::Backends => self.apply_backends(),
             Kind::Orders => self.apply_orders(),
             Kind::Evacuations => self.apply_evacuations(),
         }
     }
 
-    fn apply_config(&self) {
-        let object = lock(self.mirror.copy(Kind::Config)).get(CONFIG_NAME).cloned();
+    fn apply_config(&self, source: &str) {
+        let (object, age) = {
+            let copy = lock(self.mirror.copy(Kind::Config));
+            (copy.get(CONFIG_NAME).cloned(), copy.confirmation_age(self.clock.now()))
+        };
         let Some(object) = object else { return };
         match objects::decode_routing_config(&object) {
-            Ok(config) => self.adopt_config(config),
+            Ok(config) => {
+                let version = config.version;
+                if self.adopt_config(config) {
+                    let revision = object.metadata.revision;
+                    let age = age.unwrap_or_default();
+                    event!(Info, "config_adopted", config = version, revision = revision, source = source, age = age);
+                    metrics::gauge!(telemetry::CONFIG_VERSION).set(version.0 as f64);
+                }
+            }
             Err(err) => event!(Error, "config_malformed", revision = object.metadata.revision, error = err),
         }
     }
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -146,14 +146,14 @@
         self.config.read().unwrap_or_else(PoisonError::into_inner).clone()
     }
 
-    /// Puts `config` in force if its version is newer than the current one.
-    fn adopt_config(&self, config: RoutingConfig) {
+    /// Puts `config` in force if its version is newer than the current one, and returns whether it is.
+    fn adopt_config(&self, config: RoutingConfig) -> bool {
         let mut current = self.config.write().unwrap_or_else(PoisonError::into_inner);
         if current.as_ref().is_some_and(|current| current.version >= config.version) {
-            return;
+            return false;
         }
-        event!(Info, "config_adopted", config = config.version);
         *current = Some(Arc::new(config));
+        true
     }
 
     /// Number of routers among which limits are divided, including this one.
--- a/crates/daemon/src/gateway/store.rs
+++ b/crates/daemon/src/gateway/store.rs
@@ -2,7 +2,7 @@
 
 use std::{fmt, net::SocketAddr, time::Duration};
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use eelgrasswell_core::unit::Millis;
 use eelgrasswell_platform::{
     objects::{Kind, Object},
@@ -106,12 +106,14 @@
     ) -> Result<(StatusCode, Bytes), CallError> {
         // The connection is reused only after a complete response, so that a late response is not taken for that of a
         // later call.
+        let mut received = 0;
         let result = match self.acquire_conn().await {
-            Ok(conn) => {
-                timeout(limit.into(), send_request(conn, req)).await.unwrap_or_else(|_| Err("timed out".into()))
-            }
+            Ok(conn) => timeout(limit.into(), send_request(conn, req, &mut received))
+                .await
+                .unwrap_or_else(|_| Err("timed out".into())),
             Err(err) => Err(format!("could not connect to {}: {err}", self.address)),
         };
+        let result = result.map_err(|error| format!("{error} after {received} bytes"));
         let label = if result.is_ok() { "answered" } else { "lost" };
         metrics::counter!(telemetry::PLATFORM_CALLS, "kind" => name, "result" => label).increment(1);
         let (conn, status, body) = result.map_err(CallError::Lost)?;
@@ -131,9 +133,21 @@
     }
 }
 
-async fn send_request(mut conn: Conn, req: Request<Full<Bytes>>) -> Result<(Conn, StatusCode, Bytes), String> {
+/// Sends a request and reads the response. `received` is the number of bytes of the body so far, also after a failure.
+async fn send_request(
+    mut conn: Conn,
+    req: Request<Full<Bytes>>,
+    received: &mut usize,
+) -> Result<(Conn, StatusCode, Bytes), String> {
     let answer = conn.send(req).await.map_err(|err| err.to_string())?;
-    let (head, body) = answer.into_parts();
-    let body = body.collect().await.map_err(|err| error_chain(&err))?;
-    Ok((conn, head.status, body.to_bytes()))
+    let (head, mut body) = answer.into_parts();
+    let mut buf = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|err| error_chain(&err))?;
+        if let Ok(data) = frame.into_data() {
+            *received += data.len();
+            buf.extend_from_slice(&data);
+        }
+    }
+    Ok((conn, head.status, buf.freeze()))
 }
--- a/crates/daemon/src/telemetry.rs
+++ b/crates/daemon/src/telemetry.rs
@@ -25,6 +25,10 @@
 pub const COMMITS: &str = "eelgrasswell_commits_total";
 /// Exchanges with other routers, by `result`.
 pub const EXCHANGES: &str = "eelgrasswell_exchanges_total";
+/// Follow requests to other gateways, by `result`.
+pub const FOLLOWS: &str = "eelgrasswell_follows_total";
+/// Version of the configuration in force.
+pub const CONFIG_VERSION: &str = "eelgrasswell_config_version";
 /// Links that were lost because the connection broke or the agent became unresponsive.
 pub const LINKS_LOST: &str = "eelgrasswell_links_lost_total";
 /// Budget warnings, by `customer` and `percent` of the cap.
