--- a/crates/testbed/src/site/rig.rs
+++ b/crates/testbed/src/site/rig.rs
@@ -14,6 +14,7 @@
 
 use super::{backend::FakeBackend, store::FakeStore};
 use crate::{
+    fault_link::{FaultLink, LinkMode},
     http::HttpClient,
     process::{Process, Signal},
 };
@@ -32,11 +33,13 @@
     pub engines: usize,
     /// Number of servers of the plain service `desk`.
     pub desks: usize,
+    /// Delay of each 16 KiB between the store and a gateway, which makes their link narrow; none for a direct connection.
+    pub store_delay: Option<Duration>,
 }
 
 impl Default for RigPlan {
     fn default() -> Self {
-        Self { gateways: 1, engines: 2, desks: 2 }
+        Self { gateways: 1, engines: 2, desks: 2, store_delay: None }
     }
 }
 
@@ -50,6 +53,8 @@
     pub desks: Vec<FakeBackend>,
     /// Gateways, in order.
     pub gateways: Vec<GatewayProcess>,
+    /// Links between the gateways and the store, in order; empty if they connect directly.
+    pub store_links: Vec<FaultLink>,
     dir: PathBuf,
 }
 
@@ -94,6 +99,10 @@
         let dir = env::temp_dir().join(format!("eelgrasswell-rig-{}-{number}", std::process::id()));
         fs::create_dir_all(&dir).wrap_err_with(|| format!("could not create {}", dir.display()))?;
         let store = FakeStore::bind(plan.gateways).await?;
+        let store_links = match plan.store_delay {
+            Some(delay) => open_store_links(&store, plan.gateways, delay).await?,
+            None => Vec::new(),
+        };
         let engines = start_backends(&store, "chat", plan.engines).await?;
         let desks = start_backends(&store, "desk", plan.desks).await?;
         let ips: Vec<Ipv4Addr> = (0..plan.gateways).map(|n| Ipv4Addr::new(127, 0, 1, n as u8 + 1)).collect();
@@ -112,7 +121,7 @@
                 ports[2],
                 ports[3],
                 seeds.join(", "),
-                store.address(n)
+                store_links.get(n).map_or_else(|| store.address(n), FaultLink::address)
             );
             fs::write(&settings, text).wrap_err_with(|| format!("could not write {}", settings.display()))?;
             let log = dir.join(format!("{name}.log"));
@@ -130,7 +139,7 @@
                 command,
             });
         }
-        Ok(Self { store, engines, desks, gateways, dir })
+        Ok(Self { store, engines, desks, gateways, store_links, dir })
     }
 
     /// A client with the API key of a customer.
@@ -228,6 +237,16 @@
     })
 }
 
+async fn open_store_links(store: &FakeStore, gateways: usize, delay: Duration) -> Result<Vec<FaultLink>> {
+    let mut links = Vec::new();
+    for gateway in 0..gateways {
+        let link = FaultLink::open((Ipv4Addr::LOCALHOST, 0).into(), store.address(gateway)).await?;
+        link.set_mode(LinkMode::Slow(delay));
+        links.push(link);
+    }
+    Ok(links)
+}
+
 /// Starts `count` backend servers of `service` and enters them in the store.
 async fn start_backends(store: &FakeStore, service: &str, count: usize) -> Result<Vec<FakeBackend>> {
     let mut backends = Vec::new();
--- a/crates/testbed/tests/gateway.rs
+++ b/crates/testbed/tests/gateway.rs
@@ -475,7 +475,7 @@
 /// Guards against calls to the store that grow with the number of gateways.
 #[tokio::test]
 async fn few_gateways_watch_the_store() -> Result<()> {
-    let rig = Rig::start(RigPlan { gateways: 5, engines: 1, desks: 1 }).await?;
+    let rig = Rig::start(RigPlan { gateways: 5, engines: 1, desks: 1, ..RigPlan::default() }).await?;
     sleep(Duration::from_millis(2_500)).await;
     let calls = || (0..5).map(|gateway| rig.store.calls(gateway, "config")).collect::<Vec<_>>();
     let before = calls();
@@ -497,7 +497,7 @@
 /// Guards against load on an unavailable store by calls of each gateway for each kind of object.
 #[tokio::test]
 async fn unavailable_store_gets_one_call_at_a_time() -> Result<()> {
-    let rig = Rig::start(RigPlan { gateways: 3, engines: 1, desks: 1 }).await?;
+    let rig = Rig::start(RigPlan { gateways: 3, engines: 1, desks: 1, ..RigPlan::default() }).await?;
     sleep(Duration::from_millis(2_500)).await;
     rig.store.set_faults(|faults| faults.down = true);
     sleep(Duration::from_millis(1_000)).await;
@@ -524,7 +524,7 @@
 /// Guards against gateways that get no updates while the watchers that they follow can't reach the store.
 #[tokio::test]
 async fn followers_call_the_store_when_watchers_are_cut_off() -> Result<()> {
-    let rig = Rig::start(RigPlan { gateways: 4, engines: 1, desks: 1 }).await?;
+    let rig = Rig::start(RigPlan { gateways: 4, engines: 1, desks: 1, ..RigPlan::default() }).await?;
     sleep(Duration::from_millis(2_500)).await;
     let before: Vec<u64> = (0..4).map(|gateway| rig.store.calls(gateway, "config")).collect();
     sleep(Duration::from_millis(2_000)).await;
