Let large objects through narrow links, and bound the age of a watcher's copy

Cause: each call had a limit on its total time. A configuration of nearly 1 MB takes longer, the call was cut after 0.4 to 0.7 MB, and the next one began from the first byte, without end. Watchers also sent the whole object to each follower.

Change: a response must begin in time and then make progress (core/transfer.rs); followers read large objects from the store, unless their own calls fail; a watcher's copy counts as current only up to a stated age of the store's last response to it.

--- a/crates/core/src/confirmation.rs
+++ b/crates/core/src/confirmation.rs
@@ -20,6 +20,18 @@
 /// this much older than the call.
 const OTHERS_CONFIRMED_WITHIN: Millis = Millis(3_200);
 
+/// Longest time for which a gateway that follows another one may wait for a reply while nothing changes.
+pub const MAX_FOLLOW_WAIT: Millis = Millis(500);
+/// Time that responses may take in addition to the waits of a watch and of a follow request.
+const SOURCE_MARGIN: Millis = Millis(300);
+
+/// Age of the store's last response up to which a copy counts as kept current, for watches that wait `watch_wait`. It
+/// covers one wait of the watcher and one of its follower. A router whose copy is older calls the store itself, so a
+/// router that reaches the store is never behind by more than this and the time of a list.
+pub fn max_source_age(watch_wait: Millis) -> Millis {
+    watch_wait + MAX_FOLLOW_WAIT + SOURCE_MARGIN
+}
+
 /// Grace period for which backend servers that are missing from the list stay in use. It depends on the last failed
 /// call of this router to the store and on the newest confirmation of other routers.
 pub fn missing_grace_period(now: Millis, last_failure: Option<Millis>, others_confirmed: Option<Millis>) -> Millis {
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -30,4 +30,5 @@
 pub mod routing_config;
 pub mod session;
 pub mod shard;
+pub mod transfer;
 pub mod unit;
--- a/crates/daemon/src/gateway/follow.rs
+++ b/crates/daemon/src/gateway/follow.rs
@@ -7,7 +7,14 @@
 
 use std::time::Duration;
 
-use eelgrasswell_core::{fleet::Member, hash::stable_hash, id::HostId, unit::Millis};
+use eelgrasswell_core::{
+    confirmation::{self, MAX_FOLLOW_WAIT},
+    fleet::Member,
+    hash::stable_hash,
+    id::HostId,
+    transfer,
+    unit::{Bytes, Millis},
+};
 use eelgrasswell_platform::objects::{Kind, Object};
 use eelgrasswell_proto::v1::{FollowReply, FollowRequest, Replica, fleet_client::FleetClient};
 use tokio::{
@@ -16,18 +23,18 @@
 };
 use tonic::transport::Channel;
 
-use super::{Gateway, State, exchange};
+use super::{Gateway, State, exchange, mirror};
 use crate::{event, sync::lock, telemetry};
 
 /// Number of gateways that a gateway follows.
 const FOLLOWED_GATEWAYS: usize = 2;
-/// Maximum time for which a gateway delays its response to a follow request while nothing changes.
-const MAX_HOLD: Millis = Millis(500);
-/// Time allowed for a response in addition to `MAX_HOLD`.
+/// Time allowed for a response in addition to `MAX_FOLLOW_WAIT`.
 const RESPONSE_MARGIN: Duration = Duration::from_millis(350);
+/// The same for a response with large objects, which a gateway requests that can't read them from the store.
+const LARGE_RESPONSE_MARGIN: Duration = Duration::from_secs(8);
 /// Time after a response of a watcher that reaches the store for which a gateway makes no calls to the store itself.
 const SYNC_VALID_FOR: Millis = Millis(950);
-/// Pause after an error from a watcher.
+/// Pause after an error from a watcher, and after a reply that leaves large objects to the store.
 const RETRY_PAUSE: Duration = Duration::from_millis(150);
 /// Interval at which the watchers to follow are chosen again.
 const CHOICE_INTERVAL: Duration = Duration::from_millis(200);
@@ -36,14 +43,14 @@
 /// copies.
 pub async fn handle_request(gateway: &Gateway, request: &FollowRequest) -> FollowReply {
     let received_at = Instant::now();
-    let until = received_at + Duration::from(Millis(request.wait_ms).min(MAX_HOLD));
+    let until = received_at + Duration::from(Millis(request.wait_ms).min(MAX_FOLLOW_WAIT));
     let mut changes = gateway.mirror.subscribe();
     let health = |replicas: &[Replica]| replicas.iter().map(|replica| replica.sound).collect::<Vec<_>>();
     let mut initial_health = None;
     loop {
         changes.borrow_and_update();
         let replicas = gateway.replicas_for(request);
-        let has_objects = replicas.iter().any(|replica| !replica.objects.is_empty());
+        let has_objects = replicas.iter().any(|replica| !replica.objects.is_empty() || replica.left_to_store);
         let has_changed = has_objects || *initial_health.get_or_insert_with(|| health(&replicas)) != health(&replicas);
         if has_changed || Instant::now() >= until {
             return FollowReply { held_ms: Millis::from(received_at.elapsed()).0, replicas };
@@ -85,8 +92,10 @@
     let mut failures: u32 = 0;
     loop {
         let sent_at = gateway.clock.now();
-        let request = FollowRequest { wait_ms: MAX_HOLD.0, replicas: gateway.own_replicas() };
-        let limit = Instant::now() + Duration::from(MAX_HOLD) + RESPONSE_MARGIN;
+        let needs_large = gateway.mirror.store_calls_fail();
+        let request = FollowRequest { wait_ms: MAX_FOLLOW_WAIT.0, replicas: gateway.own_replicas(), needs_large };
+        let margin = if needs_large { LARGE_RESPONSE_MARGIN } else { RESPONSE_MARGIN };
+        let limit = Instant::now() + Duration::from(MAX_FOLLOW_WAIT) + margin;
         let result = timeout_at(limit, client.follow(request)).await;
         let label = if matches!(result, Ok(Ok(_))) { "answered" } else { "failed" };
         metrics::counter!(telemetry::FOLLOWS, "result" => label).increment(1);
@@ -96,7 +105,9 @@
                     event!(Info, "follow_regained", peer = watcher, failures = failures);
                 }
                 failures = 0;
-                gateway.apply_replicas(&watcher, reply.into_inner(), sent_at);
+                if gateway.apply_replicas(&watcher, reply.into_inner(), sent_at) {
+                    sleep(RETRY_PAUSE).await;
+                }
                 continue;
             }
             Ok(Err(err)) => (err.message().to_owned(), RETRY_PAUSE),
@@ -167,48 +178,69 @@
     fn replicas_for(&self, request: &FollowRequest) -> Vec<Replica> {
         let now = self.clock.now();
         let known_by_follower = |kind: Kind| request.replicas.iter().find(|other| other.kind == kind.index() as u32);
-        Kind::ALL.iter().filter_map(|&kind| self.replica_for(kind, known_by_follower(kind), now)).collect()
+        let replica = |&kind: &Kind| self.replica_for(kind, known_by_follower(kind), request.needs_large, now);
+        Kind::ALL.iter().filter_map(replica).collect()
     }
 
-    fn replica_for(&self, kind: Kind, known: Option<&Replica>, now: Millis) -> Option<Replica> {
+    fn replica_for(&self, kind: Kind, known: Option<&Replica>, needs_large: bool, now: Millis) -> Option<Replica> {
         let reaches_store = self.mirror.reaches_store();
-        let copy = lock(self.mirror.copy(kind));
+        let mut copy = lock(self.mirror.copy(kind));
+        let source_age = copy.store_response_age(now).unwrap_or(now);
+        let is_current = source_age < confirmation::max_source_age(mirror::watch_wait(kind));
         let mut replica = Replica {
             kind: kind.index() as u32,
             revision: copy.revision()?,
             changed: copy.changed_revision(),
             proof_age_ms: copy.confirmation_age(now)?.0,
-            sound: reaches_store && copy.is_synced_from_store(),
+            sound: reaches_store && copy.is_synced_from_store() && is_current,
+            source_age_ms: source_age.0,
             ..Replica::default()
         };
         let known_revision = known.map_or(0, |known| known.changed);
         if known_revision >= copy.changed_revision() {
             return Some(replica);
         }
-        let changed: Vec<&Object> = copy.objects().filter(|object| object.metadata.revision > known_revision).collect();
-        match serde_json::to_vec(&changed) {
-            Ok(bytes) => {
-                replica.objects = bytes.into();
-                replica.names = copy.objects().map(|object| object.metadata.name.to_string()).collect();
+        let encoded = match copy.lacking_since(known_revision) {
+            Ok(encoded) => encoded,
+            Err(err) => {
+                event!(Error, "copy_not_encoded", kind = kind, error = err);
+                return Some(replica);
             }
-            Err(err) => event!(Error, "copy_not_encoded", kind = kind, error = err),
+        };
+        let size = Bytes(encoded.json.len() as u64);
+        if !needs_large && transfer::is_left_to_store(size, encoded.count, copy.objects().count()) {
+            replica.left_to_store = true;
+            return Some(replica);
         }
+        replica.objects = encoded.json;
+        replica.names = copy.objects().map(|object| object.metadata.name.to_string()).collect();
         Some(replica)
     }
 
-    fn apply_replicas(&self, watcher: &HostId, reply: FollowReply, sent_at: Millis) {
+    /// Applies a watcher's reply. Returns whether it left objects to the store that this gateway lacks.
+    fn apply_replicas(&self, watcher: &HostId, reply: FollowReply, sent_at: Millis) -> bool {
         // The earliest time at which the watcher can have responded.
         let responded_at = sent_at + Millis(reply.held_ms);
+        let mut lacks_objects = false;
         for replica in reply.replicas {
             let Some(&kind) = Kind::ALL.get(replica.kind as usize) else { continue };
-            let is_synced = replica.sound;
+            let source_at = responded_at.saturating_sub(Millis(replica.source_age_ms));
+            let lacks = replica.left_to_store && lock(self.mirror.copy(kind)).changed_revision() < replica.changed;
+            let is_synced = replica.sound && !lacks;
+            if lacks {
+                event!(Info, "copy_left_to_store", kind = kind, peer = watcher, revision = replica.changed);
+                metrics::counter!(telemetry::COPIES_LEFT_TO_STORE).increment(1);
+                lacks_objects = true;
+            }
             if let Err(err) = self.apply_replica(watcher, kind, replica, responded_at) {
                 event!(Warn, "copy_malformed", kind = kind, peer = watcher, error = err);
                 continue;
             }
-            let until = if is_synced { self.clock.now() + SYNC_VALID_FOR } else { Millis::ZERO };
+            let by_source = source_at + confirmation::max_source_age(mirror::watch_wait(kind));
+            let until = if is_synced { by_source.min(self.clock.now() + SYNC_VALID_FOR) } else { Millis::ZERO };
             self.mirror.set_synced_until(watcher, kind, until);
         }
+        lacks_objects
     }
 
     fn apply_replica(
--- a/crates/daemon/src/gateway/mirror.rs
+++ b/crates/daemon/src/gateway/mirror.rs
@@ -3,6 +3,7 @@
 
 use std::{collections::BTreeMap, sync::Mutex, time::Duration};
 
+use bytes::Bytes;
 use compact_str::CompactString;
 use eelgrasswell_core::{
     canary::{Canary, Order},
@@ -70,6 +71,10 @@
     /// Revision of the store at which the copy last changed.
     changed_revision: u64,
     confirmation: Confirmation,
+    /// Time for which the store's last response to this gateway showed the copy to be current.
+    store_response: Confirmation,
+    /// The last answer of `lacking_since`, for followers that lack the same objects.
+    encoded: Option<EncodedObjects>,
     /// Whether this gateway's last call to the store for this kind failed.
     store_calls_fail: bool,
     /// Whether the copy is kept current by this gateway's own calls to the store, not by a watcher.
@@ -80,6 +85,19 @@
     peer_confirmed_at: Option<Millis>,
 }
 
+/// Objects in the form in which followers get them.
+#[derive(Clone)]
+pub struct EncodedObjects {
+    /// Revision after which the objects have changed.
+    since: u64,
+    /// Revision at which the copy last changed when they were encoded.
+    changed_revision: u64,
+    /// Number of objects.
+    pub count: usize,
+    /// The objects as JSON.
+    pub json: Bytes,
+}
+
 impl Mirror {
     /// The copy of the objects of `kind`.
     pub fn copy(&self, kind: Kind) -> &Mutex<ObjectCopy> {
@@ -154,6 +172,11 @@
         lock(self.copy(Kind::Config)).is_synced_from_store()
     }
 
+    /// Whether this gateway's last call to the store for the configuration failed.
+    pub fn store_calls_fail(&self) -> bool {
+        lock(self.copy(Kind::Config)).store_calls_fail
+    }
+
     /// Whether a followed watcher keeps the copy of `kind` current.
     fn is_synced_by_watcher(&self, kind: Kind, now: Millis) -> bool {
         lock(&self.synced_until).values().any(|until| now < until[kind.index()])
@@ -196,6 +219,26 @@
         self.changed_revision
     }
 
+    /// Time since the store's last response to this gateway's calls for the copy; none before the first.
+    pub fn store_response_age(&self, now: Millis) -> Option<Millis> {
+        self.store_response.age(now)
+    }
+
+    /// The objects that have changed after `since`, encoded.
+    pub fn lacking_since(&mut self, since: u64) -> Result<EncodedObjects, serde_json::Error> {
+        let changed_revision = self.changed_revision;
+        if let Some(encoded) = &self.encoded
+            && (encoded.since, encoded.changed_revision) == (since, changed_revision)
+        {
+            return Ok(encoded.clone());
+        }
+        let objects: Vec<&Object> = self.objects.values().filter(|object| object.metadata.revision > since).collect();
+        let (count, json) = (objects.len(), serde_json::to_vec(&objects)?.into());
+        let encoded = EncodedObjects { since, changed_revision, count, json };
+        self.encoded = Some(encoded.clone());
+        Ok(encoded)
+    }
+
     /// Whether this gateway's own calls keep the copy current.
     pub fn is_synced_from_store(&self) -> bool {
         self.source_is_store && !self.store_calls_fail
@@ -315,14 +358,15 @@
         gateway.apply_list(kind, objects, revision, sent);
         return Ok(());
     };
-    let wait = if kind == Kind::Config { CONFIG_WATCH_WAIT } else { WATCH_WAIT };
-    let changes = client.watch(kind, revision, wait).await?;
+    let wait = watch_wait(kind);
+    let (changes, began_at) = client.watch(kind, revision, wait).await?;
     let changed = !changes.events.is_empty();
     let copy = gateway.mirror.copy(kind);
     {
         let mut copy = lock(copy);
         copy.apply_changes(changes.events, changes.revision);
         copy.confirmation.confirm_by_watch(sent, if changed { Millis::ZERO } else { wait });
+        copy.store_response.confirm_at(began_at);
     }
     if changed {
         gateway.apply(kind, STORE_SOURCE);
@@ -334,6 +378,11 @@
     Ok(())
 }
 
+/// Longest wait of a watch for `kind`.
+pub fn watch_wait(kind: Kind) -> Millis {
+    if kind == Kind::Config { CONFIG_WATCH_WAIT } else { WATCH_WAIT }
+}
+
 fn backoff(failures: u32, is_watcher: bool) -> Duration {
     let max = if is_watcher { WATCHER_BACKOFF_MAX } else { FOLLOWER_BACKOFF_MAX };
     let limit = (BACKOFF_BASE * (1 << failures.min(4))).min(max);
@@ -350,6 +399,7 @@
             }
             copy.replace(objects, revision);
             copy.confirmation.confirm_by_read(sent);
+            copy.store_response.confirm_at(sent);
         }
         self.apply(kind, STORE_SOURCE);
         self.mirror.notify_followers();
--- a/crates/daemon/src/gateway/store.rs
+++ b/crates/daemon/src/gateway/store.rs
@@ -3,7 +3,7 @@
 use std::{fmt, net::SocketAddr, time::Duration};
 
 use bytes::{Bytes, BytesMut};
-use eelgrasswell_core::unit::Millis;
+use eelgrasswell_core::{transfer::Transfer, unit::Millis};
 use eelgrasswell_platform::{
     objects::{Kind, Object},
     store::{self, Changes, StoreError},
@@ -13,11 +13,11 @@
 use tokio::time::timeout;
 
 use super::net::{Conn, error_chain};
-use crate::telemetry;
+use crate::{clock::BootClock, telemetry};
 
 /// Timeout for connecting to the store.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(600);
-/// Time allowed for a response, in addition to the time that a watch waits.
+/// Time within which a response must begin, in addition to the time that a watch waits.
 const RESPONSE_TIMEOUT: Millis = Millis(900);
 /// The same for watches of the configuration, which detect an unreachable store.
 const CONFIG_WATCH_TIMEOUT: Millis = Millis(500);
@@ -28,6 +28,14 @@
     conn: Option<Conn>,
 }
 
+/// A complete response of the store.
+struct Response {
+    status: StatusCode,
+    body: Bytes,
+    /// Time at which the response began, which is when the store had read the objects.
+    began_at: Millis,
+}
+
 /// Why a call failed.
 #[derive(Debug)]
 pub enum CallError {
@@ -66,9 +74,8 @@
         let mut revision = None;
         loop {
             let after = objects.last().map(|object: &Object| object.metadata.name.clone());
-            let (status, body) =
-                self.call("list", store::list_request(kind, after.as_deref()), RESPONSE_TIMEOUT).await?;
-            let page = store::parse_page(status, &body)?;
+            let response = self.call("list", store::list_request(kind, after.as_deref()), RESPONSE_TIMEOUT).await?;
+            let page = store::parse_page(response.status, &response.body)?;
             // A watch from the revision of the first page also returns changes that were made between two pages.
             let first = *revision.get_or_insert(page.revision);
             let more = page.has_more && !page.items.is_empty();
@@ -79,11 +86,11 @@
         }
     }
 
-    /// Waits up to `wait` for changes of a kind after `revision`.
-    pub async fn watch(&mut self, kind: Kind, revision: u64, wait: Millis) -> Result<Changes, CallError> {
+    /// Waits up to `wait` for changes of a kind after `revision`. Also returns the time at which the response began.
+    pub async fn watch(&mut self, kind: Kind, revision: u64, wait: Millis) -> Result<(Changes, Millis), CallError> {
         let limit = if kind == Kind::Config { CONFIG_WATCH_TIMEOUT } else { RESPONSE_TIMEOUT };
-        let (status, body) = self.call("watch", store::watch_request(kind, revision, wait), wait + limit).await?;
-        Ok(store::parse_changes(status, &body)?)
+        let response = self.call("watch", store::watch_request(kind, revision, wait), wait + limit).await?;
+        Ok((store::parse_changes(response.status, &response.body)?, response.began_at))
     }
 
     /// Replaces the status of an object if it still has the revision of `object`.
@@ -94,8 +101,8 @@
         value: &serde_json::Value,
     ) -> Result<Object, CallError> {
         let req = store::put_status_request(kind, &object.metadata.name, object.metadata.revision, value);
-        let (status, body) = self.call("put_status", req, RESPONSE_TIMEOUT).await?;
-        Ok(store::parse_object(status, &body)?)
+        let response = self.call("put_status", req, RESPONSE_TIMEOUT).await?;
+        Ok(store::parse_object(response.status, &response.body)?)
     }
 
     async fn call(
@@ -103,22 +110,18 @@
         name: &'static str,
         req: Request<Full<Bytes>>,
         limit: Millis,
-    ) -> Result<(StatusCode, Bytes), CallError> {
+    ) -> Result<Response, CallError> {
         // The connection is reused only after a complete response, so that a late response is not taken for that of a
         // later call.
-        let mut received = 0;
         let result = match self.acquire_conn().await {
-            Ok(conn) => timeout(limit.into(), send_request(conn, req, &mut received))
-                .await
-                .unwrap_or_else(|_| Err("timed out".into())),
+            Ok(conn) => send_request(conn, req, limit).await,
             Err(err) => Err(format!("could not connect to {}: {err}", self.address)),
         };
-        let result = result.map_err(|error| format!("{error} after {received} bytes"));
         let label = if result.is_ok() { "answered" } else { "lost" };
         metrics::counter!(telemetry::PLATFORM_CALLS, "kind" => name, "result" => label).increment(1);
-        let (conn, status, body) = result.map_err(CallError::Lost)?;
+        let (conn, response) = result.map_err(CallError::Lost)?;
         self.conn = Some(conn);
-        Ok((status, body))
+        Ok(response)
     }
 
     /// Returns the open connection, or a new one if it was closed.
@@ -133,21 +136,23 @@
     }
 }
 
-/// Sends a request and reads the response. `received` is the number of bytes of the body so far, also after a failure.
-async fn send_request(
-    mut conn: Conn,
-    req: Request<Full<Bytes>>,
-    received: &mut usize,
-) -> Result<(Conn, StatusCode, Bytes), String> {
-    let answer = conn.send(req).await.map_err(|err| err.to_string())?;
-    let (head, mut body) = answer.into_parts();
+/// Sends a request and reads the response, which must begin within `limit` and then make progress.
+async fn send_request(mut conn: Conn, req: Request<Full<Bytes>>, limit: Millis) -> Result<(Conn, Response), String> {
+    let clock = BootClock;
+    let mut transfer = Transfer::start(clock.now(), limit);
+    let answer = timeout(limit.into(), conn.send(req)).await.map_err(|_| "timed out".to_owned())?;
+    let (head, mut body) = answer.map_err(|err| err.to_string())?.into_parts();
+    let began_at = clock.now();
     let mut buf = BytesMut::new();
-    while let Some(frame) = body.frame().await {
-        let frame = frame.map_err(|err| error_chain(&err))?;
-        if let Ok(data) = frame.into_data() {
-            *received += data.len();
+    loop {
+        let rest = transfer.deadline().saturating_sub(clock.now());
+        let cut = |error: String| format!("{error} after {} bytes", transfer.received());
+        let frame = timeout(rest.into(), body.frame()).await.map_err(|_| cut("timed out".into()))?;
+        let Some(frame) = frame else { break };
+        if let Ok(data) = frame.map_err(|err| cut(error_chain(&err)))?.into_data() {
+            transfer.record(clock.now(), eelgrasswell_core::unit::Bytes(data.len() as u64));
             buf.extend_from_slice(&data);
         }
     }
-    Ok((conn, head.status, buf.freeze()))
+    Ok((conn, Response { status: head.status, body: buf.freeze(), began_at }))
 }
--- a/crates/daemon/src/telemetry.rs
+++ b/crates/daemon/src/telemetry.rs
@@ -27,6 +27,8 @@
 pub const EXCHANGES: &str = "eelgrasswell_exchanges_total";
 /// Follow requests to other gateways, by `result`.
 pub const FOLLOWS: &str = "eelgrasswell_follows_total";
+/// Replies of followed gateways that left large objects to the store.
+pub const COPIES_LEFT_TO_STORE: &str = "eelgrasswell_copies_left_to_store_total";
 /// Version of the configuration in force.
 pub const CONFIG_VERSION: &str = "eelgrasswell_config_version";
 /// Links that were lost because the connection broke or the agent became unresponsive.
--- a/crates/testbed/examples/demo_gateway.rs
+++ b/crates/testbed/examples/demo_gateway.rs
@@ -23,7 +23,7 @@
 }
 
 async fn run() -> Result<()> {
-    let rig = Rig::start(RigPlan { gateways: 2, engines: 3, desks: 2 }).await?;
+    let rig = Rig::start(RigPlan { gateways: 2, engines: 3, desks: 2, ..RigPlan::default() }).await?;
     println!("started a store, 3 model engines, 2 desk servers and 2 gateways");
     check_stream(&rig).await?;
     check_booking(&rig).await?;
