--- a/crates/testbed/src/site/backend.rs
+++ b/crates/testbed/src/site/backend.rs
@@ -37,6 +37,8 @@
     pub pause: Duration,
     /// Cuts the stream in the middle of this event, counted from 1.
     pub cut_in_event: Option<usize>,
+    /// Breaks off the first event of each answer to a prompt with this part, as a server does that crashes.
+    pub crashes_on_part: Option<String>,
     /// Answers with 500.
     pub fails: bool,
     /// Refuses requests without running them.
@@ -60,6 +62,7 @@
             events: 5,
             pause: Duration::from_millis(5),
             cut_in_event: None,
+            crashes_on_part: None,
             fails: false,
             refuses: false,
             drops_response: false,
@@ -186,7 +189,7 @@
 }
 
 async fn handle_request(state: Arc<State>, req: Request<Incoming>) -> Result<Response<Body>, Report> {
-    let behaviour = state.behaviour.lock().unwrap_or_else(PoisonError::into_inner).clone();
+    let mut behaviour = state.behaviour.lock().unwrap_or_else(PoisonError::into_inner).clone();
     let (head, body) = req.into_parts();
     let run = Run {
         id: header_text(&head.headers, "x-attempt-id"),
@@ -218,6 +221,9 @@
     if model.is_empty() {
         return Ok(response(StatusCode::OK, &fields, &format!("done by {}", state.id)));
     }
+    if behaviour.crashes_on_part.as_ref().is_some_and(|part| run.header("x-prompt-prefix").contains(part.as_str())) {
+        behaviour.cut_in_event = Some(1);
+    }
     let first = header_text(&run.headers, "last-event-id").parse().map_or(1, |last: usize| last + 1);
     let mut response = response(StatusCode::OK, &fields, "");
     *response.body_mut() = event_stream(behaviour, first, model, OpenStream::new(Arc::clone(&state)));
