Refuse prompts with a part that crashes servers

Cause: a broken answer counted against the server alone, and the request was resumed at the next one. Nothing pooled what the servers had been asked.

Change: gateways pool which parts of prompts were in answers that broke off at their start, and which succeeded (core/crash_evidence.rs), in the exchange that they have. A part with crashes of several servers and requests, no success and no better explanation is blocked everywhere; requests with it get a true 503 at once; single probes at growing intervals free it.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod cascade;
 pub mod claim;
 pub mod confirmation;
+pub mod crash_evidence;
 pub mod escalation;
 pub mod event_stream;
 pub mod fleet;
--- a/crates/core/src/refusal.rs
+++ b/crates/core/src/refusal.rs
@@ -94,6 +94,8 @@
 }
 
 reasons! {
+    /// Requests with a part of this request's prompt crash the backend servers that answer them.
+    CrashesServers = "crashes_servers", 503;
     /// The API key belongs to no customer.
     Unauthenticated = "unauthenticated", 401;
     /// The request could not be parsed.
--- a/crates/daemon/src/gateway/attempt.rs
+++ b/crates/daemon/src/gateway/attempt.rs
@@ -8,6 +8,7 @@
 use eelgrasswell_core::{
     backend::Backend,
     canary::VersionRule,
+    crash_evidence::{Block, PartId},
     id::{BackendId, ModelName, RequestId},
     pool::{Cost, Outcome, Requirements, SendId, Unavailable},
     unit::Millis,
@@ -85,6 +86,9 @@
     send: SendId,
     cost: Cost,
     id: RequestId,
+    shared_parts: Arc<[PartId]>,
+    /// When the answer began.
+    answered_at: Option<Instant>,
     conn: Option<Conn>,
 }
 
@@ -93,6 +97,8 @@
 pub enum SendFailure {
     /// No backend server could be chosen.
     Unavailable(Unavailable),
+    /// The request was not sent because a part of its prompt crashes servers.
+    Blocked(Block),
     /// The request did not run.
     NotRun { backend: Arc<Backend>, why: String },
     /// The request may have run.
@@ -103,6 +109,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::Unavailable(why) => write!(f, "no server: {why:?}"),
+            Self::Blocked(block) => write!(f, "not sent: a part of the prompt crashed {} servers", block.servers),
             Self::NotRun { backend, why } => write!(f, "not run at {}: {why}", backend.id),
             Self::Lost { backend, why } => write!(f, "lost at {}: {why}", backend.id),
         }
@@ -112,6 +119,9 @@
 impl Attempt<'_> {
     /// Chooses a server, sends the request and waits for the head of the answer.
     pub async fn run(&self, gateway: &Gateway) -> Result<Answer, SendFailure> {
+        if let Some(block) = gateway.find_block(&self.call.id, &self.call.shared_parts) {
+            return Err(SendFailure::Blocked(block));
+        }
         let mut guard = self.choose_backend(gateway).map_err(SendFailure::Unavailable)?;
         let backend = Arc::clone(&guard.backend);
         let started = Instant::now();
@@ -134,7 +144,10 @@
                 gateway.record_outcome(&backend, Outcome::Unreachable);
                 return Err(SendFailure::NotRun { backend, why });
             }
-            Ok(Err(SendError::Lost(why))) => return Err(self.fail_as_lost(gateway, backend, None, why)),
+            Ok(Err(SendError::Lost(why))) => {
+                gateway.record_crash(&backend, &self.call.id, &self.call.shared_parts, Millis::ZERO);
+                return Err(self.fail_as_lost(gateway, backend, None, why));
+            }
             Err(_) => {
                 return Err(self.fail_as_lost(gateway, backend, Some(SampleOutcome::TimedOut), "it is silent".into()));
             }
@@ -171,7 +184,16 @@
             chosen => chosen,
         };
         let (backend, send) = chosen?;
-        Ok(SendGuard { gateway: gateway.clone(), backend, send, cost, id: call.id.clone(), conn: None })
+        Ok(SendGuard {
+            gateway: gateway.clone(),
+            backend,
+            send,
+            cost,
+            id: call.id.clone(),
+            shared_parts: Arc::clone(&call.shared_parts),
+            answered_at: None,
+            conn: None,
+        })
     }
 
     /// Load that the request puts on a server, in units of one small request.
@@ -226,11 +248,12 @@
     fn classify_response(
         &self,
         gateway: &Gateway,
-        guard: SendGuard,
+        mut guard: SendGuard,
         response: Response<Incoming>,
         started: Instant,
     ) -> Result<Answer, SendFailure> {
         let (head, body) = response.into_parts();
+        guard.answered_at = Some(Instant::now());
         let meta = response::parse(head.status, &head.headers);
         let backend = Arc::clone(&guard.backend);
         lock(&gateway.pool).record_response(&backend, guard.send);
@@ -309,6 +332,9 @@
 impl Answer {
     /// Ends the answer after its last byte has been read and makes its connection available to other requests.
     pub fn finish(self) {
+        if self.status.is_success() {
+            self.guard.gateway.record_completion(&self.guard.shared_parts);
+        }
         self.guard.return_connection(&self.meta);
     }
 
@@ -317,6 +343,7 @@
         let read_rest = async {
             while let Some(frame) = self.body.frame().await {
                 if frame.is_err() {
+                    self.guard.record_crash();
                     return false;
                 }
             }
@@ -330,6 +357,12 @@
 }
 
 impl SendGuard {
+    /// Records that the answer broke off.
+    pub fn record_crash(&self) {
+        let answering = self.answered_at.map_or(Millis::ZERO, |at| at.elapsed().into());
+        self.gateway.record_crash(&self.backend, &self.id, &self.shared_parts, answering);
+    }
+
     fn return_connection(mut self, meta: &ResponseMeta) {
         if let Some(conn) = self.conn.take().filter(|_| !meta.closes_connection) {
             self.gateway.connections.release(&self.backend, &self.id, conn, meta.idle_timeout);
--- a/crates/daemon/src/gateway/exchange.rs
+++ b/crates/daemon/src/gateway/exchange.rs
@@ -145,7 +145,7 @@
             alive.sample(&mut rand::rng(), MAX_MEMBERS_SENT).map(|alive| member(alive)).collect()
         };
         let loads = lock(&self.pool).own_loads().map(load).collect();
-        FleetState {
+        let mut state = FleetState {
             id: self.settings.id.to_string(),
             address: self.settings.exchange.to_string(),
             incarnation: self.incarnation.0,
@@ -155,7 +155,10 @@
             loads,
             counters: self.counters(),
             orders: self.order_progress(now),
-        }
+            ..FleetState::default()
+        };
+        self.add_crash_evidence(&mut state);
+        state
     }
 
     /// Counters of the services with a rollout in progress.
@@ -209,6 +212,7 @@
         state.counters.iter().for_each(|counters| self.record_counters(counters));
         self.record_orders(state, now);
         self.record_loads(state, now);
+        self.record_crash_evidence(state);
     }
 
     fn record_counters(&self, received: &FleetCounters) {
--- a/crates/daemon/src/gateway/execute.rs
+++ b/crates/daemon/src/gateway/execute.rs
@@ -6,6 +6,7 @@
 use eelgrasswell_core::{
     attempt::{AttemptLimits, Attempts},
     canary::VersionRule,
+    crash_evidence::Block,
     escalation::EscalationSteps,
     id::{BackendId, ModelName},
     latency,
@@ -47,6 +48,8 @@
 const COLD_RETRY_INTERVAL: Duration = Duration::from_millis(40);
 /// `Retry-After` when no server can take the request.
 const NO_BACKEND_RETRY_AFTER: Millis = Millis(400);
+/// `Retry-After` for requests with a part that crashes servers. A part seldom becomes harmless within seconds.
+const BLOCKED_RETRY_AFTER: Millis = Millis(30_000);
 /// Maximum size of an answer that is buffered whole before it is passed on, in bytes.
 const MAX_BUFFERED_BYTES: usize = 1 << 20;
 
@@ -142,8 +145,10 @@
                 }
                 Err(failure) => {
                     event!(Info, "resume_failed", request = self.call.id, error = failure);
-                    if matches!(failure, SendFailure::Unavailable(_)) {
-                        sleep(COLD_RETRY_INTERVAL).await;
+                    match failure {
+                        SendFailure::Blocked(_) => return None,
+                        SendFailure::Unavailable(_) => sleep(COLD_RETRY_INTERVAL).await,
+                        SendFailure::NotRun { .. } | SendFailure::Lost { .. } => {}
                     }
                 }
             }
@@ -225,7 +230,7 @@
                 self.attempts.record_not_run();
                 self.tried.push(backend.id.clone());
             }
-            Err(SendFailure::Unavailable(_)) => {}
+            Err(SendFailure::Unavailable(_) | SendFailure::Blocked(_)) => {}
         }
         result
     }
@@ -286,6 +291,10 @@
         }
         match failure {
             SendFailure::Unavailable(why) => self.handle_unavailable(why).await,
+            SendFailure::Blocked(block) if self.attempts.may_have_run() => {
+                Err(lost_failure(&format!("it crashed, as {} servers did on a part of the prompt", block.servers)))
+            }
+            SendFailure::Blocked(block) => Err(blocked_failure(block)),
             SendFailure::NotRun { .. } => {
                 let why = if !self.attempts.allows_another(self.limits()) {
                     "one has refused, and its tries are used up"
@@ -410,6 +419,12 @@
     Failure::not_run(Reason::NoBackend, message).retry_after(NO_BACKEND_RETRY_AFTER)
 }
 
+/// Failure for a request that is not sent because a part of its prompt crashes servers.
+fn blocked_failure(block: Block) -> Failure {
+    let message = format!("{} servers have crashed on requests with a part of this prompt", block.servers);
+    Failure::not_run(Reason::CrashesServers, message).retry_after(BLOCKED_RETRY_AFTER)
+}
+
 fn response(status: StatusCode, headers: HeaderMap, body: Body) -> Response<Body> {
     let mut response = Response::new(body);
     *response.status_mut() = status;
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -4,6 +4,7 @@
 mod attempt;
 mod callers;
 mod connections;
+mod crashes;
 mod exchange;
 mod execute;
 mod follow;
@@ -24,6 +25,7 @@
 
 use eelgrasswell_core::{
     canary::Canary,
+    crash_evidence::CrashEvidence,
     fleet::Fleet,
     hash::HashMap,
     id::{Incarnation, ServiceName},
@@ -73,6 +75,7 @@
     mirror: Mirror,
     fleet: Mutex<Fleet>,
     peer_reports: Mutex<exchange::PeerReports>,
+    crash_evidence: Mutex<CrashEvidence>,
     connections: IdleConnections,
 }
 
@@ -126,6 +129,7 @@
             mirror: Mirror::default(),
             fleet: Mutex::default(),
             peer_reports: Mutex::default(),
+            crash_evidence: Mutex::default(),
             connections: IdleConnections::default(),
         }))
     }
--- a/crates/daemon/src/gateway/relay.rs
+++ b/crates/daemon/src/gateway/relay.rs
@@ -136,14 +136,20 @@
                     None if self.splitter.is_overlong() => "an event is too long".into(),
                     None => continue,
                 },
-                ReadOutcome::End if self.splitter.is_inside_event() => "it ended inside an event".into(),
+                ReadOutcome::End if self.splitter.is_inside_event() => {
+                    self.record_crash();
+                    "it ended inside an event".into()
+                }
                 ReadOutcome::End => {
                     if let Some(answer) = self.answer.take() {
                         answer.finish();
                     }
                     return Ok(None);
                 }
-                ReadOutcome::Broken(why) => why,
+                ReadOutcome::Broken(why) => {
+                    self.record_crash();
+                    why
+                }
                 ReadOutcome::Stalled if self.execution.try_acquire_repeat(Purpose::Failure) => {
                     repeat_acquired = true;
                     "it stalled".into()
@@ -169,6 +175,12 @@
         }
     }
 
+    fn record_crash(&self) {
+        if let Some(answer) = &self.answer {
+            answer.guard.record_crash();
+        }
+    }
+
     async fn read_body(&mut self) -> ReadOutcome {
         let deadline = self.execution.call.deadline;
         let limit = self.stall_timeout.map_or(deadline, |timeout| deadline.min(Instant::now() + timeout));
--- a/crates/daemon/src/gateway/request.rs
+++ b/crates/daemon/src/gateway/request.rs
@@ -5,6 +5,7 @@
 
 use bytes::Bytes;
 use eelgrasswell_core::{
+    crash_evidence::PartId,
     hash::stable_hash,
     id::{CustomerId, ModelName, RequestId, ServiceName},
     refusal::Reason,
@@ -67,6 +68,8 @@
     pub session: u64,
     /// Hash of the prompt part that requests on the same subject share; none if the prompt has no such part.
     pub affinity_hash: Option<u64>,
+    /// Parts of the prompt that other requests may share.
+    pub shared_parts: Arc<[PartId]>,
 }
 
 impl Call {
@@ -114,6 +117,7 @@
     let session = stable_hash(&[session]);
     let service = route.target(session).clone();
     let affinity_hash = affinity_hash(&meta);
+    let shared_parts = shared_parts(&meta);
     let customer = match caller {
         Caller::Customer(customer) => Some(customer),
         Caller::Anonymous | Caller::Unknown => None,
@@ -133,6 +137,7 @@
         deadline,
         session,
         affinity_hash,
+        shared_parts,
     })
 }
 
@@ -179,6 +184,12 @@
     matches!(failure.refusal.reason, Reason::NotReady | Reason::StaleConfig)
 }
 
+/// All prompt parts but the last one, which belongs to this request alone.
+fn shared_parts(meta: &RequestMeta) -> Arc<[PartId]> {
+    let shared = meta.prompt_parts.len().saturating_sub(1);
+    meta.prompt_parts[..shared].iter().map(|part| PartId::of(&part.id)).collect()
+}
+
 /// Hash of the last prompt part that other requests may share. It is the part before the last one, which belongs to
 /// this request alone.
 fn affinity_hash(meta: &RequestMeta) -> Option<u64> {
--- a/crates/daemon/src/telemetry.rs
+++ b/crates/daemon/src/telemetry.rs
@@ -29,6 +29,8 @@
 pub const FOLLOWS: &str = "eelgrasswell_follows_total";
 /// Replies of followed gateways that left large objects to the store.
 pub const COPIES_LEFT_TO_STORE: &str = "eelgrasswell_copies_left_to_store_total";
+/// Parts of prompts that were blocked because they crash backend servers.
+pub const PARTS_BLOCKED: &str = "eelgrasswell_parts_blocked_total";
 /// Version of the configuration in force.
 pub const CONFIG_VERSION: &str = "eelgrasswell_config_version";
 /// Links that were lost because the connection broke or the agent became unresponsive.
