Judge a version by the pace of its answers, too

Cause: only errors and the time to the first byte were compared. With few requests a slow version still begins its answers in time, and with many its own answers move the estimate.

Change: one sample of the pace of each stream, compared with the median of the other versions, as a criterion of the pooled test; a version in doubt keeps the share of the first half.

Evidence: the case "slow after the first byte" in core/tests/canary.rs (the counters it sets did not exist before).

--- a/crates/core/src/answer_counters.rs
+++ b/crates/core/src/answer_counters.rs
@@ -21,6 +21,10 @@
     pub errors: u64,
     /// Number of answers whose first token came too late.
     pub slow: u64,
+    /// Number of answers whose pace was sampled.
+    pub paced: u64,
+    /// Number of these that were generated slowly.
+    pub slow_paced: u64,
     /// Number of rated answers.
     pub rated: u64,
     /// Number of answers with a low rating.
@@ -48,6 +52,8 @@
             answers: f(self.answers, other.answers),
             errors: f(self.errors, other.errors),
             slow: f(self.slow, other.slow),
+            paced: f(self.paced, other.paced),
+            slow_paced: f(self.slow_paced, other.slow_paced),
             rated: f(self.rated, other.rated),
             rated_low: f(self.rated_low, other.rated_low),
         }
--- a/crates/core/src/canary.rs
+++ b/crates/core/src/canary.rs
@@ -208,7 +208,7 @@
         let progress = self.progress(now);
         if self.elapsed(now) < CANARY_DELAY {
             0.0
-        } else if progress < SHIFT_AT {
+        } else if progress < SHIFT_AT || self.monitor.in_doubt() {
             CANARY_SHARE
         } else if progress < FULL_AT || !self.is_trusted() {
             // A service with few requests may have fewer than `MIN_ANSWERS` by now; this share collects more.
@@ -218,9 +218,9 @@
         }
     }
 
-    /// Whether the new version has enough answers and was not found bad.
+    /// Whether the new version has enough answers, and nothing suggests that it is bad.
     fn is_trusted(&self) -> bool {
-        self.answers >= MIN_ANSWERS && !self.bad
+        self.answers >= MIN_ANSWERS && !self.bad && !self.monitor.in_doubt()
     }
 
     /// Elapsed share of the order's duration.
--- a/crates/core/src/rollout.rs
+++ b/crates/core/src/rollout.rs
@@ -43,6 +43,8 @@
     Errors,
     /// Time to the first token.
     Latency,
+    /// Pace of the tokens after the first one.
+    Pace,
     /// Low ratings.
     Ratings,
 }
@@ -52,6 +54,7 @@
         f.write_str(match self {
             Self::Errors => "errors",
             Self::Latency => "latency",
+            Self::Pace => "pace",
             Self::Ratings => "ratings",
         })
     }
@@ -65,6 +68,7 @@
     baseline_seen: Counters,
     errors: CumulativeSum,
     slow: CumulativeSum,
+    pace: CumulativeSum,
     ratings: CumulativeSum,
     step: StepProgress,
 }
@@ -112,10 +116,16 @@
             BAD_SLOW_RATE,
             rate(self.baseline_seen.slow, self.baseline_seen.answers),
         );
+        let pace = Hypotheses::against(
+            GOOD_SLOW_RATE,
+            BAD_SLOW_RATE,
+            rate(self.baseline_seen.slow_paced, self.baseline_seen.paced),
+        );
         let low = rate(self.baseline_seen.rated_low, self.baseline_seen.rated).unwrap_or(DEFAULT_LOW_RATE);
         let ratings = Hypotheses { good: clamp(low), bad: clamp(low + BAD_RATING_MARGIN) };
         self.errors.add(errors, added.errors, added.answers);
         self.slow.add(slow, added.slow, added.answers);
+        self.pace.add(pace, added.slow_paced, added.paced);
         self.ratings.add(ratings, added.rated_low, added.rated);
         self.step.evidence_for_good -= errors.log_ratio(added.errors, added.answers);
         if let Some(criterion) = self.failed_criterion() {
@@ -133,13 +143,18 @@
     }
 
     fn failed_criterion(&self) -> Option<Criterion> {
-        let sums =
-            [(self.errors, Criterion::Errors), (self.slow, Criterion::Latency), (self.ratings, Criterion::Ratings)];
+        let sums = [
+            (self.errors, Criterion::Errors),
+            (self.slow, Criterion::Latency),
+            (self.pace, Criterion::Pace),
+            (self.ratings, Criterion::Ratings),
+        ];
         sums.into_iter().find(|(sum, _)| sum.value >= STOP_SUM).map(|(_, criterion)| criterion)
     }
 
-    fn in_doubt(&self) -> bool {
-        [self.errors, self.slow, self.ratings].iter().any(|sum| sum.value >= DOUBT_SUM)
+    /// Whether there is evidence that the version is bad, although not enough to stop it.
+    pub fn in_doubt(&self) -> bool {
+        [self.errors, self.slow, self.pace, self.ratings].iter().any(|sum| sum.value >= DOUBT_SUM)
     }
 
     fn baseline_error_rate(&self) -> Option<f64> {
--- a/crates/core/tests/canary.rs
+++ b/crates/core/tests/canary.rs
@@ -54,6 +54,8 @@
 
 #[test_case(counters(30, 12), counters(900, 0); "errors")]
 #[test_case(Counters { slow: 25, ..counters(40, 0) }, counters(900, 0); "slow")]
+#[test_case(Counters { paced: 30, slow_paced: 15, ..counters(40, 0) },
+    Counters { paced: 600, slow_paced: 12, ..counters(900, 0) }; "slow after the first byte")]
 #[test_case(counters(60, 40), counters(900, 120); "more errors than a failing baseline")]
 fn evaluate_bad_version(target: Counters, baseline: Counters) {
     let mut canary = Canary::new(order(OrderState::Running), START);
--- a/crates/daemon/src/controller/answer_counters.rs
+++ b/crates/daemon/src/controller/answer_counters.rs
@@ -272,6 +272,7 @@
         slow: counters.slow,
         rated: counters.rated,
         rated_low: counters.rated_low,
+        ..Counters::default()
     };
     ((counters.model.as_str().into(), counters.version.as_str().into()), value)
 }
--- a/crates/daemon/src/gateway/exchange.rs
+++ b/crates/daemon/src/gateway/exchange.rs
@@ -174,6 +174,8 @@
                     answers: counters.answers,
                     errors: counters.errors,
                     slow: counters.slow,
+                    paced: counters.paced,
+                    slow_paced: counters.slow_paced,
                 });
             }
         }
@@ -223,6 +225,8 @@
                 answers: reporter.answers,
                 errors: reporter.errors,
                 slow: reporter.slow,
+                paced: reporter.paced,
+                slow_paced: reporter.slow_paced,
                 ..Counters::default()
             };
             self.response_stats.record_peer(&service, &version, Incarnation(reporter.reporter), counters);
--- a/crates/daemon/src/gateway/execute.rs
+++ b/crates/daemon/src/gateway/execute.rs
@@ -5,6 +5,7 @@
 use bytes::BytesMut;
 use eelgrasswell_core::{
     attempt::{AttemptLimits, Attempts},
+    backend::Backend,
     canary::VersionRule,
     crash_evidence::Block,
     escalation::EscalationSteps,
@@ -156,6 +157,13 @@
         None
     }
 
+    /// Counts the pace of the answer of `backend`, in milliseconds per byte, for its version.
+    pub fn record_pace(&self, backend: &Backend, pace: f64) {
+        let model = self.model().unwrap_or_default();
+        let on_trial = self.gateway.is_on_trial(&backend.service, &backend.version);
+        self.gateway.response_stats.record_pace(&backend.service, &backend.version, &model, pace, on_trial);
+    }
+
     /// Whether the request may be sent again. If so, this acquires the repeat from the budget.
     pub fn try_acquire_repeat(&self, purpose: Purpose) -> bool {
         self.attempts.allows_another(self.limits())
--- a/crates/daemon/src/gateway/orders.rs
+++ b/crates/daemon/src/gateway/orders.rs
@@ -6,7 +6,8 @@
 use std::time::Duration;
 
 use eelgrasswell_core::{
-    canary::{Order, OrderState},
+    canary::{Canary, Order, OrderState},
+    id::{ServiceName, VersionName},
     unit::Millis,
 };
 use eelgrasswell_platform::{
@@ -80,13 +81,25 @@
                 errors = target.errors,
                 slow = target.slow,
                 baseline_answers = baseline.answers,
-                baseline_errors = baseline.errors
+                paced = target.paced,
+                slow_paced = target.slow_paced,
+                baseline_errors = baseline.errors,
+                baseline_slow = baseline.slow,
+                baseline_paced = baseline.paced,
+                baseline_slow_paced = baseline.slow_paced
             );
         }
         let state = canary.next_state(now, idle)?;
         Some(PendingReport { order: canary.order().clone(), state })
     }
 
+    /// Whether `version` of `service` is being rolled out.
+    pub fn is_on_trial(&self, service: &ServiceName, version: &VersionName) -> bool {
+        let canaries = lock(&self.canaries);
+        let order = canaries.get(service).map(Canary::order);
+        order.is_some_and(|order| order.target == *version && order.state != OrderState::Completed)
+    }
+
     /// Number of gateways with lower ids that are alive and not leaving.
     fn report_rank(&self) -> u64 {
         let now = self.clock.now();
--- a/crates/daemon/src/gateway/relay.rs
+++ b/crates/daemon/src/gateway/relay.rs
@@ -4,7 +4,12 @@
 
 use bytes::Bytes;
 use compact_str::CompactString;
-use eelgrasswell_core::{event_stream::EventSplitter, pool::Outcome, repeat::Purpose};
+use eelgrasswell_core::{
+    event_stream::{EventSplitter, Events},
+    pace::PaceSampler,
+    pool::Outcome,
+    repeat::Purpose,
+};
 use eyre::{Report, eyre};
 use futures::stream;
 use http_body_util::{BodyExt, StreamBody};
@@ -48,6 +53,8 @@
     execution: Execution,
     answer: Option<Answer>,
     splitter: EventSplitter,
+    /// Sampler of the answer in progress.
+    pace: PaceSampler,
     last_id: Option<CompactString>,
     /// Whether the stream may be resumed at another server.
     resumable: bool,
@@ -69,6 +76,7 @@
             execution,
             answer: Some(answer),
             splitter: EventSplitter::default(),
+            pace: PaceSampler::default(),
             last_id,
             resumable,
         }))
@@ -128,7 +136,7 @@
         loop {
             let mut repeat_acquired = false;
             let why = match self.read_body().await {
-                ReadOutcome::Data(data) => match self.splitter.push(&data) {
+                ReadOutcome::Data(data) => match self.push(&data) {
                     Some(events) => {
                         self.last_id = events.last_id.or_else(|| self.last_id.take());
                         return Ok(Some(events.bytes.into()));
@@ -141,6 +149,8 @@
                     "it ended inside an event".into()
                 }
                 ReadOutcome::End => {
+                    let pace = self.pace.finish();
+                    self.record_pace(pace);
                     if let Some(answer) = self.answer.take() {
                         answer.finish();
                     }
@@ -164,6 +174,7 @@
                 self.execution.gateway.record_outcome(&answer.guard.backend, Outcome::Failed);
             }
             self.splitter.reset();
+            self.pace = PaceSampler::default();
             event!(Info, "stream_broken", request = self.execution.call.id, error = why);
             if !self.resumable {
                 return Err(self.cut_error(&why));
@@ -175,6 +186,19 @@
         }
     }
 
+    fn push(&mut self, data: &Bytes) -> Option<Events> {
+        let now = self.execution.gateway.clock.now();
+        let pace = self.pace.record(now, eelgrasswell_core::unit::Bytes(data.len() as u64));
+        self.record_pace(pace);
+        self.splitter.push(data)
+    }
+
+    fn record_pace(&self, pace: Option<f64>) {
+        if let (Some(pace), Some(answer)) = (pace, &self.answer) {
+            self.execution.record_pace(&answer.guard.backend, pace);
+        }
+    }
+
     fn record_crash(&self) {
         if let Some(answer) = &self.answer {
             answer.guard.record_crash();
--- a/crates/daemon/src/gateway/response_stats.rs
+++ b/crates/daemon/src/gateway/response_stats.rs
@@ -7,6 +7,7 @@
     hash::HashMap,
     id::{Incarnation, ModelName, ServiceName, VersionName},
     latency::{LatencyEstimates, SLOW_FACTOR},
+    pace::PaceEstimates,
     unit::Millis,
 };
 
@@ -25,6 +26,7 @@
     /// Counters of all routers.
     merged: MergedCounters<ServiceName>,
     latencies: LatencyEstimates,
+    paces: PaceEstimates,
 }
 
 /// Result of one send, for the statistics.
@@ -79,6 +81,22 @@
         slowness
     }
 
+    /// Counts the pace of an answer, in milliseconds per byte. `on_trial` is whether its version is being rolled out.
+    pub fn record_pace(
+        &self,
+        service: &ServiceName,
+        version: &VersionName,
+        model: &ModelName,
+        pace: f64,
+        on_trial: bool,
+    ) {
+        let mut state = lock(&self.state);
+        let is_slow = state.paces.is_slow(service, model, pace, on_trial);
+        let counters = state.own.entry((service.clone(), version.clone())).or_default();
+        counters.paced += 1;
+        counters.slow_paced += u64::from(is_slow);
+    }
+
     /// Records the counters that another router reports.
     pub fn record_peer(&self, service: &ServiceName, version: &VersionName, reporter: Incarnation, counters: Counters) {
         lock(&self.state).merged.merge(service, version, reporter, counters);
