End answers and store responses that have no end

Change: the relay of a large plain answer ends at the deadline; a store response above 16 MiB is given up.

--- a/crates/core/src/transfer.rs
+++ b/crates/core/src/transfer.rs
@@ -11,6 +11,8 @@
 const MAX_IDLE: Millis = Millis(900);
 /// Bytes per second below which a transfer is given up. It bounds the time of a transfer.
 const MIN_BYTES_PER_SECOND: u64 = 100_000;
+/// Size above which a response is given up. The largest page of a list is far smaller.
+const MAX_RESPONSE: Bytes = Bytes(16 << 20);
 /// Size of a reply to a follower above which its objects may be left to the store.
 const LARGE_REPLY: Bytes = Bytes(64 << 10);
 
@@ -40,6 +42,11 @@
         self.received
     }
 
+    /// Whether more bytes have arrived than any response has, so that they may have no end.
+    pub fn is_overlong(&self) -> bool {
+        self.received > MAX_RESPONSE
+    }
+
     /// Time at which the call is given up unless more of the response arrives.
     pub fn deadline(&self) -> Millis {
         let by_rate = self.started + self.limit + Millis(self.received.0 * 1_000 / MIN_BYTES_PER_SECOND);
--- a/crates/core/tests/transfer.rs
+++ b/crates/core/tests/transfer.rs
@@ -52,6 +52,16 @@
     assert_eq!(transfer.deadline(), START + Millis(1_700));
 }
 
+/// Guards against bytes without end in place of a response, which would fill the memory.
+#[test]
+fn response_without_end_is_given_up() {
+    let mut transfer = Transfer::start(START, LIMIT);
+    transfer.record(START, Bytes(2 << 20));
+    assert!(!transfer.is_overlong());
+    transfer.record(START, Bytes(15 << 20));
+    assert!(transfer.is_overlong());
+}
+
 #[test_case(1 << 20, 1, 1, true; "large configuration")]
 #[test_case(2_000, 1, 1, false; "small configuration")]
 #[test_case(250_000, 500, 3_000, false; "some of many servers")]
--- a/crates/daemon/src/gateway/execute.rs
+++ b/crates/daemon/src/gateway/execute.rs
@@ -360,7 +360,7 @@
             if is_stream {
                 return Ok(response(status, headers, Relay::new(self, answer).into_body()));
             }
-            let buffered = timeout_at(self.call.deadline, buffer_answer(answer)).await;
+            let buffered = timeout_at(self.call.deadline, buffer_answer(answer, self.call.deadline)).await;
             let why = match buffered {
                 Ok(Ok(body)) => return Ok(response(status, headers, body)),
                 Ok(Err(why)) => why,
@@ -443,7 +443,7 @@
 
 /// Buffers an answer whole. If it exceeds `MAX_BUFFERED_BYTES`, what was read so far is passed on and the rest is
 /// relayed as it arrives.
-async fn buffer_answer(mut answer: Answer) -> Result<Body, String> {
+async fn buffer_answer(mut answer: Answer, deadline: Instant) -> Result<Body, String> {
     let mut buf = BytesMut::new();
     while let Some(frame) = answer.body.frame().await {
         let frame = frame.map_err(|err| super::net::error_chain(&err))?;
@@ -451,7 +451,7 @@
             buf.extend_from_slice(&data);
         }
         if buf.len() > MAX_BUFFERED_BYTES {
-            return Ok(Relay::plain(buf.freeze(), answer).into_body());
+            return Ok(Relay::plain(buf.freeze(), answer, deadline).into_body());
         }
     }
     answer.finish();
--- a/crates/daemon/src/gateway/relay.rs
+++ b/crates/daemon/src/gateway/relay.rs
@@ -45,6 +45,8 @@
         first: Option<Bytes>,
         /// The answer whose body holds the rest.
         answer: Option<Box<Answer>>,
+        /// Time at which the answer is cut if it has not ended.
+        deadline: Instant,
     },
 }
 
@@ -82,9 +84,9 @@
         }))
     }
 
-    /// Relays an answer whose first part, `first`, has been read already.
-    pub fn plain(first: Bytes, answer: Answer) -> Self {
-        Self::Plain { first: Some(first), answer: Some(Box::new(answer)) }
+    /// Relays an answer whose first part, `first`, has been read already, until `deadline`.
+    pub fn plain(first: Bytes, answer: Answer, deadline: Instant) -> Self {
+        Self::Plain { first: Some(first), answer: Some(Box::new(answer)), deadline }
     }
 
     /// The body for the caller. An error in it closes the caller's connection, so that a partial answer never looks
@@ -104,9 +106,12 @@
     async fn next_chunk(&mut self) -> Result<Option<Bytes>, Report> {
         match self {
             Self::Events(events) => events.next_chunk().await,
-            Self::Plain { first, answer } => match first.take() {
+            Self::Plain { first, answer, deadline } => match first.take() {
                 Some(first) => Ok(Some(first)),
-                None => next_plain_chunk(answer).await,
+                None => match timeout_at(*deadline, next_plain_chunk(answer)).await {
+                    Ok(chunk) => chunk,
+                    Err(_) => Err(eyre!("the answer was cut: the deadline passed")),
+                },
             },
         }
     }
--- a/crates/daemon/src/gateway/store.rs
+++ b/crates/daemon/src/gateway/store.rs
@@ -153,6 +153,9 @@
             transfer.record(clock.now(), eelgrasswell_core::unit::Bytes(data.len() as u64));
             buf.extend_from_slice(&data);
         }
+        if transfer.is_overlong() {
+            return Err(format!("the response is too long after {} bytes", transfer.received()));
+        }
     }
     Ok((conn, Response { status: head.status, body: buf.freeze(), began_at }))
 }
--- a/crates/testbed/src/site/backend.rs
+++ b/crates/testbed/src/site/backend.rs
@@ -39,6 +39,8 @@
     pub cut_in_event: Option<usize>,
     /// Breaks off the first event of each answer to a prompt with this part, as a server does that crashes.
     pub crashes_on_part: Option<String>,
+    /// Sends bytes without end in place of the body of an answer.
+    pub endless: bool,
     /// Answers with 500.
     pub fails: bool,
     /// Refuses requests without running them.
@@ -63,6 +65,7 @@
             pause: Duration::from_millis(5),
             cut_in_event: None,
             crashes_on_part: None,
+            endless: false,
             fails: false,
             refuses: false,
             drops_response: false,
@@ -218,6 +221,11 @@
     if behaviour.fails {
         return Ok(response(StatusCode::INTERNAL_SERVER_ERROR, &fields, "failed"));
     }
+    if behaviour.endless {
+        let mut response = response(StatusCode::OK, &fields, "");
+        *response.body_mut() = endless_body(OpenStream::new(Arc::clone(&state)));
+        return Ok(response);
+    }
     if model.is_empty() {
         return Ok(response(StatusCode::OK, &fields, &format!("done by {}", state.id)));
     }
@@ -230,6 +238,15 @@
     Ok(response)
 }
 
+/// Bytes that are no events, until the caller closes the connection.
+fn endless_body(open: OpenStream) -> Body {
+    let chunks = stream::unfold(open, |open| async move {
+        sleep(Duration::from_millis(1)).await;
+        Some((Ok(Frame::data(Bytes::from_static(&[b'x'; 32 << 10]))), open))
+    });
+    StreamBody::new(chunks).boxed_unsync()
+}
+
 /// Events from number `first` to the last. The data of an event depends only on its number and the model.
 fn event_stream(behaviour: Behaviour, first: usize, model: String, open: OpenStream) -> Body {
     let events = stream::unfold(Some((first, open)), move |next| {
--- a/crates/testbed/tests/gateway.rs
+++ b/crates/testbed/tests/gateway.rs
@@ -604,3 +604,21 @@
     assert!(memory < MAX_MEMORY_MB, "{memory} MB with {STALLED} stalled readers");
     Ok(())
 }
+
+/// Guards against bytes without end from a server, which keep its connection and the caller's open and fill the memory.
+#[test_case("/read/1", hyper::Method::GET; "plain answer")]
+#[test_case("/chat/1", hyper::Method::POST; "stream")]
+#[tokio::test]
+async fn answer_without_end(path: &str, method: hyper::Method) -> Result<()> {
+    const MAX_MEMORY_MB: f64 = 88.0;
+    let rig = Rig::start(RigPlan { engines: 1, desks: 1, ..RigPlan::default() }).await?;
+    let backends = || rig.engines.iter().chain(&rig.desks);
+    backends().for_each(|backend| backend.set_behaviour(|behaviour| behaviour.endless = true));
+    let client = rig.chat("endless").with("x-deadline-ms", "2000");
+    let reply = client.call(method, rig.gateways[0].callers, path, Vec::new()).await;
+    assert!(reply.is_err() || reply.is_ok_and(|reply| !reply.status.is_success()), "it looked complete");
+    wait_until("the server's connection is closed", async || backends().all(|backend| backend.streams() == 0)).await?;
+    let memory = rig.gateways[0].process.memory_mb()?;
+    assert!(memory < MAX_MEMORY_MB, "{memory} MB");
+    Ok(())
+}
