Give each test rig its own addresses, and show the log of a gateway that does not start

"timed out waiting until a gateway is ready" came once in five parallel rigs of eight gateways, and its log was gone. Suspected, not shown: all rigs used 127.0.1.x and picked ports that were free a moment before, so that one could take another's. The failure did not come again in three whole runs of the file with own addresses; if it does, the error now holds the end of the log.

--- a/crates/testbed/src/site/rig.rs
+++ b/crates/testbed/src/site/rig.rs
@@ -87,7 +87,8 @@
         let rig = Self::start_unready(plan).await?;
         rig.store.put("config", "main", config(1));
         for gateway in &rig.gateways {
-            wait_until("a gateway is ready", async || gateway.is_ready().await).await?;
+            let ready = wait_until("a gateway is ready", async || gateway.is_ready().await).await;
+            ready.wrap_err_with(|| format!("the gateway's log ends with:\n{}", gateway.log_end()))?;
         }
         Ok(rig)
     }
@@ -105,7 +106,7 @@
         };
         let engines = start_backends(&store, "chat", plan.engines).await?;
         let desks = start_backends(&store, "desk", plan.desks).await?;
-        let ips: Vec<Ipv4Addr> = (0..plan.gateways).map(|n| Ipv4Addr::new(127, 0, 1, n as u8 + 1)).collect();
+        let ips: Vec<Ipv4Addr> = (0..plan.gateways).map(|n| loopback_address(number, n)).collect();
         let ports = ips.iter().map(|ip| free_ports(*ip)).collect::<Result<Vec<_>>>()?;
         let seeds: Vec<String> = ips.iter().zip(&ports).map(|(ip, ports)| format!("{ip}:{}", ports[2])).collect();
         let mut gateways = Vec::new();
@@ -179,6 +180,14 @@
         Ok(())
     }
 
+    /// The last lines of the log.
+    fn log_end(&self) -> String {
+        const LINES: usize = 20;
+        let log = self.log();
+        let lines: Vec<&str> = log.lines().collect();
+        lines[lines.len().saturating_sub(LINES)..].join("\n")
+    }
+
     /// The log so far; empty if it can't be read.
     pub fn log(&self) -> String {
         fs::read_to_string(&self.log).unwrap_or_default()
@@ -258,6 +267,13 @@
     Ok(backends)
 }
 
+/// Address for gateway `gateway` of the rig `rig` of this process. Rigs that run at the same time get addresses of their own,
+/// so that none takes a port that another one found free.
+fn loopback_address(rig: u16, gateway: usize) -> Ipv4Addr {
+    let process = std::process::id();
+    Ipv4Addr::new(127, 1 + (process % 250) as u8, (rig % 250) as u8, gateway as u8 + 1)
+}
+
 /// Four currently free ports of `ip`.
 fn free_ports(ip: Ipv4Addr) -> Result<Vec<u16>> {
     let listeners: Vec<TcpListener> = (0..4)
