Show that gateways get no configuration although one of them reaches the store

Each follows two gateways chosen by hash, whatever these know; if none of the watchers chose the one that reaches the store, nobody gets the change.

--- a/crates/testbed/tests/gateway.rs
+++ b/crates/testbed/tests/gateway.rs
@@ -550,6 +550,33 @@
     Ok(())
 }
 
+/// Guards against a gateway that the store rejects, and that gets no configuration because the gateways that it follows
+/// are rejected as well (issue 20, hypothesis 3).
+#[test_case(0; "first reaches the store")]
+#[test_case(1; "second reaches the store")]
+#[test_case(2; "third reaches the store")]
+#[test_case(3; "fourth reaches the store")]
+#[test_case(7; "last reaches the store")]
+#[tokio::test]
+async fn one_gateway_reaches_the_store(connected: usize) -> Result<()> {
+    const GATEWAYS: usize = 8;
+    let rig = Rig::start(RigPlan { gateways: GATEWAYS, engines: 1, desks: 1, ..RigPlan::default() }).await?;
+    sleep(Duration::from_millis(2_500)).await;
+    rig.store
+        .set_faults(|faults| faults.unresponsive_to = (0..GATEWAYS).filter(|gateway| *gateway != connected).collect());
+    let mut without_customer_a = config(2);
+    without_customer_a["tenants"] = json!([{"name": "customer-b", "api_keys": ["key-b"]}]);
+    rig.store.put("config", "main", without_customer_a);
+    for gateway in 0..GATEWAYS {
+        wait_until("the gateway serves by the new configuration", async || {
+            get_safe(&rig, gateway, "key-b").await.is_ok_and(|reply| reply.status == StatusCode::OK)
+                && get_safe(&rig, gateway, "key-a").await.is_ok_and(|reply| reply.status == StatusCode::UNAUTHORIZED)
+        })
+        .await?;
+    }
+    Ok(())
+}
+
 /// Guards against a request that still runs at a backend server after its caller has disconnected.
 #[tokio::test]
 async fn caller_disconnects() -> Result<()> {
