Let a gateway that the store rejects follow gateways that reach it

Cause: a rejected gateway followed two others chosen by hash, whatever these knew. If no watcher chose one that reaches the store, nothing came through.

Change: the exchange tells whose calls to the store succeed; Fleet::sources, which takes over the choice from the daemon, prefers these for a rejected gateway. A late or repeated report can't undo a newer one.

--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -1,5 +1,9 @@
-//! Membership of the router fleet as known to one router: which routers are alive, which of them watch the store,
-//! and how many share a limit.
+//! Membership of the router fleet as known to one router: which routers are alive, which of them watch the store, from
+//! which a router gets its copies, and how many share a limit.
+//!
+//! The store may reject most routers and serve the others. What each router reports of its own calls is passed on, so that
+//! a rejected one finds those that reach the store. The newest report about a router counts, whenever and however often the
+//! reports arrive.
 
 use std::net::SocketAddr;
 
@@ -36,6 +40,8 @@
     pub last_seen: Millis,
     /// Whether the router is about to stop.
     pub leaving: bool,
+    /// Whether the router's own calls to the store succeed.
+    pub reaches_store: bool,
 }
 
 /// The other routers of the fleet.
@@ -106,4 +112,22 @@
         }
         watchers
     }
+
+    /// The `count` routers from which `own` gets copies of the store's objects: watchers, or, if the store rejects the calls of
+    /// `own`, routers that reach the store, watchers among them first. Without such routers, any others may know more. Each
+    /// router prefers others, by hash, so that the load spreads.
+    pub fn sources(&self, own: &Member, now: Millis, is_rejected: bool, count: usize) -> Vec<Member> {
+        let watchers = self.watchers(own, now);
+        let is_watcher = |member: &Member| watchers.iter().any(|watcher| watcher.id == member.id);
+        let mut sources: Vec<Member> = if is_rejected {
+            self.alive(now).into_iter().cloned().collect()
+        } else {
+            watchers.iter().filter(|watcher| watcher.id != own.id).cloned().collect()
+        };
+        let rank =
+            |member: &Member| if is_rejected { (!member.reaches_store, !is_watcher(member)) } else { (false, false) };
+        sources.sort_by_cached_key(|member| (rank(member), stable_hash(&[own.id.as_str(), member.id.as_str()])));
+        sources.truncate(count);
+        sources
+    }
 }
--- a/crates/core/tests/fleet.rs
+++ b/crates/core/tests/fleet.rs
@@ -17,6 +17,7 @@
         incarnation: Incarnation(1),
         last_seen: NOW,
         leaving: false,
+        reaches_store: true,
     }
 }
 
@@ -90,3 +91,52 @@
     assert_eq!(fleet.limit_sharers(NOW + Millis(5_000), 3), 5, "a disconnected router still sends requests");
     assert_eq!(fleet.limit_sharers(NOW + Millis(9_000), 3), 3);
 }
+
+/// A fleet of `count` routers besides the one with the number `own`, of which only `connected` reach the store.
+fn fleet_reached_by(own: usize, count: usize, connected: &[usize]) -> Fleet {
+    let mut fleet = Fleet::default();
+    for n in (0..count).filter(|n| *n != own) {
+        fleet.update(Member { reaches_store: connected.contains(&n), ..member(n, 4) });
+    }
+    fleet
+}
+
+/// Guards against a router that the store rejects and that follows only others that it rejects, too (issue 20, hypothesis 3
+/// of the first matter).
+#[test]
+fn sources_of_rejected_router_reach_the_store() {
+    for own in 0..26 {
+        for connected in (0..26).filter(|connected| *connected != own) {
+            let fleet = fleet_reached_by(own, 26, &[connected]);
+            let sources = fleet.sources(&member(own, 4), NOW, true, 2);
+            assert_eq!(sources.len(), 2);
+            assert_eq!(sources[0].id, member(connected, 4).id);
+        }
+    }
+}
+
+/// Guards against routers that load others than the watchers although the store serves them.
+#[test]
+fn sources_of_other_routers_are_watchers() {
+    for own in 0..26 {
+        let fleet = fleet_reached_by(own, 26, &(0..26).collect::<Vec<_>>());
+        let watchers: Vec<HostId> = fleet.watchers(&member(own, 4), NOW).into_iter().map(|member| member.id).collect();
+        for is_rejected in [false, true] {
+            for source in fleet.sources(&member(own, 4), NOW, is_rejected, 2) {
+                assert!(watchers.contains(&source.id) && source.id != member(own, 4).id);
+            }
+        }
+    }
+}
+
+/// Guards against a late or repeated report that hides that a router has lost the store.
+#[test]
+fn newest_report_of_reaching_the_store_counts() {
+    let mut fleet = Fleet::default();
+    let report =
+        |reaches_store, ago| Member { reaches_store, last_seen: NOW.saturating_sub(Millis(ago)), ..member(1, 4) };
+    for report in [report(true, 900), report(false, 100), report(true, 900), report(true, 500)] {
+        fleet.update(report);
+    }
+    assert!(!fleet.alive(NOW)[0].reaches_store);
+}
--- a/crates/daemon/src/gateway/exchange.rs
+++ b/crates/daemon/src/gateway/exchange.rs
@@ -136,6 +136,7 @@
             incarnation: member.incarnation.0,
             heard_ago_ms: now.saturating_sub(member.last_seen).0,
             domain: member.domain.to_string(),
+            reaches_store: member.reaches_store,
         };
         let load =
             |(id, load): (&BackendId, f64)| BackendLoad { backend: id.to_string(), load: (load * LOAD_SCALE) as u64 };
@@ -151,6 +152,7 @@
             incarnation: self.incarnation.0,
             domain: self.settings.domain.to_string(),
             leaving: self.shutdown.requested(),
+            reaches_store: self.mirror.reaches_store(),
             members,
             loads,
             counters: self.counters(),
@@ -250,6 +252,7 @@
                 incarnation: Incarnation(member.incarnation),
                 last_seen: now.saturating_sub(Millis(member.heard_ago_ms)),
                 leaving,
+                reaches_store: member.reaches_store,
             });
         };
         let sender = FleetMember {
@@ -258,6 +261,7 @@
             incarnation: state.incarnation,
             heard_ago_ms: 0,
             domain: state.domain.clone(),
+            reaches_store: state.reaches_store,
         };
         record(&sender, state.leaving);
         state.members.iter().for_each(|member| record(member, false));
--- a/crates/daemon/src/gateway/follow.rs
+++ b/crates/daemon/src/gateway/follow.rs
@@ -2,15 +2,14 @@
 //!
 //! A few gateways, the watchers, watch the store. The others follow two of the watchers by long polls, so that the
 //! number of calls to the store does not grow with the fleet. A gateway calls the store itself only while no watcher
-//! that reaches the store keeps the gateway's copies current. A watcher that can't reach the store also follows other
-//! gateways.
+//! that reaches the store keeps the gateway's copies current. A gateway whose calls to the store fail follows gateways
+//! that reach it.
 
 use std::time::Duration;
 
 use eelgrasswell_core::{
     confirmation::{self, MAX_FOLLOW_WAIT},
     fleet::Member,
-    hash::stable_hash,
     id::HostId,
     transfer,
     unit::{Bytes, Millis},
@@ -36,6 +35,8 @@
 const SYNC_VALID_FOR: Millis = Millis(950);
 /// Pause after an error from a watcher, and after a reply that leaves large objects to the store.
 const RETRY_PAUSE: Duration = Duration::from_millis(150);
+/// Age that stands for a response that never came.
+const NEVER: Millis = Millis(u64::MAX);
 /// Interval at which the watchers to follow are chosen again.
 const CHOICE_INTERVAL: Duration = Duration::from_millis(200);
 
@@ -92,7 +93,7 @@
     let mut failures: u32 = 0;
     loop {
         let sent_at = gateway.clock.now();
-        let needs_large = gateway.mirror.store_calls_fail();
+        let needs_large = gateway.mirror.is_rejected();
         let request = FollowRequest { wait_ms: MAX_FOLLOW_WAIT.0, replicas: gateway.own_replicas(), needs_large };
         let margin = if needs_large { LARGE_RESPONSE_MARGIN } else { RESPONSE_MARGIN };
         let limit = Instant::now() + Duration::from(MAX_FOLLOW_WAIT) + margin;
@@ -131,23 +132,17 @@
         watchers.iter().any(|watcher| watcher.id == own.id)
     }
 
-    /// Gateways to follow. A watcher that reaches the store follows none. A watcher that can't reach the store follows
-    /// any other gateways, since they may reach it. All other gateways follow watchers.
+    /// Gateways to follow; none for a watcher that reaches the store.
     fn gateways_to_follow(&self) -> Vec<Member> {
-        let own = self.own_member();
-        let now = self.clock.now();
-        let fleet = lock(&self.fleet);
-        let mut followed = fleet.watchers(&own, now);
-        if followed.iter().any(|watcher| watcher.id == own.id) {
-            if self.mirror.reaches_store() {
-                return Vec::new();
-            }
-            followed = fleet.alive(now).into_iter().cloned().collect();
+        let is_watcher = self.is_watcher();
+        if is_watcher && self.mirror.reaches_store() {
+            return Vec::new();
         }
-        followed.sort_by_key(|member| stable_hash(&[own.id.as_str(), member.id.as_str()]));
-        followed.truncate(FOLLOWED_GATEWAYS);
-        // The caller compares members; a later `last_seen` must not make a member look different.
-        followed.into_iter().map(|member| Member { last_seen: Millis::ZERO, ..member }).collect()
+        let is_rejected = is_watcher || self.mirror.is_rejected();
+        let sources = lock(&self.fleet).sources(&self.own_member(), self.clock.now(), is_rejected, FOLLOWED_GATEWAYS);
+        // The caller compares members; a later report about a member must not make it look different.
+        let comparable = |member| Member { last_seen: Millis::ZERO, reaches_store: false, ..member };
+        sources.into_iter().map(comparable).collect()
     }
 
     fn own_member(&self) -> Member {
@@ -158,6 +153,7 @@
             incarnation: self.incarnation,
             last_seen: self.clock.now(),
             leaving: self.shutdown.requested(),
+            reaches_store: self.mirror.reaches_store(),
         }
     }
 
@@ -185,7 +181,7 @@
     fn replica_for(&self, kind: Kind, known: Option<&Replica>, needs_large: bool, now: Millis) -> Option<Replica> {
         let reaches_store = self.mirror.reaches_store();
         let mut copy = lock(self.mirror.copy(kind));
-        let source_age = copy.store_response_age(now).unwrap_or(now);
+        let source_age = copy.store_response_age(now).unwrap_or(NEVER);
         let is_current = source_age < confirmation::max_source_age(mirror::watch_wait(kind));
         let mut replica = Replica {
             kind: kind.index() as u32,
--- a/crates/daemon/src/gateway/mirror.rs
+++ b/crates/daemon/src/gateway/mirror.rs
@@ -76,6 +76,8 @@
     /// The last answer of `lacking_since`, for followers that lack the same objects.
     encoded: Option<EncodedObjects>,
     /// Whether this gateway's last call to the store for this kind failed.
+    last_call_failed: bool,
+    /// The same, but false while another gateway keeps the copy current.
     store_calls_fail: bool,
     /// Whether the copy is kept current by this gateway's own calls to the store, not by a watcher.
     source_is_store: bool,
@@ -130,6 +132,7 @@
     }
 
     fn record_store_success(&self, kind: Kind) {
+        lock(self.copy(kind)).last_call_failed = false;
         self.set_source(kind, true);
     }
 
@@ -162,6 +165,7 @@
     fn record_store_failure(&self, kind: Kind, now: Millis) {
         let mut copy = lock(self.copy(kind));
         copy.store_calls_fail = true;
+        copy.last_call_failed = true;
         copy.last_failure = Some(now);
         drop(copy);
         self.notify_followers();
@@ -172,9 +176,10 @@
         lock(self.copy(Kind::Config)).is_synced_from_store()
     }
 
-    /// Whether this gateway's last call to the store for the configuration failed.
-    pub fn store_calls_fail(&self) -> bool {
-        lock(self.copy(Kind::Config)).store_calls_fail
+    /// Whether this gateway's last call to the store for the configuration failed, however long ago: a gateway that others
+    /// keep current makes no calls.
+    pub fn is_rejected(&self) -> bool {
+        lock(self.copy(Kind::Config)).last_call_failed
     }
 
     /// Whether a followed watcher keeps the copy of `kind` current.
