Decode each object of the store by itself, so that an odd one affects no other

Cause: a page and a series of changes were decoded whole. One entry that is nested beyond the parser's limit, holds 1e999 or a lone surrogate made the list unreadable on every gateway until it went away; an event without a readable name stopped the watch; an entry at the limit that one gateway could read broke the copies of those that follow it.

Change: contents stay JSON text until they are decoded (raw values, whose form is checked without recursion). An object with a readable name and other malformed metadata stands for that name without contents. A malformed order leaves the one before in force, as a configuration does. Each defect is logged and counted once. A page of unreadable entries no longer ends a list of which more follows.

--- a/crates/daemon/src/gateway/follow.rs
+++ b/crates/daemon/src/gateway/follow.rs
@@ -14,7 +14,7 @@
     transfer,
     unit::{Bytes, Millis},
 };
-use eelgrasswell_platform::objects::{Kind, Object};
+use eelgrasswell_platform::objects::{Kind, ParsedObjects};
 use eelgrasswell_proto::v1::{FollowReply, FollowRequest, Replica, fleet_client::FleetClient};
 use tokio::{
     task::AbortHandle,
@@ -260,8 +260,9 @@
                 }
                 return Ok(());
             }
-            let objects: Vec<Object> = serde_json::from_slice(&replica.objects)?;
-            copy.merge(objects, &replica.names, replica.revision, replica.changed);
+            let parsed = ParsedObjects::from_json(&replica.objects, replica.revision)?;
+            parsed.malformed.iter().for_each(|err| self.mirror.report_malformed(kind, err));
+            copy.merge(parsed.objects, &replica.names, replica.revision, replica.changed);
             copy.confirm_from_peer(replica.revision, responded_at, age);
         }
         self.apply(kind, watcher.as_str());
--- a/crates/daemon/src/gateway/mirror.rs
+++ b/crates/daemon/src/gateway/mirror.rs
@@ -13,7 +13,7 @@
     unit::Millis,
 };
 use eelgrasswell_platform::{
-    objects::{self, CONFIG_NAME, Kind, Object},
+    objects::{self, CONFIG_NAME, Kind, MalformedObject, Object},
     store::{Change, StoreError},
 };
 use rand::RngExt;
@@ -43,6 +43,8 @@
 /// Longest pause after failed calls of a gateway that watches the store for others. It must detect quickly when a store
 /// that rejected calls of some hosts accepts them again.
 const WATCHER_BACKOFF_MAX: Duration = Duration::from_millis(800);
+/// Number of reported malformed objects that are remembered. With more, those reported before are reported again.
+const MAX_REPORTED: usize = 1_024;
 /// Longest pause after failed calls of the other gateways, which learn from the watchers that the store is available
 /// again.
 const FOLLOWER_BACKOFF_MAX: Duration = Duration::from_millis(1_600);
@@ -53,11 +55,18 @@
     /// Time until which a copy counts as kept current by a followed watcher, by watcher and the index of the kind.
     synced_until: Mutex<HashMap<HostId, [Millis; Kind::ALL.len()]>>,
     changes: watch::Sender<()>,
+    /// Malformed objects that have been reported.
+    reported: Mutex<HashSet<(Kind, MalformedObject)>>,
 }
 
 impl Default for Mirror {
     fn default() -> Self {
-        Self { copies: Default::default(), synced_until: Mutex::default(), changes: watch::Sender::new(()) }
+        Self {
+            copies: Default::default(),
+            synced_until: Mutex::default(),
+            changes: watch::Sender::new(()),
+            reported: Mutex::default(),
+        }
     }
 }
 
@@ -126,6 +135,20 @@
         lock(&self.synced_until).remove(watcher);
     }
 
+    /// Logs and counts an object of `kind` that can't be decoded, once. What was decoded before stays in use, or, in the case
+    /// of a backend server, the object counts as missing.
+    pub fn report_malformed(&self, kind: Kind, err: &MalformedObject) {
+        let mut reported = lock(&self.reported);
+        if reported.len() >= MAX_REPORTED {
+            reported.clear();
+        }
+        if !reported.insert((kind, err.clone())) {
+            return;
+        }
+        event!(Warn, "object_malformed", kind = kind, object = err.name, error = err.error);
+        metrics::counter!(telemetry::MALFORMED_OBJECTS, "kind" => kind.path()).increment(1);
+    }
+
     /// Notifies the gateways that follow this one, and waiting tasks, of a change.
     fn notify_followers(&self) {
         self.changes.send_replace(());
@@ -359,12 +382,14 @@
     let sent = gateway.clock.now();
     let revision = lock(gateway.mirror.copy(kind)).revision;
     let Some(revision) = revision.filter(|_| !needs_list) else {
-        let (objects, revision) = client.list(kind).await?;
-        gateway.apply_list(kind, objects, revision, sent);
+        let list = client.list(kind).await?;
+        list.malformed.iter().for_each(|err| gateway.mirror.report_malformed(kind, err));
+        gateway.apply_list(kind, list.objects, list.revision, sent);
         return Ok(());
     };
     let wait = watch_wait(kind);
     let (changes, began_at) = client.watch(kind, revision, wait).await?;
+    changes.malformed.iter().for_each(|err| gateway.mirror.report_malformed(kind, err));
     let changed = !changes.events.is_empty();
     let copy = gateway.mirror.copy(kind);
     {
@@ -437,7 +462,7 @@
                     metrics::gauge!(telemetry::CONFIG_VERSION).set(version.0 as f64);
                 }
             }
-            Err(err) => event!(Error, "config_malformed", revision = object.metadata.revision, error = err),
+            Err(err) => self.mirror.report_malformed(Kind::Config, &err),
         }
     }
 
@@ -456,7 +481,7 @@
         for entry in list {
             match entry {
                 Ok(backend) => backends.push(backend),
-                Err(err) => event!(Debug, "backend_malformed", error = err),
+                Err(err) => self.mirror.report_malformed(Kind::Backends, &err),
             }
         }
         let changes = lock(&self.pool).update(now, backends, grace);
@@ -475,18 +500,24 @@
         let now = self.clock.now();
         let entries: Vec<_> = lock(self.mirror.copy(Kind::Orders)).objects().map(objects::decode_order).collect();
         let mut orders: HashMap<ServiceName, Order> = HashMap::default();
+        let mut malformed: HashSet<ServiceName> = HashSet::default();
         for entry in entries {
             match entry {
                 Ok(order) => {
                     orders.insert(order.service.clone(), order);
                 }
-                Err(err) => event!(Warn, "order_malformed", error = err),
+                Err(err) => {
+                    self.mirror.report_malformed(Kind::Orders, &err);
+                    malformed.insert(err.name.as_str().into());
+                }
             }
         }
         let recent_sessions = lock(&self.sessions).clone();
         let mut canaries = lock(&self.canaries);
-        canaries
-            .retain(|service, canary| orders.get(service).is_some_and(|order| order.target == canary.order().target));
+        canaries.retain(|service, canary| {
+            let order = orders.get(service);
+            order.is_some_and(|order| order.target == canary.order().target) || malformed.contains(service)
+        });
         for (service, order) in orders {
             let state = order.state;
             let canary = canaries.entry(service).or_insert_with(|| {
--- a/crates/daemon/src/gateway/store.rs
+++ b/crates/daemon/src/gateway/store.rs
@@ -3,9 +3,10 @@
 use std::{fmt, net::SocketAddr, time::Duration};
 
 use bytes::{Bytes, BytesMut};
+use compact_str::CompactString;
 use eelgrasswell_core::{transfer::Transfer, unit::Millis};
 use eelgrasswell_platform::{
-    objects::{Kind, Object},
+    objects::{Kind, MalformedObject, Object},
     store::{self, Changes, StoreError},
 };
 use http_body_util::{BodyExt, Full};
@@ -28,6 +29,17 @@
     conn: Option<Conn>,
 }
 
+/// All objects of a kind.
+#[derive(Debug, Default)]
+pub struct List {
+    /// Objects with a readable name.
+    pub objects: Vec<Object>,
+    /// What is wrong with malformed objects.
+    pub malformed: Vec<MalformedObject>,
+    /// Revision of the store at the first page.
+    pub revision: u64,
+}
+
 /// A complete response of the store.
 struct Response {
     status: StatusCode,
@@ -68,20 +80,25 @@
         Self { address, conn: None }
     }
 
-    /// Reads all objects of a kind, page by page. Returns them with the store's revision of the first page.
-    pub async fn list(&mut self, kind: Kind) -> Result<(Vec<Object>, u64), CallError> {
-        let mut objects = Vec::new();
-        let mut revision = None;
+    /// Reads all objects of a kind, page by page.
+    pub async fn list(&mut self, kind: Kind) -> Result<List, CallError> {
+        let mut list = List::default();
+        let mut after: Option<CompactString> = None;
         loop {
-            let after = objects.last().map(|object: &Object| object.metadata.name.clone());
             let response = self.call("list", store::list_request(kind, after.as_deref()), RESPONSE_TIMEOUT).await?;
             let page = store::parse_page(response.status, &response.body)?;
-            // A watch from the revision of the first page also returns changes that were made between two pages.
-            let first = *revision.get_or_insert(page.revision);
-            let more = page.has_more && !page.items.is_empty();
-            objects.extend(page.items);
-            if !more {
-                return Ok((objects, first));
+            if after.is_none() {
+                // A watch from the revision of the first page also returns changes that were made between two pages.
+                list.revision = page.revision;
+            }
+            list.malformed.extend(page.malformed);
+            after = page.items.last().map(|object| object.metadata.name.clone());
+            list.objects.extend(page.items);
+            if !page.has_more {
+                return Ok(list);
+            }
+            if after.is_none() {
+                return Err(StoreError::Malformed("a page that others follow has no readable name".into()).into());
             }
         }
     }
@@ -99,10 +116,10 @@
         kind: Kind,
         object: &Object,
         value: &serde_json::Value,
-    ) -> Result<Object, CallError> {
+    ) -> Result<(), CallError> {
         let req = store::put_status_request(kind, &object.metadata.name, object.metadata.revision, value);
         let response = self.call("put_status", req, RESPONSE_TIMEOUT).await?;
-        Ok(store::parse_object(response.status, &response.body)?)
+        Ok(store::parse_written(response.status, &response.body)?)
     }
 
     async fn call(
--- a/crates/daemon/src/telemetry.rs
+++ b/crates/daemon/src/telemetry.rs
@@ -29,6 +29,8 @@
 pub const FOLLOWS: &str = "eelgrasswell_follows_total";
 /// Replies of followed gateways that left large objects to the store.
 pub const COPIES_LEFT_TO_STORE: &str = "eelgrasswell_copies_left_to_store_total";
+/// Objects of the store that could not be decoded, by `kind`.
+pub const MALFORMED_OBJECTS: &str = "eelgrasswell_malformed_objects_total";
 /// Parts of prompts that were blocked because they crash backend servers.
 pub const PARTS_BLOCKED: &str = "eelgrasswell_parts_blocked_total";
 /// Version of the configuration in force.
--- a/crates/testbed/src/site/store.rs
+++ b/crates/testbed/src/site/store.rs
@@ -63,6 +63,8 @@
     /// Revision up to which the history was dropped.
     dropped_revision: u64,
     faults: StoreFaults,
+    /// JSON texts that `Value` can't hold, each with the text that stands for it in objects.
+    raw: Vec<(String, String)>,
     calls: HashMap<(usize, String), u64>,
 }
 
@@ -89,6 +91,17 @@
         self.state.change(kind, name, |object| object["spec"] = spec);
     }
 
+    /// Creates an object or replaces its spec by JSON text that need not fit into `Value`.
+    pub fn put_raw(&self, kind: &str, name: &str, spec: &str) {
+        let placeholder = {
+            let mut inner = self.state.lock();
+            let placeholder = format!("raw-json-{}", inner.raw.len());
+            inner.raw.push((json!(placeholder).to_string(), spec.to_owned()));
+            placeholder
+        };
+        self.put(kind, name, json!(placeholder));
+    }
+
     /// Deletes an object.
     pub fn delete(&self, kind: &str, name: &str) {
         let revision = {
@@ -161,6 +174,12 @@
         object
     }
 
+    /// The JSON text of a response.
+    fn encode(&self, value: &Value) -> String {
+        let raw = self.lock().raw.clone();
+        raw.iter().fold(value.to_string(), |text, (placeholder, spec)| text.replace(placeholder, spec))
+    }
+
     async fn handle_request(&self, gateway: usize, req: Request<Incoming>) -> (StatusCode, Value) {
         let path: Vec<String> = req.uri().path().split('/').skip(2).map(str::to_owned).collect();
         let query: HashMap<String, String> = req
@@ -254,7 +273,7 @@
             let state = Arc::clone(&state);
             async move {
                 let (status, value) = state.handle_request(gateway, req).await;
-                let mut response = Response::new(Full::new(Bytes::from(value.to_string())));
+                let mut response = Response::new(Full::new(Bytes::from(state.encode(&value))));
                 *response.status_mut() = status;
                 Ok::<_, Infallible>(response)
             }
