Believe a refusal only if it can't be an earlier one

Cause: an answer that says "not run" and names no request was believed, whatever the connection had carried. A server that writes an earlier refusal once more on a kept connection made the gateway tell a caller "not run" for a request that it was running, or run it at a second server.

Change: core::not_run keeps the refused requests of each connection. A refusal is believed if it names the request, which was never refused on that connection, or if it names none and is the first refusal there. Any other one is a loss, and its connection is closed. A request is not sent on a connection on which it was refused. This holds for 421, too. An answer that succeeds is never a refusal.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod lease;
 pub mod ledger;
 pub mod membership;
+pub mod not_run;
 pub mod pace;
 pub mod pool;
 pub mod quality;
--- a/crates/daemon/src/gateway/attempt.rs
+++ b/crates/daemon/src/gateway/attempt.rs
@@ -10,6 +10,7 @@
     canary::VersionRule,
     crash_evidence::{Block, PartId},
     id::{BackendId, ModelName, RequestId},
+    not_run::Named,
     pool::{Cost, Outcome, Requirements, SendId, Unavailable},
     unit::Millis,
 };
@@ -23,11 +24,12 @@
 
 use super::{
     Gateway, State,
+    connections::BackendConn,
     net::{Conn, SendError},
     request::Call,
     response_stats::{Sample, SampleOutcome},
 };
-use crate::{event, sync::lock};
+use crate::{event, sync::lock, telemetry};
 
 /// Timeout for connecting to a backend server.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
@@ -89,7 +91,7 @@
     shared_parts: Arc<[PartId]>,
     /// When the answer began.
     answered_at: Option<Instant>,
-    conn: Option<Conn>,
+    conn: Option<BackendConn>,
 }
 
 /// A send that ended without an answer.
@@ -137,7 +139,8 @@
             return Err(SendFailure::NotRun { backend, why: "it accepts no new requests".into() });
         }
         let conn = guard.conn.insert(conn);
-        let result = timeout_at(self.head_deadline, conn.send(self.backend_request(&backend))).await;
+        let req = self.backend_request(&backend);
+        let result = timeout_at(self.head_deadline, conn.conn.send(req)).await;
         let response = match result {
             Ok(Ok(response)) => response,
             Ok(Err(SendError::NotSent(why))) => {
@@ -208,17 +211,17 @@
         price.powf(PRICE_EXPONENT) * tokens.max(MIN_MODEL_COST)
     }
 
-    async fn connect(&self, gateway: &Gateway, backend: &Backend) -> Result<Conn, String> {
+    async fn connect(&self, gateway: &Gateway, backend: &Backend) -> Result<BackendConn, String> {
         let idempotent = self.call.route.kind.is_idempotent();
         while let Some(mut conn) = gateway.connections.acquire(backend, &self.call.id, idempotent) {
-            if conn.ready().await {
+            if conn.conn.ready().await {
                 return Ok(conn);
             }
         }
         let limit = CONNECT_TIMEOUT.min(self.head_deadline.saturating_duration_since(Instant::now()));
         let opened = Conn::open(backend.address, limit).await;
         let mut conn = opened.map_err(|err| format!("could not connect to {}: {err}", backend.address))?;
-        if conn.ready().await { Ok(conn) } else { Err(format!("{} closed the connection", backend.address)) }
+        if conn.ready().await { Ok(conn.into()) } else { Err(format!("{} closed the connection", backend.address)) }
     }
 
     /// Urgency among the requests of a server: the customer's priority, or the route's if the customer has none.
@@ -260,17 +263,23 @@
         if let Some(remaining) = meta.cold_remaining.filter(|cold| *cold > Millis::ZERO) {
             lock(&gateway.pool).record_cold(gateway.clock.now(), &backend, remaining);
         }
-        let answers_other_request = meta.id.as_deref().is_some_and(|id| id != self.call.id.as_str());
-        if answers_other_request {
+        let named = Named::by_id(meta.id.as_deref(), &self.call.id);
+        if named == Named::OtherRequest {
             let why = "an answer to another request came".into();
             return Err(self.fail_as_lost(gateway, backend, Some(SampleOutcome::Failed), why));
         }
-        if meta.replaced {
-            lock(&gateway.pool).remove_replaced(&backend);
-            return Err(SendFailure::NotRun { backend, why: "another server answers at its address".into() });
-        }
         let status = head.status;
         if meta.not_run {
+            if !guard.believes_refusal(named) {
+                event!(Warn, "refusal_doubted", request = self.call.id, backend = backend.id, status = status.as_u16());
+                metrics::counter!(telemetry::REFUSALS_DOUBTED).increment(1);
+                let why = "its refusal may belong to another request".into();
+                return Err(self.fail_as_lost(gateway, backend, None, why));
+            }
+            if meta.replaced {
+                lock(&gateway.pool).remove_replaced(&backend);
+                return Err(SendFailure::NotRun { backend, why: "another server answers at its address".into() });
+            }
             gateway.record_outcome(&backend, Outcome::Refused);
             tokio::spawn(Answer { status, headers: head.headers, meta, body, guard }.drain());
             return Err(SendFailure::NotRun { backend, why: format!("it refused with {status}") });
@@ -363,6 +372,15 @@
         self.gateway.record_crash(&self.backend, &self.id, &self.shared_parts, answering);
     }
 
+    /// Records a refusal on the connection. Returns whether it can be believed; if not, the connection is closed.
+    fn believes_refusal(&mut self, named: Named) -> bool {
+        let is_believed = self.conn.as_mut().is_some_and(|conn| conn.refusals.record(&self.id, named));
+        if !is_believed {
+            self.conn = None;
+        }
+        is_believed
+    }
+
     fn return_connection(mut self, meta: &ResponseMeta) {
         if let Some(conn) = self.conn.take().filter(|_| !meta.closes_connection) {
             self.gateway.connections.release(&self.backend, &self.id, conn, meta.idle_timeout);
--- a/crates/daemon/src/gateway/connections.rs
+++ b/crates/daemon/src/gateway/connections.rs
@@ -10,6 +10,7 @@
     backend::Backend,
     hash::HashMap,
     id::{BackendId, RequestId},
+    not_run::Refusals,
     unit::Millis,
 };
 use tokio::time::sleep;
@@ -36,8 +37,22 @@
     idle: Mutex<HashMap<(BackendId, SocketAddr), Vec<Idle>>>,
 }
 
+/// A connection to a backend server.
+pub struct BackendConn {
+    /// The connection.
+    pub conn: Conn,
+    /// Requests that were refused on it.
+    pub refusals: Refusals,
+}
+
+impl From<Conn> for BackendConn {
+    fn from(conn: Conn) -> Self {
+        Self { conn, refusals: Refusals::default() }
+    }
+}
+
 struct Idle {
-    conn: Conn,
+    conn: BackendConn,
     since: Instant,
     idle_timeout: Duration,
     /// Id of the last request on the connection. A repeat of that request must not use the connection, since a late
@@ -47,12 +62,14 @@
 
 impl IdleConnections {
     /// Removes and returns the most recently used connection to `backend` that may carry the request `id`.
-    pub fn acquire(&self, backend: &Backend, id: &RequestId, idempotent: bool) -> Option<Conn> {
+    pub fn acquire(&self, backend: &Backend, id: &RequestId, idempotent: bool) -> Option<BackendConn> {
         let mut idle = lock(&self.idle);
         let entries = idle.get_mut(&key(backend))?;
         entries.retain(Idle::is_usable);
         let can_carry = |entry: &Idle| {
-            entry.last_request != *id && (idempotent || entry.since.elapsed() < MAX_IDLE_FOR_NON_IDEMPOTENT)
+            entry.last_request != *id
+                && entry.conn.refusals.allow(id)
+                && (idempotent || entry.since.elapsed() < MAX_IDLE_FOR_NON_IDEMPOTENT)
         };
         let index = entries.iter().rposition(can_carry)?;
         Some(entries.remove(index).conn)
@@ -60,12 +77,12 @@
 
     /// Returns a connection to the pool after a complete answer to the request `id`. `stated_timeout` is the idle
     /// timeout that the server stated.
-    pub fn release(&self, backend: &Backend, id: &RequestId, conn: Conn, stated_timeout: Option<Millis>) {
+    pub fn release(&self, backend: &Backend, id: &RequestId, conn: BackendConn, stated_timeout: Option<Millis>) {
         let idle_timeout = match stated_timeout {
             Some(timeout) => Duration::from(timeout).saturating_sub(IDLE_MARGIN),
             None => DEFAULT_IDLE_TIMEOUT,
         };
-        if idle_timeout.is_zero() || conn.is_closed() {
+        if idle_timeout.is_zero() || conn.conn.is_closed() || conn.refusals.is_full() {
             return;
         }
         let mut idle = lock(&self.idle);
@@ -85,7 +102,7 @@
 
 impl Idle {
     fn is_usable(&self) -> bool {
-        self.since.elapsed() < self.idle_timeout && !self.conn.is_closed()
+        self.since.elapsed() < self.idle_timeout && !self.conn.conn.is_closed()
     }
 }
 
--- a/crates/daemon/src/telemetry.rs
+++ b/crates/daemon/src/telemetry.rs
@@ -31,6 +31,8 @@
 pub const COPIES_LEFT_TO_STORE: &str = "eelgrasswell_copies_left_to_store_total";
 /// Objects of the store that could not be decoded, by `kind`.
 pub const MALFORMED_OBJECTS: &str = "eelgrasswell_malformed_objects_total";
+/// Refusals of backend servers that may have belonged to another request.
+pub const REFUSALS_DOUBTED: &str = "eelgrasswell_refusals_doubted_total";
 /// Parts of prompts that were blocked because they crash backend servers.
 pub const PARTS_BLOCKED: &str = "eelgrasswell_parts_blocked_total";
 /// Version of the configuration in force.
--- a/crates/testbed/src/site/mod.rs
+++ b/crates/testbed/src/site/mod.rs
@@ -3,8 +3,10 @@
 
 mod backend;
 mod rig;
+mod scripted;
 mod store;
 
 pub use backend::{Behaviour, FakeBackend, Run, event};
 pub use rig::{GatewayProcess, Rig, RigPlan, config, wait_until};
+pub use scripted::{Script, ScriptedBackend, ScriptedRequest};
 pub use store::{FakeStore, StoreFaults};
