Pass on nothing but events in order in the middle of a stream

Cause: what followed a broken stream was any answer with a success status. Its bytes were split at blank lines and passed on: the text of an error, a whole head, events from the start; an answer without events ended the stream as if it were complete.

Change: core::event_order checks each event before it is passed on: it consists of fields, and its id is above that of the one before. Anything else breaks the stream off, and it is resumed after the last sound event or cut. An answer continues a stream only with the same status and as an event stream. If a server broke off within an event, an answer that ends without it is not the end. Each answer decides for itself whether it is a stream. While no server is available, waiting to resume takes no repeats from the budget.

--- a/crates/core/src/event_stream.rs
+++ b/crates/core/src/event_stream.rs
@@ -5,6 +5,8 @@
 
 /// Maximum size of an incomplete event in bytes. A stream with a larger one counts as broken.
 const MAX_PENDING: usize = 1 << 20;
+/// How events begin, unless with a field that has no meaning.
+const FIELD_STARTS: [&[u8]; 3] = [b"id:", b"data:", b"event:"];
 
 /// Complete events, in their received form.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -38,6 +40,11 @@
         !self.pending.is_empty()
     }
 
+    /// Whether the buffered bytes are the beginning of an event, and not of something else.
+    pub fn is_inside_known_field(&self) -> bool {
+        FIELD_STARTS.iter().any(|start| self.pending.starts_with(start))
+    }
+
     /// Whether the incomplete event exceeds the maximum size.
     pub fn is_overlong(&self) -> bool {
         self.pending.len() > MAX_PENDING
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod confirmation;
 pub mod crash_evidence;
 pub mod escalation;
+pub mod event_order;
 pub mod event_stream;
 pub mod fleet;
 pub mod hash;
--- a/crates/daemon/src/gateway/execute.rs
+++ b/crates/daemon/src/gateway/execute.rs
@@ -24,7 +24,7 @@
 use super::{
     Gateway,
     attempt::{Answer, Attempt, SendFailure},
-    relay::Relay,
+    relay::{Relay, StreamHead},
     request::Call,
 };
 use crate::{
@@ -133,13 +133,13 @@
         self.respond(smaller).await
     }
 
-    /// Resumes a stream at another server after the event `last_id`; none if no server can resume it. With
-    /// `repeat_acquired`, the repeat for the first send has already been acquired from the budget.
-    pub async fn resume(&mut self, last_id: Option<&str>, repeat_acquired: bool) -> Option<Answer> {
+    /// Resumes a stream that began with `head` at another server after the event `last_id`; none if no server can resume it.
+    /// With `repeat_acquired`, the repeat for the first send has already been acquired from the budget.
+    pub async fn resume(&mut self, head: &StreamHead, last_id: Option<&str>, repeat_acquired: bool) -> Option<Answer> {
         let mut repeat_acquired = repeat_acquired;
         while std::mem::take(&mut repeat_acquired) || self.try_acquire_repeat(Purpose::Failure) {
             match self.attempt(last_id).await {
-                Ok(answer) if answer.status.is_success() => return Some(answer),
+                Ok(answer) if head.is_continued_by(&answer) => return Some(answer),
                 Ok(answer) => {
                     event!(Info, "resume_failed", request = self.call.id, status = answer.status.as_u16());
                     tokio::spawn(answer.drain());
@@ -148,7 +148,12 @@
                     event!(Info, "resume_failed", request = self.call.id, error = failure);
                     match failure {
                         SendFailure::Blocked(_) => return None,
-                        SendFailure::Unavailable(_) => sleep(COLD_RETRY_INTERVAL).await,
+                        // Nothing was sent, so the repeat is still there.
+                        SendFailure::Unavailable(_) if self.call.remaining() > MIN_REPEAT_TIME => {
+                            sleep(COLD_RETRY_INTERVAL).await;
+                            repeat_acquired = true;
+                        }
+                        SendFailure::Unavailable(_) => return None,
                         SendFailure::NotRun { .. } | SendFailure::Lost { .. } => {}
                     }
                 }
@@ -353,11 +358,10 @@
     /// can be repeated.
     async fn respond(mut self, answer: Answer) -> Result<Response<Body>, Failure> {
         self.log_answer(&answer);
-        let is_stream = self.call.route.kind.is_stream() && answer.status.is_success();
         let mut answer = answer;
         loop {
             let (status, headers) = (answer.status, headers::end_to_end(&answer.headers));
-            if is_stream {
+            if self.call.route.kind.is_stream() && StreamHead::begins_stream(&answer) {
                 return Ok(response(status, headers, Relay::new(self, answer).into_body()));
             }
             let buffered = timeout_at(self.call.deadline, buffer_answer(answer, self.call.deadline)).await;
--- a/crates/daemon/src/gateway/relay.rs
+++ b/crates/daemon/src/gateway/relay.rs
@@ -3,9 +3,9 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use compact_str::CompactString;
 use eelgrasswell_core::{
-    event_stream::{EventSplitter, Events},
+    event_order::{EventFault, EventOrder},
+    event_stream::EventSplitter,
     pace::PaceSampler,
     pool::Outcome,
     repeat::Purpose,
@@ -13,7 +13,11 @@
 use eyre::{Report, eyre};
 use futures::stream;
 use http_body_util::{BodyExt, StreamBody};
-use hyper::body::Frame;
+use hyper::{
+    StatusCode,
+    body::Frame,
+    header::{CONTENT_TYPE, HeaderValue},
+};
 use tokio::time::{Instant, timeout_at};
 
 use super::{attempt::Answer, execute::Execution, net::error_chain};
@@ -26,11 +30,16 @@
 /// again.
 const STALL_FACTOR: f64 = 2.5;
 
+/// Media type of event streams.
+const EVENT_STREAM: &str = "text/event-stream";
+
 /// Outcome of one read from a backend server's answer.
 enum ReadOutcome {
     Data(Bytes),
     End,
     Broken(String),
+    /// The server sent something else than events in order.
+    Malformed(String),
     Stalled,
     DeadlinePassed,
 }
@@ -50,14 +59,48 @@
     },
 }
 
+/// What the caller has been told of a stream by the head of its first answer.
+pub struct StreamHead {
+    status: StatusCode,
+    content_type: Option<HeaderValue>,
+}
+
+impl StreamHead {
+    fn of(answer: &Answer) -> Self {
+        Self { status: answer.status, content_type: answer.headers.get(CONTENT_TYPE).cloned() }
+    }
+
+    /// Whether the body of `answer` is an event stream. Servers may leave out the media type.
+    pub fn begins_stream(answer: &Answer) -> bool {
+        answer.status.is_success() && answer.headers.get(CONTENT_TYPE).is_none_or(is_event_stream)
+    }
+
+    /// Whether the body of `answer` can follow what the caller has got.
+    pub fn is_continued_by(&self, answer: &Answer) -> bool {
+        let content_type = answer.headers.get(CONTENT_TYPE);
+        let same_type = content_type == self.content_type.as_ref() || content_type.is_none_or(is_event_stream);
+        answer.status == self.status && same_type
+    }
+}
+
+fn is_event_stream(content_type: &HeaderValue) -> bool {
+    let media_type = content_type.to_str().ok().and_then(|value| value.split(';').next());
+    media_type.is_some_and(|media_type| media_type.trim().eq_ignore_ascii_case(EVENT_STREAM))
+}
+
 /// Relay of an event stream.
 pub struct EventRelay {
     execution: Execution,
+    head: StreamHead,
     answer: Option<Answer>,
     splitter: EventSplitter,
     /// Sampler of the answer in progress.
     pace: PaceSampler,
-    last_id: Option<CompactString>,
+    order: EventOrder,
+    /// Fault behind the last events that were passed on.
+    fault: Option<EventFault>,
+    /// Whether a server broke off inside an event that the caller has not got yet.
+    owes_event: bool,
     /// Whether the stream may be resumed at another server.
     resumable: bool,
     /// Time without data after which the stream is resumed. None if it is not resumable, or once it stalled while no
@@ -68,7 +111,7 @@
 impl Relay {
     /// Relays an event stream.
     pub fn new(execution: Execution, answer: Answer) -> Self {
-        let last_id = execution.call.meta.resume_after.clone();
+        let order = EventOrder::after(execution.call.meta.resume_after.clone());
         let resumable = execution.call.route.kind.is_idempotent();
         let max_pause = execution.call.route.max_pause;
         let stall_timeout =
@@ -76,10 +119,13 @@
         Self::Events(Box::new(EventRelay {
             stall_timeout: Some(stall_timeout).filter(|_| resumable),
             execution,
+            head: StreamHead::of(&answer),
             answer: Some(answer),
             splitter: EventSplitter::default(),
             pace: PaceSampler::default(),
-            last_id,
+            order,
+            fault: None,
+            owes_event: false,
             resumable,
         }))
     }
@@ -140,19 +186,22 @@
     async fn next_chunk(&mut self) -> Result<Option<Bytes>, Report> {
         loop {
             let mut repeat_acquired = false;
-            let why = match self.read_body().await {
+            let outcome = match self.fault.take() {
+                Some(fault) => ReadOutcome::Malformed(fault.to_string()),
+                None => self.read_body().await,
+            };
+            let why = match outcome {
                 ReadOutcome::Data(data) => match self.push(&data) {
-                    Some(events) => {
-                        self.last_id = events.last_id.or_else(|| self.last_id.take());
-                        return Ok(Some(events.bytes.into()));
-                    }
-                    None if self.splitter.is_overlong() => "an event is too long".into(),
-                    None => continue,
+                    Ok(Some(events)) => return Ok(Some(events)),
+                    Ok(None) => continue,
+                    Err(why) => why,
                 },
+                ReadOutcome::Malformed(why) => why,
                 ReadOutcome::End if self.splitter.is_inside_event() => {
                     self.record_crash();
                     "it ended inside an event".into()
                 }
+                ReadOutcome::End if self.owes_event => "it ended before the event that broke off".into(),
                 ReadOutcome::End => {
                     let pace = self.pace.finish();
                     self.record_pace(pace);
@@ -178,24 +227,37 @@
             if let Some(answer) = self.answer.take() {
                 self.execution.gateway.record_outcome(&answer.guard.backend, Outcome::Failed);
             }
+            self.owes_event |= self.splitter.is_inside_known_field();
             self.splitter.reset();
             self.pace = PaceSampler::default();
             event!(Info, "stream_broken", request = self.execution.call.id, error = why);
             if !self.resumable {
                 return Err(self.cut_error(&why));
             }
-            self.answer = self.execution.resume(self.last_id.as_deref(), repeat_acquired).await;
+            self.answer = self.execution.resume(&self.head, self.order.last_id(), repeat_acquired).await;
             if self.answer.is_none() {
                 return Err(self.cut_error(&why));
             }
         }
     }
 
-    fn push(&mut self, data: &Bytes) -> Option<Events> {
+    /// Adds received bytes. Returns the events that they complete, or what is wrong with them. Events before a fault are
+    /// returned first, and the fault with the next read.
+    fn push(&mut self, data: &Bytes) -> Result<Option<Bytes>, String> {
         let now = self.execution.gateway.clock.now();
         let pace = self.pace.record(now, eelgrasswell_core::unit::Bytes(data.len() as u64));
         self.record_pace(pace);
-        self.splitter.push(data)
+        let Some(mut events) = self.splitter.push(data) else {
+            return if self.splitter.is_overlong() { Err("an event is too long".into()) } else { Ok(None) };
+        };
+        let (valid, fault) = self.order.accept(&events.bytes);
+        if let (0, Some(fault)) = (valid, &fault) {
+            return Err(fault.to_string());
+        }
+        self.fault = fault;
+        self.owes_event = false;
+        events.bytes.truncate(valid);
+        Ok(Some(events.bytes.into()))
     }
 
     fn record_pace(&self, pace: Option<f64>) {
--- a/crates/testbed/src/site/backend.rs
+++ b/crates/testbed/src/site/backend.rs
@@ -13,16 +13,21 @@
 
 use bytes::Bytes;
 use eyre::{Report, Result, WrapErr, eyre};
-use futures::stream;
+use futures::{StreamExt, stream};
 use http_body_util::{BodyExt, Full, StreamBody, combinators::UnsyncBoxBody};
 use hyper::{
     HeaderMap, Request, Response, StatusCode,
     body::{Frame, Incoming},
+    header::HeaderValue,
     service::service_fn,
 };
 use hyper_util::rt::TokioIo;
 use serde_json::{Value, json};
-use tokio::{net::TcpListener, task::JoinHandle, time::sleep};
+use tokio::{
+    net::TcpListener,
+    task::JoinHandle,
+    time::{Instant, sleep},
+};
 
 type Body = UnsyncBoxBody<Bytes, Report>;
 
@@ -43,8 +48,16 @@
     pub endless: bool,
     /// Answers with 500.
     pub fails: bool,
+    /// Answers with 404 and a body that breaks off.
+    pub breaks_refusal: bool,
     /// Refuses requests without running them.
     pub refuses: bool,
+    /// Value of the `Retry-After` field of refusals.
+    pub retry_after: Option<String>,
+    /// Says in all its responses that it is shutting down.
+    pub leaving: bool,
+    /// Media type and body with which a stream is resumed, in place of its further events.
+    pub resumed: Option<(String, String)>,
     /// Closes the connection after running a request, without a response.
     pub drops_response: bool,
     /// Runs requests but never responds.
@@ -67,7 +80,11 @@
             crashes_on_part: None,
             endless: false,
             fails: false,
+            breaks_refusal: false,
             refuses: false,
+            retry_after: None,
+            leaving: false,
+            resumed: None,
             drops_response: false,
             unresponsive: false,
             delay: Duration::from_millis(2),
@@ -110,6 +127,7 @@
     id: String,
     behaviour: Mutex<Behaviour>,
     runs: Mutex<Vec<Run>>,
+    arrivals: Mutex<Vec<Instant>>,
     streams: AtomicUsize,
 }
 
@@ -138,6 +156,7 @@
             id: id.into(),
             behaviour: Mutex::default(),
             runs: Mutex::default(),
+            arrivals: Mutex::default(),
             streams: AtomicUsize::new(0),
         });
         let accept_task = tokio::spawn(accept_connections(listener, Arc::clone(&state)));
@@ -159,6 +178,11 @@
         self.state.runs.lock().unwrap_or_else(PoisonError::into_inner).clone()
     }
 
+    /// Times at which requests have arrived, including those that it did not run.
+    pub fn arrivals(&self) -> Vec<Instant> {
+        self.state.arrivals.lock().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
     /// Number of streams that are being sent.
     pub fn streams(&self) -> usize {
         self.state.streams.load(Ordering::SeqCst)
@@ -192,6 +216,16 @@
 }
 
 async fn handle_request(state: Arc<State>, req: Request<Incoming>) -> Result<Response<Body>, Report> {
+    state.arrivals.lock().unwrap_or_else(PoisonError::into_inner).push(Instant::now());
+    let leaving = state.behaviour.lock().unwrap_or_else(PoisonError::into_inner).leaving;
+    let mut response = run_request(state, req).await?;
+    if leaving {
+        response.headers_mut().insert("server-leaving", HeaderValue::from_static("1"));
+    }
+    Ok(response)
+}
+
+async fn run_request(state: Arc<State>, req: Request<Incoming>) -> Result<Response<Body>, Report> {
     let mut behaviour = state.behaviour.lock().unwrap_or_else(PoisonError::into_inner).clone();
     let (head, body) = req.into_parts();
     let run = Run {
@@ -204,7 +238,9 @@
         return Ok(response(StatusCode::MISDIRECTED_REQUEST, &[("x-instance-id", "another")], "another server"));
     }
     if behaviour.refuses {
-        return Ok(response(StatusCode::SERVICE_UNAVAILABLE, &[("x-not-executed", "1")], "full"));
+        let retry_after = behaviour.retry_after.unwrap_or_default();
+        let fields = [("x-not-executed", "1"), ("x-attempt-id", run.id.as_str()), ("retry-after", &retry_after)];
+        return Ok(response(StatusCode::SERVICE_UNAVAILABLE, &fields, "full"));
     }
     state.runs.lock().unwrap_or_else(PoisonError::into_inner).push(run.clone());
     sleep(behaviour.delay).await;
@@ -221,6 +257,11 @@
     if behaviour.fails {
         return Ok(response(StatusCode::INTERNAL_SERVER_ERROR, &fields, "failed"));
     }
+    if behaviour.breaks_refusal {
+        let mut response = response(StatusCode::NOT_FOUND, &fields, "");
+        *response.body_mut() = broken_body();
+        return Ok(response);
+    }
     if behaviour.endless {
         let mut response = response(StatusCode::OK, &fields, "");
         *response.body_mut() = endless_body(OpenStream::new(Arc::clone(&state)));
@@ -229,6 +270,13 @@
     if model.is_empty() {
         return Ok(response(StatusCode::OK, &fields, &format!("done by {}", state.id)));
     }
+    if let Some((media_type, body)) = behaviour.resumed.as_ref().filter(|_| !run.header("last-event-id").is_empty()) {
+        let mut response = response(StatusCode::OK, &fields, body);
+        if !media_type.is_empty() {
+            response.headers_mut().insert("content-type", HeaderValue::from_str(media_type)?);
+        }
+        return Ok(response);
+    }
     if behaviour.crashes_on_part.as_ref().is_some_and(|part| run.header("x-prompt-prefix").contains(part.as_str())) {
         behaviour.cut_in_event = Some(1);
     }
@@ -238,6 +286,18 @@
     Ok(response)
 }
 
+/// A body that breaks off after its first bytes have been sent.
+fn broken_body() -> Body {
+    let chunks = stream::iter([0, 1]).then(|number| async move {
+        if number == 0 {
+            return Ok(Frame::data(Bytes::from_static(b"not f")));
+        }
+        sleep(Duration::from_millis(20)).await;
+        Err(eyre!("the body was cut"))
+    });
+    StreamBody::new(chunks).boxed_unsync()
+}
+
 /// Bytes that are no events, until the caller closes the connection.
 fn endless_body(open: OpenStream) -> Body {
     let chunks = stream::unfold(open, |open| async move {
