Send nothing to servers that say that they shut down, or that ask for a pause

Cause: nothing read the field by which a server says in its answers that it leaves, so while the store listed it as ready it went on getting requests; and a refusal with a stated pause changed nothing, so the next request could go to the same server at once.

Change: core::departure holds marks of incarnations, pooled over the gateways by their exchanges as a set; a list that says "ready" does not undo them, and they end with the incarnation. core::pause holds the pauses that servers asked this gateway for; they are only extended, for ten minutes at most a time. Both act on every path that chooses a server and right before a send. Announcements are read from the head of every response, interim ones included, unless another server sent it. If all servers pause, a request is refused at once with the time at which the first may be asked, spread over callers.

Weighed: pooling pauses, too. The pause concerns the router that asked; pooling it would take a server from routers that it wants requests from. Fields that can not be read are ignored with a log line.

--- a/crates/core/src/backend.rs
+++ b/crates/core/src/backend.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use crate::{
+    hash::stable_hash,
     id::{BackendId, DomainId, ServiceName, VersionName},
     unit::Millis,
 };
@@ -29,3 +30,21 @@
     /// Unix time of the server's start, in milliseconds; distinguishes starts under the same id.
     pub started_at: u64,
 }
+
+/// One incarnation of a backend server: a hash of its id and the time of its start.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct ServerId(pub u64);
+
+impl ServerId {
+    /// The incarnation of the server `id` that started at `started_at`.
+    pub fn of(id: &BackendId, started_at: u64) -> Self {
+        Self(stable_hash(&[id.as_str(), &started_at.to_string()]))
+    }
+}
+
+impl Backend {
+    /// The incarnation of the server.
+    pub fn server(&self) -> ServerId {
+        ServerId::of(&self.id, self.started_at)
+    }
+}
--- a/crates/core/src/crash_evidence.rs
+++ b/crates/core/src/crash_evidence.rs
@@ -10,8 +10,8 @@
 //! get single probes at growing intervals, so that a part that was blocked wrongly or is harmless by now comes free.
 
 use crate::{
+    backend::ServerId,
     hash::{HashMap, HashSet, stable_hash},
-    id::BackendId,
     unit::Millis,
 };
 
@@ -47,10 +47,6 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct PartId(pub u64);
 
-/// One incarnation of a backend server.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-pub struct ServerId(pub u64);
-
 /// An answer that broke off at a server, as evidence against one part of its prompt.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Crash {
@@ -128,13 +124,6 @@
     }
 }
 
-impl ServerId {
-    /// The incarnation of the server `id` that started at `started_at`, in Unix milliseconds.
-    pub fn of(id: &BackendId, started_at: u64) -> Self {
-        Self(stable_hash(&[id.as_str(), &started_at.to_string()]))
-    }
-}
-
 impl CrashEvidence {
     /// Records that the answer to `request` with the shared parts `parts` broke off at `server`, `answering` after its
     /// start (zero if it had not started). A break long after the start does not count: a deadly part crashes a server
--- a/crates/core/src/pool.rs
+++ b/crates/core/src/pool.rs
@@ -5,15 +5,18 @@
 //!   (bounded-load consistent hashing), so that a prefix in high demand spills over to other servers.
 //! - Servers fail, slow down or stop responding: they get fewer requests and are tried again after a pause.
 //! - A server is cold: it gets at most a limited rate of requests.
+//! - A server shuts down, or asks for a pause: it gets none, whatever the list says.
 
 use std::{cmp::Reverse, sync::Arc};
 
 use rand::{Rng, RngExt};
 
 use crate::{
-    backend::Backend,
+    backend::{Backend, ServerId},
+    departure::{Departure, Departures},
     hash::{HashMap, HashSet, stable_hash},
     id::{BackendId, DomainId, ServiceName, VersionName},
+    pause::Pauses,
     rate::{self, RecentSends},
     unit::Millis,
 };
@@ -48,11 +51,16 @@
     entries: HashMap<BackendId, Entry>,
     last_send: u64,
     evacuated: HashSet<DomainId>,
+    /// Kept apart from the entries, which come and go with the list.
+    departures: Departures,
+    /// The same.
+    pauses: Pauses,
 }
 
 #[derive(Debug)]
 struct Entry {
     backend: Arc<Backend>,
+    server: ServerId,
     /// Time until which the server stays cold.
     cold_until: Millis,
     /// End of the grace period if the server is missing from the list.
@@ -121,6 +129,11 @@
     Cold,
     /// All servers have been tried already or run the wrong version.
     AllTried,
+    /// All servers with the right version have asked for a pause.
+    Paused {
+        /// Time at which the first pause ends.
+        until: Millis,
+    },
 }
 
 /// Result of a send, as far as it concerns the health of the server.
@@ -172,7 +185,12 @@
     pub fn expire(&mut self, now: Millis) -> Vec<BackendId> {
         let is_expired = |entry: &Entry| entry.missing_until.is_some_and(|until| until <= now);
         let expired = self.entries.iter().filter(|(_, entry)| is_expired(entry)).map(|(id, _)| id.clone()).collect();
+        for entry in self.entries.values().filter(|entry| is_expired(entry) && !entry.tells_its_start()) {
+            self.departures.remove(entry.server);
+        }
         self.entries.retain(|_, entry| !is_expired(entry));
+        self.departures.expire(now, self.entries.values().map(|entry| entry.server));
+        self.pauses.expire(now);
         expired
     }
 
@@ -237,9 +255,34 @@
     }
 
     /// Whether the server still accepts new requests. Callers check this again right before a send.
-    pub fn is_available(&self, backend: &Backend) -> bool {
+    pub fn is_available(&self, now: Millis, backend: &Backend) -> bool {
         let entry = self.entries.get(&backend.id).filter(|entry| entry.backend.started_at == backend.started_at);
-        entry.is_some_and(|entry| !entry.backend.draining && !self.evacuated.contains(&entry.backend.domain))
+        entry.is_some_and(|entry| self.is_in_service(entry) && self.pauses.end(now, entry.server).is_none())
+    }
+
+    /// Records that `server` announced at `since` that it is shutting down. Returns whether that was not known.
+    pub fn record_departure(&mut self, now: Millis, server: ServerId, since: Millis) -> bool {
+        self.departures.record(now, server, since)
+    }
+
+    /// Latest announcements of servers that are shutting down, for the other routers. Servers that don't tell when they
+    /// started are left out: a router that learns of the announcement late would mark their next incarnation.
+    pub fn departures(&self, now: Millis) -> Vec<Departure> {
+        let ambiguous: HashSet<ServerId> =
+            self.entries.values().filter(|entry| !entry.tells_its_start()).map(|entry| entry.server).collect();
+        let mut departures = self.departures.report(now);
+        departures.retain(|departure| !ambiguous.contains(&departure.server));
+        departures
+    }
+
+    /// Id of an incarnation; none if it is not in the pool.
+    pub fn id_of(&self, server: ServerId) -> Option<&BackendId> {
+        self.entries.values().find(|entry| entry.server == server).map(|entry| &entry.backend.id)
+    }
+
+    /// Records that a server wants no request for `pause`, and returns the time at which its pause ends.
+    pub fn record_pause(&mut self, now: Millis, backend: &Backend, pause: Millis) -> Millis {
+        self.pauses.record(now, backend.server(), pause)
     }
 
     /// Selects a server and records the send, which `release` must end.
@@ -252,13 +295,22 @@
         if !self.has_available(requirements.service) {
             return Err(Unavailable::NoneInService);
         }
-        let eligible: Vec<BackendId> = self
-            .in_service(requirements.service)
-            .filter(|entry| requirements.allows(&entry.backend))
-            .map(|entry| entry.backend.id.clone())
-            .collect();
+        let mut first_end: Option<Millis> = None;
+        let mut has_unpaused = false;
+        let mut eligible: Vec<BackendId> = Vec::new();
+        for entry in self.in_service(requirements.service).filter(|entry| requirements.allows_version(&entry.backend)) {
+            if let Some(end) = self.pauses.end(now, entry.server) {
+                first_end = Some(first_end.map_or(end, |first| first.min(end)));
+                continue;
+            }
+            has_unpaused = true;
+            if !requirements.tried.contains(&entry.backend.id) {
+                eligible.push(entry.backend.id.clone());
+            }
+        }
         if eligible.is_empty() {
-            return Err(Unavailable::AllTried);
+            let until = first_end.filter(|_| !has_unpaused);
+            return Err(until.map_or(Unavailable::AllTried, |until| Unavailable::Paused { until }));
         }
         let within_limit: Vec<BackendId> =
             eligible.into_iter().filter(|id| self.is_within_cold_limit(now, id, requirements)).collect();
@@ -322,8 +374,14 @@
     }
 
     fn in_service(&self, service: &ServiceName) -> impl Iterator<Item = &Entry> {
-        let is_available = |entry: &&Entry| !entry.backend.draining && !self.evacuated.contains(&entry.backend.domain);
-        self.entries.values().filter(|entry| entry.backend.service == *service).filter(is_available)
+        let is_in_service = |entry: &&Entry| entry.backend.service == *service && self.is_in_service(entry);
+        self.entries.values().filter(is_in_service)
+    }
+
+    fn is_in_service(&self, entry: &Entry) -> bool {
+        !entry.backend.draining
+            && !self.evacuated.contains(&entry.backend.domain)
+            && !self.departures.contains(entry.server)
     }
 
     fn is_within_cold_limit(&mut self, now: Millis, id: &BackendId, requirements: &Requirements<'_>) -> bool {
@@ -371,16 +429,16 @@
 }
 
 impl Requirements<'_> {
-    fn allows(&self, backend: &Backend) -> bool {
+    fn allows_version(&self, backend: &Backend) -> bool {
         self.version.is_none_or(|version| backend.version == *version)
             && self.excluded_version.is_none_or(|version| backend.version != *version)
-            && !self.tried.contains(&backend.id)
     }
 }
 
 impl Entry {
     fn new(backend: Backend, cold_until: Millis) -> Self {
         Self {
+            server: backend.server(),
             backend: Arc::new(backend),
             cold_until,
             missing_until: None,
@@ -393,6 +451,11 @@
         }
     }
 
+    /// Whether the server's entry tells when it started, so that its incarnations can be told apart.
+    fn tells_its_start(&self) -> bool {
+        self.backend.started_at != 0
+    }
+
     /// Whether the server shows no sign of trouble. A server with an overdue response may be unresponsive, and its
     /// outstanding requests would fail only at their deadlines.
     fn is_healthy(&self, now: Millis) -> bool {
--- a/crates/core/tests/crash_evidence.rs
+++ b/crates/core/tests/crash_evidence.rs
@@ -2,7 +2,8 @@
 //! shared a server or other parts with such a prompt.
 
 use eelgrasswell_core::{
-    crash_evidence::{Block, CrashEvidence, Decision, PartId, ServerId},
+    backend::ServerId,
+    crash_evidence::{Block, CrashEvidence, Decision, PartId},
     unit::Millis,
 };
 use test_case::test_case;
--- a/crates/core/tests/pool.rs
+++ b/crates/core/tests/pool.rs
@@ -106,17 +106,17 @@
 #[test]
 fn is_available_false_once_draining() {
     let mut rig = Rig::with(vec![backend(1)]);
-    assert!(rig.pool.is_available(&backend(1)));
+    assert!(rig.pool.is_available(NOW, &backend(1)));
     let changes = rig.pool.update(NOW, vec![Backend { draining: true, ..backend(1) }], Millis::ZERO);
     assert_eq!(changes.draining, ["b1".into()]);
-    assert!(!rig.pool.is_available(&backend(1)), "a request that waited for a connection must not be sent now");
+    assert!(!rig.pool.is_available(NOW, &backend(1)), "a request that waited for a connection must not be sent now");
 }
 
 #[test]
 fn is_available_false_after_restart_under_same_id() {
     let mut rig = Rig::with(vec![backend(1)]);
     rig.pool.update(NOW, vec![Backend { started_at: 2, ..backend(1) }], Millis::ZERO);
-    assert!(!rig.pool.is_available(&backend(1)));
+    assert!(!rig.pool.is_available(NOW, &backend(1)));
 }
 
 /// The grace period is zero while the store is available; otherwise the entries of missing servers may come back.
@@ -214,3 +214,114 @@
     (0..4).for_each(|_| drop(rig.choose(NOW, |_| {}).unwrap()));
     assert!(rig.choose(NOW + Millis(400), |_| {}).is_ok(), "a slow server is better than none");
 }
+
+/// Guards against a list that still says that a server is ready and thereby undoes the server's own announcement.
+#[test]
+fn departure_outlasts_the_list() {
+    let mut rig = Rig::with(vec![backend(1), backend(2)]);
+    assert!(rig.pool.record_departure(NOW, backend(1).server(), NOW));
+    for lists in [vec![backend(1), backend(2)], vec![backend(2)], vec![backend(1), backend(2)]] {
+        rig.pool.update(NOW, lists, Millis::ZERO);
+        assert!(
+            !rig.pool.is_available(NOW, &backend(1)),
+            "a request that waited for a connection must not be sent now"
+        );
+        assert!((0..10).all(|_| rig.choose(NOW, |_| {}) == Ok("b2".into())));
+    }
+    rig.pool.update(NOW, vec![Backend { started_at: 2, ..backend(1) }], Millis::ZERO);
+    assert_eq!(rig.choose(NOW, |_| {}), Ok("b1".into()), "the next incarnation is held back");
+}
+
+#[test]
+fn departure_of_all() {
+    let mut rig = Rig::with(vec![backend(1), backend(2)]);
+    for n in 1..=2 {
+        rig.pool.record_departure(NOW, backend(n).server(), NOW);
+    }
+    assert_eq!(rig.choose(NOW, |_| {}), Err(Unavailable::NoneInService));
+}
+
+/// A server that does not tell when it started can't be told from its next incarnation once it has been away.
+#[test]
+fn departure_without_start_time() {
+    let unnamed = Backend { started_at: 0, ..backend(1) };
+    let mut rig = Rig::with(vec![unnamed.clone()]);
+    rig.pool.record_departure(NOW, unnamed.server(), NOW);
+    assert!(!rig.pool.is_available(NOW, &unnamed));
+    assert!(rig.pool.departures(NOW).is_empty(), "other routers would mark the next incarnation");
+    rig.pool.update(NOW, vec![], Millis::ZERO);
+    rig.pool.update(NOW, vec![unnamed.clone()], Millis::ZERO);
+    assert!(rig.pool.is_available(NOW, &unnamed));
+}
+
+#[test]
+fn pause_leaves_server_alone() {
+    let mut rig = Rig::with(vec![backend(1), backend(2)]);
+    rig.pool.record_pause(NOW, &backend(1), Millis(2_000));
+    assert!(!rig.pool.is_available(NOW, &backend(1)), "a request that waited for a connection must not be sent now");
+    for ms in (0..2_000).step_by(100) {
+        assert_eq!(rig.choose(NOW + Millis(ms), |_| {}), Ok("b2".into()));
+    }
+    assert_eq!(rig.choose(NOW + Millis(2_000), |_| {}), Ok("b1".into()), "it is not asked again after its pause");
+}
+
+/// The paths that choose servers which are otherwise left out: the fallback to unhealthy ones, and a list that comes back.
+#[test]
+fn pause_outlasts_fallbacks() {
+    let mut rig = Rig::with(vec![backend(1), backend(2)]);
+    rig.pool.record_pause(NOW, &backend(1), Millis(2_000));
+    rig.pool.record_outcome(NOW, &backend(1), Outcome::Answered { slowness: 1.0 });
+    rig.pool.record_outcome(NOW, &backend(2), Outcome::Unreachable);
+    assert_eq!(rig.choose(NOW, |_| {}), Ok("b2".into()));
+    rig.pool.update(NOW, vec![backend(2)], Millis::ZERO);
+    rig.pool.update(NOW, vec![backend(1), backend(2)], Millis::ZERO);
+    assert_eq!(rig.choose(NOW, |_| {}), Ok("b2".into()));
+    assert_eq!(rig.choose(NOW, |r| r.affinity = Some(7)), Ok("b2".into()));
+}
+
+/// While all servers pause, requests are refused with the time at which the first one may be asked. A server that was tried
+/// and did not ask for a pause may be tried again.
+#[test]
+fn pause_of_all() {
+    let mut rig = Rig::with(vec![backend(1), backend(2)]);
+    rig.pool.record_pause(NOW, &backend(1), Millis(2_000));
+    let tried = ["b2".into()];
+    assert_eq!(rig.choose(NOW, |r| r.tried = &tried), Err(Unavailable::AllTried));
+    rig.pool.record_pause(NOW, &backend(2), Millis(700));
+    let until = NOW + Millis(700);
+    assert_eq!(rig.choose(NOW, |_| {}), Err(Unavailable::Paused { until }));
+    assert_eq!(rig.choose(NOW, |r| r.tried = &tried), Err(Unavailable::Paused { until }));
+    assert_eq!(rig.choose(until, |_| {}), Ok("b2".into()));
+}
+
+/// Simulates a service whose servers turn requests away under a burst and state a pause: each router sends at most two
+/// requests to a server between half a second after its refusal and the end of its pause.
+#[test_case(4; "all turn away")]
+#[test_case(2; "half turn away")]
+#[test_case(1; "one always turns away")]
+fn burst_at_servers_that_pause(refusing: u8) {
+    const PAUSE: Millis = Millis(1_500);
+    let mut rig = Rig::with((1..=4).map(backend).collect());
+    let mut refused_at: HashMap<BackendId, Millis> = HashMap::default();
+    let mut in_pause: HashMap<BackendId, usize> = HashMap::default();
+    let mut served = 0;
+    for ms in (0..10_000).step_by(5) {
+        let now = NOW + Millis(ms);
+        let Ok(id) = rig.choose(now, |_| {}) else { continue };
+        let n: u8 = id.as_str()[1..].parse().unwrap();
+        if n > refusing {
+            served += 1;
+            continue;
+        }
+        if let Some(&at) = refused_at.get(&id)
+            && (at + Millis(500)..at + PAUSE).contains(&now)
+        {
+            *in_pause.entry(id.clone()).or_default() += 1;
+        }
+        refused_at.insert(id, now);
+        rig.pool.record_pause(now, &backend(n), PAUSE);
+    }
+    assert!(in_pause.values().all(|&count| count <= 2), "{in_pause:?}");
+    let expected = if refusing == 4 { 0 } else { 1_950 };
+    assert!(served >= expected, "{served} requests were served");
+}
--- a/crates/daemon/src/gateway/attempt.rs
+++ b/crates/daemon/src/gateway/attempt.rs
@@ -24,6 +24,7 @@
 
 use super::{
     Gateway, State,
+    announcements::Source,
     connections::BackendConn,
     net::{Conn, SendError},
     request::Call,
@@ -135,11 +136,11 @@
             }
         };
         // The server may have started to drain while the connection was opened.
-        if !lock(&gateway.pool).is_available(&backend) {
+        if !lock(&gateway.pool).is_available(gateway.clock.now(), &backend) {
             return Err(SendFailure::NotRun { backend, why: "it accepts no new requests".into() });
         }
         let conn = guard.conn.insert(conn);
-        let req = self.backend_request(&backend);
+        let req = self.backend_request(gateway, &backend);
         let result = timeout_at(self.head_deadline, conn.conn.send(req)).await;
         let response = match result {
             Ok(Ok(response)) => response,
@@ -181,7 +182,7 @@
         let mut rng = rand::rng();
         let mut pool = lock(&gateway.pool);
         let chosen = match pool.choose(now, &requirements, &mut rng) {
-            Err(Unavailable::AllTried) if !self.rule.strict => {
+            Err(Unavailable::AllTried | Unavailable::Paused { .. }) if !self.rule.strict => {
                 pool.choose(now, &Requirements { version: None, excluded_version: None, ..requirements }, &mut rng)
             }
             chosen => chosen,
@@ -230,7 +231,7 @@
         customer.unwrap_or(self.call.route.priority).min(MAX_URGENCY) as u8
     }
 
-    fn backend_request(&self, backend: &Backend) -> Request<Full<Bytes>> {
+    fn backend_request(&self, gateway: &Gateway, backend: &Arc<Backend>) -> Request<Full<Bytes>> {
         let call = self.call;
         let fields = RouterFields {
             backend: &backend.id,
@@ -244,6 +245,12 @@
         *req.method_mut() = call.method.clone();
         *req.uri_mut() = call.uri.clone();
         *req.headers_mut() = request::backend_headers(&call.headers, &fields);
+        let (gateway, backend) = (gateway.clone(), Arc::clone(backend));
+        hyper::ext::on_informational(&mut req, move |interim| {
+            if response::is_leaving(interim.headers()) {
+                gateway.record_departure(&backend, Source::Answer);
+            }
+        });
         req
     }
 
@@ -260,9 +267,7 @@
         let meta = response::parse(head.status, &head.headers);
         let backend = Arc::clone(&guard.backend);
         lock(&gateway.pool).record_response(&backend, guard.send);
-        if let Some(remaining) = meta.cold_remaining.filter(|cold| *cold > Millis::ZERO) {
-            lock(&gateway.pool).record_cold(gateway.clock.now(), &backend, remaining);
-        }
+        gateway.record_announcements(&backend, &self.call.id, &meta);
         let named = Named::by_id(meta.id.as_deref(), &self.call.id);
         if named == Named::OtherRequest {
             let why = "an answer to another request came".into();
--- a/crates/daemon/src/gateway/crashes.rs
+++ b/crates/daemon/src/gateway/crashes.rs
@@ -2,8 +2,8 @@
 //! gateways.
 
 use eelgrasswell_core::{
-    backend::Backend,
-    crash_evidence::{Block, Clearance, Crash, Decision, PartId, Report, ServerId},
+    backend::{Backend, ServerId},
+    crash_evidence::{Block, Clearance, Crash, Decision, PartId, Report},
     hash::stable_hash,
     id::RequestId,
     unit::Millis,
@@ -20,7 +20,7 @@
         if parts.is_empty() {
             return;
         }
-        let server = ServerId::of(&backend.id, backend.started_at);
+        let server = backend.server();
         let request = stable_hash(&[id.as_str()]);
         lock(&self.crash_evidence).record_crash(self.clock.now(), server, request, parts, answering);
     }
--- a/crates/daemon/src/gateway/exchange.rs
+++ b/crates/daemon/src/gateway/exchange.rs
@@ -160,6 +160,7 @@
             ..FleetState::default()
         };
         self.add_crash_evidence(&mut state);
+        self.add_departures(&mut state);
         state
     }
 
@@ -217,6 +218,7 @@
         self.record_orders(state, now);
         self.record_loads(state, now);
         self.record_crash_evidence(state);
+        self.record_departures(state);
     }
 
     fn record_counters(&self, received: &FleetCounters) {
--- a/crates/daemon/src/gateway/execute.rs
+++ b/crates/daemon/src/gateway/execute.rs
@@ -10,7 +10,7 @@
     crash_evidence::Block,
     escalation::EscalationSteps,
     id::{BackendId, ModelName},
-    latency,
+    latency, pause,
     pool::Unavailable,
     refusal::Reason,
     repeat::Purpose,
@@ -342,16 +342,20 @@
                 self.tried.clear();
                 return Ok(());
             }
-            Unavailable::Cold | Unavailable::AllTried | Unavailable::NoneInService => {}
+            Unavailable::Cold | Unavailable::AllTried | Unavailable::NoneInService | Unavailable::Paused { .. } => {}
         }
         if self.attempts.may_have_run() {
             return Err(lost_failure("no other server can take the request"));
         }
-        Err(no_backend_failure(match why {
-            Unavailable::NoneInService => "none in service",
-            Unavailable::Cold => "all are cold",
-            Unavailable::AllTried => "all have refused",
-        }))
+        Err(match why {
+            Unavailable::NoneInService => no_backend_failure("none in service"),
+            Unavailable::Cold => no_backend_failure("all are cold"),
+            Unavailable::AllTried => no_backend_failure("all have refused"),
+            Unavailable::Paused { until } => {
+                let wait = pause::retry_after(self.gateway.clock.now(), until, &mut rand::rng());
+                no_backend_failure("all have asked for a pause").retry_after(wait)
+            }
+        })
     }
 
     /// Makes the response for the caller. A stream is relayed; any other answer is buffered first, so that a broken one
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -1,6 +1,7 @@
 //! The gateway: a router that sends requests directly to backend servers. The platform stores its configuration and
 //! the list of backend servers.
 
+mod announcements;
 mod attempt;
 mod callers;
 mod connections;
--- a/crates/daemon/src/telemetry.rs
+++ b/crates/daemon/src/telemetry.rs
@@ -31,6 +31,10 @@
 pub const COPIES_LEFT_TO_STORE: &str = "eelgrasswell_copies_left_to_store_total";
 /// Objects of the store that could not be decoded, by `kind`.
 pub const MALFORMED_OBJECTS: &str = "eelgrasswell_malformed_objects_total";
+/// Backend servers that are shutting down, by the `source` of that knowledge: an answer of theirs, or a peer.
+pub const DEPARTURES: &str = "eelgrasswell_departures_total";
+/// Refusals of backend servers that asked for a pause.
+pub const PAUSES: &str = "eelgrasswell_pauses_total";
 /// Refusals of backend servers that may have belonged to another request.
 pub const REFUSALS_DOUBTED: &str = "eelgrasswell_refusals_doubted_total";
 /// Parts of prompts that were blocked because they crash backend servers.
