--- a/crates/core/src/crash_evidence.rs
+++ b/crates/core/src/crash_evidence.rs
@@ -12,6 +12,7 @@
 use crate::{
     backend::ServerId,
     hash::{HashMap, HashSet, stable_hash},
+    id::HostId,
     unit::Millis,
 };
 
@@ -187,6 +188,17 @@
         block.map_or(Decision::Send, Decision::Refuse)
     }
 
+    /// Whether `own`, among the live routers `others`, is the one that probes `part`: the one with the highest hash.
+    pub fn is_prober<'a>(part: PartId, own: &HostId, others: impl IntoIterator<Item = &'a HostId>) -> bool {
+        let weight = |id: &HostId| stable_hash(&[id.as_str(), &part.0.to_string()]);
+        others.into_iter().all(|other| weight(other) < weight(own))
+    }
+
+    /// Number of parts with evidence against them, and of parts whose last success is kept.
+    pub fn sizes(&self) -> (usize, usize) {
+        (self.suspects.len(), self.successes.len())
+    }
+
     /// Number of blocked parts.
     pub fn blocked(&self) -> usize {
         self.blocks.len()
@@ -207,14 +219,12 @@
         }
     }
 
-    /// Merges the evidence of another router.
-    pub fn merge(&mut self, now: Millis, report: &Report) {
+    /// Merges the evidence of another router, and returns the blocks that were not known before.
+    pub fn merge(&mut self, now: Millis, report: &Report) -> Vec<Block> {
         report.clearances.iter().for_each(|clearance| self.clear(*clearance));
         let is_recent = |crash: &&Crash| now.saturating_sub(crash.at) < CRASH_EXPIRY;
         report.crashes.iter().filter(is_recent).for_each(|crash| self.insert(*crash));
-        for block in &report.blocks {
-            self.merge_block(now, *block);
-        }
+        report.blocks.iter().copied().filter(|block| self.merge_block(now, *block)).collect()
     }
 
     fn is_suspected(&self, part: PartId) -> bool {
@@ -264,16 +274,19 @@
         }
     }
 
-    fn merge_block(&mut self, now: Millis, block: Block) {
+    /// Merges a block, and returns whether its part was not blocked before.
+    fn merge_block(&mut self, now: Millis, block: Block) -> bool {
         let is_cleared = self.successes.get(&block.part).is_some_and(|&at| at >= block.since);
         if is_cleared || now.saturating_sub(block.last_seen) >= BLOCK_EXPIRY {
-            return;
+            return false;
         }
+        let is_new = !self.blocks.contains_key(&block.part);
         let known = self.blocks.entry(block.part).or_insert(block);
         known.since = known.since.min(block.since);
         known.last_seen = known.last_seen.max(block.last_seen);
         known.probes = known.probes.max(block.probes);
         known.servers = known.servers.max(block.servers);
+        is_new
     }
 
     /// The block of `part` if its crashes suffice and no other part explains them. The parts `tied` do not explain them by
--- a/crates/core/tests/crash_evidence.rs
+++ b/crates/core/tests/crash_evidence.rs
@@ -4,6 +4,7 @@
 use eelgrasswell_core::{
     backend::ServerId,
     crash_evidence::{Block, CrashEvidence, Decision, PartId},
+    id::HostId,
     unit::Millis,
 };
 use test_case::test_case;
@@ -131,7 +132,9 @@
     }
     let reports: Vec<_> = routers.iter_mut().map(|router| router.report(NOW)).collect();
     let mut late = CrashEvidence::default();
-    reports.iter().for_each(|report| late.merge(NOW, report));
+    for report in &reports {
+        late.merge(NOW, report);
+    }
     assert!(is_refused(&mut late, NOW, &[DEADLY]));
 }
 
@@ -189,5 +192,21 @@
         evidence.record_crash(NOW, ServerId(n), n, &[PartId(n)], Millis::ZERO);
         evidence.record_success(NOW, &[PartId(1_000_000 + n)]);
     }
-    assert!(evidence.report(NOW).crashes.len() <= 256);
+    let (suspects, successes) = evidence.sizes();
+    assert!(suspects <= 512 && successes <= 8_192, "{suspects} suspects, {successes} successes");
+    evidence.report(NOW + Millis(120_000));
+    assert_eq!(evidence.sizes(), (0, 0), "the evidence does not expire");
+}
+
+/// Guards against a blocked part that several routers probe, or none.
+#[test]
+fn one_router_probes() {
+    let ids: Vec<HostId> = (0..26).map(|n| HostId::from(format!("host-{n}").as_str())).collect();
+    for part in (0..50).map(PartId) {
+        let probers = ids.iter().filter(|own| {
+            let others = ids.iter().filter(|id| id != own);
+            CrashEvidence::is_prober(part, own, others)
+        });
+        assert_eq!(probers.count(), 1);
+    }
 }
--- a/crates/daemon/src/gateway/crashes.rs
+++ b/crates/daemon/src/gateway/crashes.rs
@@ -3,7 +3,7 @@
 
 use eelgrasswell_core::{
     backend::{Backend, ServerId},
-    crash_evidence::{Block, Clearance, Crash, Decision, PartId, Report},
+    crash_evidence::{Block, Clearance, Crash, CrashEvidence, Decision, PartId, Report},
     hash::stable_hash,
     id::RequestId,
     unit::Millis,
@@ -67,11 +67,11 @@
         None
     }
 
-    /// Whether this gateway is the one that probes `part`: the live gateway with the highest hash.
+    /// Whether this gateway is the one that probes `part`.
     fn is_prober(&self, part: PartId) -> bool {
-        let weight = |id: &str| stable_hash(&[id, &part.0.to_string()]);
-        let own = weight(self.settings.id.as_str());
-        lock(&self.fleet).alive(self.clock.now()).iter().all(|member| weight(member.id.as_str()) < own)
+        let fleet = lock(&self.fleet);
+        let alive = fleet.alive(self.clock.now());
+        CrashEvidence::is_prober(part, &self.settings.id, alive.iter().map(|member| &member.id))
     }
 
     /// Adds the evidence of all gateways, as known to this one, to `state`.
@@ -122,6 +122,10 @@
             blocks: state.blocks.iter().map(block).collect(),
             clearances: state.clearances.iter().map(clearance).collect(),
         };
-        lock(&self.crash_evidence).merge(now, &report);
+        let learned = lock(&self.crash_evidence).merge(now, &report);
+        for block in learned {
+            let (age, part) = (now.saturating_sub(block.since), format!("{:016x}", block.part.0));
+            event!(Warn, "part_block_learned", peer = state.id, part = part, servers = block.servers, age = age);
+        }
     }
 }
