Let the share of a new version rise at once everywhere, and never fall

Sessions whose requests came at another gateway returned to the old version, although the new one was good. Ruled out: the fallback to any version when all servers have been tried (all these requests were first sends), the end of the order (it was completed at 23.7 s, the requests ran at 22.3 s).

Change: a rise is decided without doubt, announced a second ahead in the exchanges (earliest time counts) and takes effect at the same time everywhere; doubt holds the share, a verdict withdraws the version.

--- a/crates/core/src/canary.rs
+++ b/crates/core/src/canary.rs
@@ -2,6 +2,11 @@
 //!
 //! During the first half of the rollout, a small share of new sessions uses the new version. If its answers show no
 //! problem, the share rises until the old servers have no work left. They stop as soon as the rollout is completed.
+//!
+//! The requests of a session come at any router, and a session that has used the new version must not return to the old
+//! one. Routers that see different evidence at a time, or let the share fall while they are in doubt, would send it back.
+//! Therefore a rise is announced before it takes effect, all routers let the share rise at the same time, and it never
+//! falls unless the version is withdrawn.
 
 use crate::{
     answer_counters::Counters,
@@ -21,6 +26,8 @@
 const FULL_AT: f64 = 0.62;
 /// Share of sessions on the new version between `SHIFT_AT` and `FULL_AT`.
 const SHIFT_SHARE: f64 = 0.3;
+/// Time between the announcement of a rise of the share and its effect, in which the other routers learn of it.
+const RISE_NOTICE: Millis = Millis(1_000);
 /// Share of the duration after which work left at old servers no longer delays the completion.
 const COMPLETE_BY: f64 = 0.9;
 /// Minimum number of answers of the new version before it gets all requests.
@@ -79,6 +86,26 @@
     bad: bool,
     /// Version of each session, by the hash of the session.
     sessions: HashMap<u64, PinnedSession>,
+    rises: Rises,
+}
+
+/// Times since the start of an order at which the share of the new version rises. Routers exchange them; the earliest ones
+/// count, so that a late, lost, repeated or reordered message changes nothing.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Rises {
+    /// Rise to `SHIFT_SHARE`; none if it has not been decided.
+    pub to_shift: Option<Millis>,
+    /// Rise to all requests; none if it has not been decided.
+    pub to_full: Option<Millis>,
+}
+
+impl Rises {
+    /// Takes over the earlier times of `other`.
+    pub fn merge(&mut self, other: Self) {
+        let earlier = |a: Option<Millis>, b: Option<Millis>| a.into_iter().chain(b).min();
+        self.to_shift = earlier(self.to_shift, other.to_shift);
+        self.to_full = earlier(self.to_full, other.to_full);
+    }
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -91,7 +118,15 @@
     /// Starts the rollout of `order`, first received at `now`.
     pub fn new(order: Order, now: Millis) -> Self {
         let bad = order.state == OrderState::RolledBack;
-        Self { order, started: now, monitor: Monitor::default(), answers: 0, bad, sessions: HashMap::default() }
+        Self {
+            order,
+            started: now,
+            monitor: Monitor::default(),
+            answers: 0,
+            bad,
+            sessions: HashMap::default(),
+            rises: Rises::default(),
+        }
     }
 
     /// The order.
@@ -132,9 +167,36 @@
         let verdict = self.monitor.observe(now, CRITERIA, Millis::ZERO, target, baseline);
         let newly_bad = matches!(verdict, Verdict::Stop(_)) && !self.bad && self.order.state != OrderState::Completed;
         self.bad |= newly_bad;
+        self.decide_rises(now);
         newly_bad
     }
 
+    /// Rises of the share that have been decided.
+    pub fn rises(&self) -> Rises {
+        self.rises
+    }
+
+    /// Takes over the rises that another router has decided.
+    pub fn merge_rises(&mut self, rises: Rises) {
+        self.rises.merge(rises);
+    }
+
+    /// Decides on the next rise of the share, unless the new version is in doubt.
+    fn decide_rises(&mut self, now: Millis) {
+        if self.bad || self.monitor.in_doubt() {
+            return;
+        }
+        let at = |share: f64| Millis((self.order.duration.0 as f64 * share) as u64);
+        let earliest = self.elapsed(now) + RISE_NOTICE;
+        if earliest >= at(SHIFT_AT) {
+            self.rises.to_shift.get_or_insert(earliest);
+        }
+        // A service with few requests may have fewer than `MIN_ANSWERS` by now; the share before collects more.
+        if earliest >= at(FULL_AT) && self.is_trusted() {
+            self.rises.to_full.get_or_insert(earliest);
+        }
+    }
+
     /// State to report next, if it differs from the last reported one. `idle` is whether the old servers have no work.
     pub fn next_state(&self, now: Millis, idle: bool) -> Option<OrderState> {
         let is_final = matches!(self.order.state, OrderState::Completed | OrderState::RolledBack);
@@ -205,16 +267,16 @@
 
     /// Share of sessions for the new version.
     fn target_share(&self, now: Millis) -> f64 {
-        let progress = self.progress(now);
-        if self.elapsed(now) < CANARY_DELAY {
-            0.0
-        } else if progress < SHIFT_AT || self.monitor.in_doubt() {
-            CANARY_SHARE
-        } else if progress < FULL_AT || !self.is_trusted() {
-            // A service with few requests may have fewer than `MIN_ANSWERS` by now; this share collects more.
+        let elapsed = self.elapsed(now);
+        let has_risen = |at: Option<Millis>| at.is_some_and(|at| at <= elapsed);
+        if has_risen(self.rises.to_full) {
+            1.0
+        } else if has_risen(self.rises.to_shift) {
             SHIFT_SHARE
+        } else if elapsed >= CANARY_DELAY {
+            CANARY_SHARE
         } else {
-            1.0
+            0.0
         }
     }
 
--- a/crates/daemon/src/gateway/exchange.rs
+++ b/crates/daemon/src/gateway/exchange.rs
@@ -5,7 +5,7 @@
 
 use eelgrasswell_core::{
     answer_counters::Counters,
-    canary::{Canary, OrderState},
+    canary::{Canary, OrderState, Rises},
     fleet::Member,
     hash::HashMap,
     id::{BackendId, HostId, Incarnation, ServiceName, VersionName},
@@ -205,6 +205,8 @@
                 bad: canary.is_bad(),
                 kept_sessions: canary.sessions_kept_on_old(now, session_time),
                 outstanding_elsewhere: pool.outstanding_on_other_versions(&order.service, &order.target),
+                rise_to_shift_ms: canary.rises().to_shift.unwrap_or_default().0,
+                rise_to_full_ms: canary.rises().to_full.unwrap_or_default().0,
             }
         });
         progress.collect()
@@ -275,6 +277,11 @@
             let canary = canaries.get_mut(progress.service.as_str());
             if let Some(canary) = canary.filter(|canary| canary.order().target.as_str() == progress.target) {
                 canary.merge_elapsed(now, Millis(progress.elapsed_ms));
+                let rise = |ms: u64| (ms > 0).then_some(Millis(ms));
+                canary.merge_rises(Rises {
+                    to_shift: rise(progress.rise_to_shift_ms),
+                    to_full: rise(progress.rise_to_full_ms),
+                });
                 if progress.bad {
                     canary.mark_bad();
                 }
--- a/crates/daemon/src/gateway/orders.rs
+++ b/crates/daemon/src/gateway/orders.rs
@@ -71,7 +71,22 @@
         let idle = own_outstanding == 0 && self.outstanding_at_peers(&order.service, &order.target) == 0;
         let mut canaries = lock(&self.canaries);
         let canary = canaries.get_mut(&order.service)?;
-        if canary.evaluate(now, target, baseline) {
+        let rises_before = canary.rises();
+        let is_bad = canary.evaluate(now, target, baseline);
+        let (rises, elapsed) = (canary.rises(), canary.elapsed(now));
+        if rises != rises_before {
+            event!(
+                Info,
+                "share_rises",
+                service = order.service,
+                version = order.target,
+                elapsed = elapsed,
+                to_shift = rises.to_shift.unwrap_or_default(),
+                to_full = rises.to_full.unwrap_or_default(),
+                answers = target.answers
+            );
+        }
+        if is_bad {
             event!(
                 Warn,
                 "version_bad",
