Keep active sessions in two generations, and split the mirror by job

Sessions: above 20,000 of them each request went over all sessions under a lock, which grows with the square of the load and bounded nothing. core::session_map drops them by generations and is bounded. Reports of rollouts from gateways that are gone are dropped, too.

--- a/crates/core/src/canary.rs
+++ b/crates/core/src/canary.rs
@@ -10,9 +10,9 @@
 
 use crate::{
     answer_counters::Counters,
-    hash::HashMap,
     id::{ServiceName, VersionName},
     rollout::{Criteria, Monitor, Verdict},
+    session_map::SessionMap,
     unit::Millis,
 };
 
@@ -32,8 +32,6 @@
 const COMPLETE_BY: f64 = 0.9;
 /// Minimum number of answers of the new version before it gets all requests.
 const MIN_ANSWERS: u64 = 20;
-/// Number of sessions at which expired ones are removed.
-const CLEANUP_THRESHOLD: usize = 20_000;
 /// Error rates of a good and of a bad version.
 const CRITERIA: Criteria = Criteria { good_error_rate: 0.01, bad_error_rate: 0.15 };
 
@@ -85,7 +83,7 @@
     /// Whether the new version was found bad.
     bad: bool,
     /// Version of each session, by the hash of the session.
-    sessions: HashMap<u64, PinnedSession>,
+    sessions: SessionMap<PinnedSession>,
     rises: Rises,
 }
 
@@ -124,7 +122,7 @@
             monitor: Monitor::default(),
             answers: 0,
             bad,
-            sessions: HashMap::default(),
+            sessions: SessionMap::default(),
             rises: Rises::default(),
         }
     }
@@ -235,17 +233,14 @@
     /// Pins the session to a version and returns whether this is the new one.
     fn assign_session(&mut self, now: Millis, session: u64, session_time: Millis) -> bool {
         let share = self.target_share(now);
-        let pinned = self.sessions.get(&session).filter(|pin| now.saturating_sub(pin.last_used) < session_time);
+        let pinned = self.sessions.get(session).filter(|pin| now.saturating_sub(pin.last_used) < session_time);
         let selected = is_in_share(session, share);
         let on_target = match pinned {
             Some(pin) if self.progress(now) < SHIFT_AT => pin.on_target,
             Some(pin) => pin.on_target || selected,
             None => selected,
         };
-        if self.sessions.len() >= CLEANUP_THRESHOLD {
-            self.sessions.retain(|_, pin| now.saturating_sub(pin.last_used) < session_time);
-        }
-        self.sessions.insert(session, PinnedSession { on_target, last_used: now });
+        self.sessions.insert(now, session_time, session, PinnedSession { on_target, last_used: now });
         on_target
     }
 
@@ -257,12 +252,14 @@
         let is_kept = |session: u64, pin: &PinnedSession| {
             !pin.on_target && now.saturating_sub(pin.last_used) < session_time && is_in_share(session, CANARY_SHARE)
         };
-        self.sessions.iter().filter(|(session, pin)| is_kept(**session, pin)).map(|(session, _)| *session).collect()
+        self.sessions.iter().filter(|(session, pin)| is_kept(*session, pin)).map(|(session, _)| session).collect()
     }
 
     /// Pins a session with a request before the order to the old version, unless the session is pinned already.
-    pub fn pin_to_old(&mut self, session: u64, last_used: Millis) {
-        self.sessions.entry(session).or_insert(PinnedSession { on_target: false, last_used });
+    pub fn pin_to_old(&mut self, now: Millis, session: u64, last_used: Millis, session_time: Millis) {
+        if self.sessions.get(session).is_none() {
+            self.sessions.insert(now, session_time, session, PinnedSession { on_target: false, last_used });
+        }
     }
 
     /// Share of sessions for the new version.
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -35,6 +35,7 @@
 pub mod rollout;
 pub mod routing_config;
 pub mod session;
+pub mod session_map;
 pub mod shard;
 pub mod transfer;
 pub mod unit;
--- a/crates/core/tests/canary.rs
+++ b/crates/core/tests/canary.rs
@@ -93,7 +93,7 @@
 fn version_rule_keeps_session_on_old_in_first_half() {
     let mut canary = Canary::new(order(OrderState::Running), START);
     let in_share = (0..).find(|session| session % 10_000 < 100).unwrap();
-    canary.pin_to_old(in_share, START);
+    canary.pin_to_old(START, in_share, START, SESSION_TIMEOUT);
     for at in [2_000, 4_000, 8_000] {
         assert!(!on_target(&canary.version_rule(START + Millis(at), in_share, SESSION_TIMEOUT)), "moved after {at} ms");
     }
--- /dev/null
+++ b/crates/daemon/src/gateway/derived.rs
@@ -0,0 +1,121 @@
+//! Updates what a gateway derives from the copies of the store's objects: the configuration in force, the pool of backend
+//! servers, rollouts and evacuations.
+
+use eelgrasswell_core::{
+    canary::{Canary, Order},
+    confirmation,
+    hash::{HashMap, HashSet},
+    id::ServiceName,
+};
+use eelgrasswell_platform::objects::{self, CONFIG_NAME, Kind};
+
+use super::State;
+use crate::{event, sync::lock, telemetry};
+
+impl State {
+    /// Updates the state that is derived from the copy of `kind`, which changed by data from `source`: the store, or
+    /// another gateway.
+    pub fn apply(&self, kind: Kind, source: &str) {
+        match kind {
+            Kind::Config => self.apply_config(source),
+            Kind::Backends => self.apply_backends(),
+            Kind::Orders => self.apply_orders(),
+            Kind::Evacuations => self.apply_evacuations(),
+        }
+    }
+
+    fn apply_config(&self, source: &str) {
+        let (object, age) = {
+            let copy = lock(self.mirror.copy(Kind::Config));
+            (copy.get(CONFIG_NAME).cloned(), copy.confirmation_age(self.clock.now()))
+        };
+        let Some(object) = object else { return };
+        match objects::decode_routing_config(&object) {
+            Ok(config) => {
+                let version = config.version;
+                if self.adopt_config(config) {
+                    let revision = object.metadata.revision;
+                    let age = age.unwrap_or_default();
+                    event!(Info, "config_adopted", config = version, revision = revision, source = source, age = age);
+                    metrics::gauge!(telemetry::CONFIG_VERSION).set(version.0 as f64);
+                }
+            }
+            Err(err) => self.mirror.report_malformed(Kind::Config, &err),
+        }
+    }
+
+    fn apply_backends(&self) {
+        let now = self.clock.now();
+        let (peer_confirmed_at, last_failure) = {
+            let config = lock(self.mirror.copy(Kind::Config));
+            (config.peer_confirmed_at(), config.last_failure())
+        };
+        let (list, grace) = {
+            let copy = lock(self.mirror.copy(Kind::Backends));
+            let grace =
+                confirmation::missing_grace_period(now, copy.last_failure().max(last_failure), peer_confirmed_at);
+            (copy.objects().map(objects::decode_backend).collect::<Vec<_>>(), grace)
+        };
+        let mut backends = Vec::with_capacity(list.len());
+        for entry in list {
+            match entry {
+                Ok(backend) => backends.push(backend),
+                Err(err) => self.mirror.report_malformed(Kind::Backends, &err),
+            }
+        }
+        let changes = lock(&self.pool).update(now, backends, grace);
+        for id in changes.added {
+            event!(Info, "backend_added", backend = id);
+        }
+        for id in changes.draining {
+            event!(Info, "backend_draining", backend = id);
+        }
+        for id in changes.removed {
+            event!(Info, "backend_gone", backend = id);
+        }
+    }
+
+    fn apply_orders(&self) {
+        let now = self.clock.now();
+        let entries: Vec<_> = lock(self.mirror.copy(Kind::Orders)).objects().map(objects::decode_order).collect();
+        let mut orders: HashMap<ServiceName, Order> = HashMap::default();
+        let mut malformed: HashSet<ServiceName> = HashSet::default();
+        for entry in entries {
+            match entry {
+                Ok(order) => {
+                    orders.insert(order.service.clone(), order);
+                }
+                Err(err) => {
+                    self.mirror.report_malformed(Kind::Orders, &err);
+                    malformed.insert(err.name.as_str().into());
+                }
+            }
+        }
+        let session_time = self.settings().bounds.session_timeout();
+        let recent_sessions = lock(&self.sessions).clone();
+        let mut canaries = lock(&self.canaries);
+        canaries.retain(|service, canary| {
+            let order = orders.get(service);
+            order.is_some_and(|order| order.target == canary.order().target) || malformed.contains(service)
+        });
+        for (service, order) in orders {
+            let state = order.state;
+            let canary = canaries.entry(service).or_insert_with(|| {
+                event!(Info, "order_received", service = order.service, target = order.target);
+                let mut canary = Canary::new(order, now);
+                for (session, used) in recent_sessions.iter() {
+                    canary.pin_to_old(now, session, *used, session_time);
+                }
+                canary
+            });
+            canary.set_state(state);
+        }
+    }
+
+    fn apply_evacuations(&self) {
+        let domains: Vec<_> =
+            lock(self.mirror.copy(Kind::Evacuations)).objects().map(objects::evacuated_domain).collect();
+        event!(Info, "evacuations_changed", count = domains.len());
+        lock(&self.pool).set_evacuated(domains);
+    }
+}
--- a/crates/daemon/src/gateway/exchange.rs
+++ b/crates/daemon/src/gateway/exchange.rs
@@ -272,6 +272,7 @@
     }
 
     fn record_orders(&self, state: &FleetState, now: Millis) {
+        let session_time = self.settings().bounds.session_timeout();
         let mut canaries = lock(&self.canaries);
         for progress in &state.orders {
             let canary = canaries.get_mut(progress.service.as_str());
@@ -286,11 +287,13 @@
                     canary.mark_bad();
                 }
                 for session in &progress.kept_sessions {
-                    canary.pin_to_old(*session, now);
+                    canary.pin_to_old(now, *session, now, session_time);
                 }
             }
         }
-        lock(&self.peer_reports).orders.insert(state.id.as_str().into(), (now, state.orders.clone()));
+        let mut reports = lock(&self.peer_reports);
+        reports.orders.insert(state.id.as_str().into(), (now, state.orders.clone()));
+        reports.orders.retain(|_, (at, _)| now.saturating_sub(*at) < MAX_REPORT_AGE);
     }
 
     fn record_loads(&self, state: &FleetState, now: Millis) {
--- a/crates/daemon/src/gateway/execute.rs
+++ b/crates/daemon/src/gateway/execute.rs
@@ -404,13 +404,7 @@
     }
 
     fn record_session(&self, session: u64, now: Millis, session_time: Millis) {
-        /// Number of sessions at which expired ones are removed.
-        const CLEANUP_THRESHOLD: usize = 20_000;
-        let mut sessions = lock(&self.sessions);
-        if sessions.len() >= CLEANUP_THRESHOLD {
-            sessions.retain(|_, used| now.saturating_sub(*used) < session_time);
-        }
-        sessions.insert(session, now);
+        lock(&self.sessions).insert(now, session_time, session, now);
     }
 }
 
--- a/crates/daemon/src/gateway/follow.rs
+++ b/crates/daemon/src/gateway/follow.rs
@@ -22,7 +22,7 @@
 };
 use tonic::transport::Channel;
 
-use super::{Gateway, State, exchange, mirror};
+use super::{Gateway, State, exchange, sync};
 use crate::{event, sync::lock, telemetry};
 
 /// Number of gateways that a gateway follows.
@@ -182,7 +182,7 @@
         let reaches_store = self.mirror.reaches_store();
         let mut copy = lock(self.mirror.copy(kind));
         let source_age = copy.store_response_age(now).unwrap_or(NEVER);
-        let is_current = source_age < confirmation::max_source_age(mirror::watch_wait(kind));
+        let is_current = source_age < confirmation::max_source_age(sync::watch_wait(kind));
         let mut replica = Replica {
             kind: kind.index() as u32,
             revision: copy.revision()?,
@@ -232,7 +232,7 @@
                 event!(Warn, "copy_malformed", kind = kind, peer = watcher, error = err);
                 continue;
             }
-            let by_source = source_at + confirmation::max_source_age(mirror::watch_wait(kind));
+            let by_source = source_at + confirmation::max_source_age(sync::watch_wait(kind));
             let until = if is_synced { by_source.min(self.clock.now() + SYNC_VALID_FOR) } else { Millis::ZERO };
             self.mirror.set_synced_until(watcher, kind, until);
         }
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -6,6 +6,7 @@
 mod callers;
 mod connections;
 mod crashes;
+mod derived;
 mod exchange;
 mod execute;
 mod follow;
@@ -18,6 +19,7 @@
 mod request;
 mod response_stats;
 pub mod store;
+mod sync;
 
 use std::{
     path::PathBuf,
@@ -33,6 +35,7 @@
     pool::Pool,
     repeat::{Purpose, RepeatBudget},
     routing_config::RoutingConfig,
+    session_map::SessionMap,
     unit::Millis,
 };
 use eelgrasswell_manifest::gateway::GatewaySettings;
@@ -70,7 +73,7 @@
     pool: Mutex<Pool>,
     canaries: Mutex<HashMap<ServiceName, Canary>>,
     /// Time of the last request of each session, by the session's hash.
-    sessions: Mutex<HashMap<u64, Millis>>,
+    sessions: Mutex<SessionMap<Millis>>,
     repeat_budgets: Mutex<HashMap<ServiceName, RepeatBudget>>,
     response_stats: ResponseStats,
     mirror: Mirror,
@@ -104,7 +107,7 @@
     readiness::spawn(gateway.clone(), ready);
     readiness::spawn_metrics((settings.address, settings.metrics_port).into(), metrics);
     exchange::spawn(gateway.clone(), inner);
-    mirror::spawn(&gateway);
+    sync::spawn(&gateway);
     orders::spawn(gateway.clone());
     connections::spawn_purge(gateway.clone());
     event!(Info, "gateway_started", id = settings.id, incarnation = gateway.incarnation, callers = settings.callers);
