Do not resume a stream behind events without ids

A stream whose last events have no id would be resumed after an earlier one, and the caller would get them twice. Such a stream is cut. Test: is_resumable_after.

--- a/crates/core/src/event_order.rs
+++ b/crates/core/src/event_order.rs
@@ -42,12 +42,14 @@
 #[derive(Clone, Debug, Default)]
 pub struct EventOrder {
     last_id: Option<CompactString>,
+    /// Whether events without an id have followed the one with the last id.
+    has_unnamed: bool,
 }
 
 impl EventOrder {
     /// Order of a stream that begins after the event `last_id`; none for a stream from its start.
     pub fn after(last_id: Option<CompactString>) -> Self {
-        Self { last_id }
+        Self { last_id, has_unnamed: false }
     }
 
     /// Id of the last event that has one.
@@ -55,6 +57,11 @@
         self.last_id.as_deref()
     }
 
+    /// Whether the stream can go on after the last id without repeating an event.
+    pub fn is_resumable(&self) -> bool {
+        !self.has_unnamed
+    }
+
     /// Checks complete events. Returns the number of bytes up to the first fault, which may be passed on, and the fault.
     pub fn accept(&mut self, events: &[u8]) -> (usize, Option<EventFault>) {
         let mut start = 0;
@@ -80,13 +87,17 @@
         if event.is_malformed || (event.has_other_fields && !event.has_known_field) {
             return Err(EventFault::NotAnEvent);
         }
-        let Some(id) = event.id else { return Ok(()) };
+        let Some(id) = event.id else {
+            self.has_unnamed |= event.has_known_field;
+            return Ok(());
+        };
         if let (Some(after), Some(number)) = (&self.last_id, parse_number(id))
             && after.parse::<u64>().is_ok_and(|after| number <= after)
         {
             return Err(EventFault::OutOfOrder { id: CompactString::from_utf8_lossy(id), after: after.clone() });
         }
         self.last_id = Some(CompactString::from_utf8_lossy(id));
+        self.has_unnamed = false;
         Ok(())
     }
 }
--- a/crates/core/src/pool.rs
+++ b/crates/core/src/pool.rs
@@ -53,7 +53,7 @@
     evacuated: HashSet<DomainId>,
     /// Kept apart from the entries, which come and go with the list.
     departures: Departures,
-    /// The same.
+    /// Kept apart for the same reason.
     pauses: Pauses,
 }
 
--- a/crates/core/tests/event_order.rs
+++ b/crates/core/tests/event_order.rs
@@ -49,6 +49,18 @@
     assert_eq!(order.last_id(), Some("2"));
 }
 
+/// Guards against events that the caller gets twice: a stream that is resumed after an id repeats all events behind it.
+#[test_case("id: 1\ndata: a\n\n", true; "last event has an id")]
+#[test_case("id: 1\n\n: still here\n\n", true; "a comment follows")]
+#[test_case("id: 1\n\ndata: a\n\n", false; "an event without an id follows")]
+#[test_case("data: a\n\n", false; "no event has an id")]
+#[test_case("", true; "no event")]
+fn is_resumable_after(events: &str, expected: bool) {
+    let mut order = EventOrder::default();
+    order.accept(events.as_bytes());
+    assert_eq!(order.is_resumable(), expected);
+}
+
 proptest! {
     /// Any bytes between two events are refused whole or are fields of an event.
     #[test]
--- a/crates/daemon/src/gateway/announcements.rs
+++ b/crates/daemon/src/gateway/announcements.rs
@@ -15,7 +15,7 @@
 
 /// From where a gateway learned that a backend server is shutting down.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Source {
+enum Source {
     /// An answer of the server to this gateway.
     Answer,
     /// Another gateway.
@@ -39,7 +39,7 @@
             return;
         }
         if meta.leaving {
-            self.record_departure(backend, Source::Answer);
+            self.record_departure(backend);
         }
         match &meta.pause {
             Some(Ok(pause)) => self.record_pause(backend, id, *pause),
@@ -51,11 +51,11 @@
         }
     }
 
-    /// Records that `backend` announced just now that it is shutting down.
-    pub fn record_departure(&self, backend: &Backend, source: Source) {
+    /// Records that `backend` announced just now, in an answer to this gateway, that it is shutting down.
+    pub fn record_departure(&self, backend: &Backend) {
         let now = self.clock.now();
         if lock(&self.pool).record_departure(now, backend.server(), now) {
-            report_departure(backend.id.as_str(), backend.server(), source, Millis::ZERO);
+            report_departure(backend.id.as_str(), backend.server(), Source::Answer, Millis::ZERO);
         }
     }
 
--- a/crates/daemon/src/gateway/attempt.rs
+++ b/crates/daemon/src/gateway/attempt.rs
@@ -24,7 +24,6 @@
 
 use super::{
     Gateway, State,
-    announcements::Source,
     connections::BackendConn,
     net::{Conn, SendError},
     request::Call,
@@ -248,7 +247,7 @@
         let (gateway, backend) = (gateway.clone(), Arc::clone(backend));
         hyper::ext::on_informational(&mut req, move |interim| {
             if response::is_leaving(interim.headers()) {
-                gateway.record_departure(&backend, Source::Answer);
+                gateway.record_departure(&backend);
             }
         });
         req
--- a/crates/daemon/src/gateway/relay.rs
+++ b/crates/daemon/src/gateway/relay.rs
@@ -231,7 +231,7 @@
             self.splitter.reset();
             self.pace = PaceSampler::default();
             event!(Info, "stream_broken", request = self.execution.call.id, error = why);
-            if !self.resumable {
+            if !self.resumable || !self.order.is_resumable() {
                 return Err(self.cut_error(&why));
             }
             self.answer = self.execution.resume(&self.head, self.order.last_id(), repeat_acquired).await;
