--- a/crates/daemon/src/platform.rs
+++ b/crates/daemon/src/platform.rs
@@ -20,18 +20,23 @@
     rt::TokioExecutor,
 };
 use serde::{Deserialize, Serialize};
+use serde_json::value::RawValue;
 use tokio::time::timeout;
 
-use crate::telemetry;
+use crate::{event, sync::lock, telemetry};
 
 /// Timeout of a call. The platform responds within milliseconds when it is healthy.
 const CALL_TIMEOUT: Duration = Duration::from_secs(2);
+/// Maximum length of a quoted entry or error, in characters.
+const MAX_QUOTED_CHARS: usize = 120;
 
 /// Client of the object API. Cheap to clone.
 #[derive(Clone, Debug)]
 pub struct Platform {
     address: SocketAddr,
     pool: Arc<Mutex<Pool>>,
+    /// What was wrong with entries of the host list when it was last read.
+    malformed_hosts: Arc<Mutex<Vec<String>>>,
 }
 
 /// Pool of connections to the platform. The whole pool is replaced when a call times out, because its idle connections
@@ -90,9 +95,39 @@
     Agent,
 }
 
-#[derive(Deserialize)]
-struct Hosts {
-    hosts: Vec<HostEntry>,
+/// The platform's host list.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct HostList {
+    /// Entries that could be read.
+    pub hosts: Vec<HostEntry>,
+    /// What is wrong with the others.
+    pub malformed: Vec<String>,
+}
+
+impl HostList {
+    /// Parses the platform's host list, each entry by itself, so that a malformed one does not hide the others.
+    pub fn from_json(json: &[u8]) -> serde_json::Result<Self> {
+        #[derive(Deserialize)]
+        struct Wire {
+            hosts: Vec<Box<RawValue>>,
+        }
+        let wire: Wire = serde_json::from_str(&String::from_utf8_lossy(json))?;
+        let mut list = Self::default();
+        for entry in wire.hosts {
+            match serde_json::from_str(entry.get()) {
+                Ok(host) => list.hosts.push(host),
+                Err(err) => list.malformed.push(describe(entry.get(), &err)),
+            }
+        }
+        Ok(list)
+    }
+}
+
+/// An error with the beginning of the entry that it concerns.
+fn describe(entry: &str, err: &serde_json::Error) -> String {
+    let quoted: String = entry.chars().take(MAX_QUOTED_CHARS).collect();
+    let error: String = err.to_string().chars().take(MAX_QUOTED_CHARS).collect();
+    format!("{error} in {quoted}")
 }
 
 #[derive(Deserialize)]
@@ -114,7 +149,7 @@
 impl Platform {
     /// Creates a client, which connects on the first call.
     pub fn open(address: SocketAddr) -> Self {
-        Self { address, pool: Arc::new(Mutex::new(Pool::open(0))) }
+        Self { address, pool: Arc::new(Mutex::new(Pool::open(0))), malformed_hosts: Arc::default() }
     }
 
     /// Reads an object. Returns `None` if it does not exist.
@@ -177,9 +212,22 @@
     /// Reads the host list, which may be out of date.
     pub async fn hosts(&self) -> Result<Vec<HostEntry>> {
         let reply = self.call("hosts", Method::GET, "/hosts", None, Bytes::new(), CALL_TIMEOUT).await?;
-        let hosts: Hosts = serde_json::from_slice(&reply.body)
+        let list = HostList::from_json(&reply.body)
             .wrap_err_with(|| format!("could not parse the host list of {}", self.address))?;
-        Ok(hosts.hosts)
+        self.report_malformed(list.malformed);
+        Ok(list.hosts)
+    }
+
+    /// Logs the malformed entries of the host list if they differ from those of the last one.
+    fn report_malformed(&self, malformed: Vec<String>) {
+        let mut reported = lock(&self.malformed_hosts);
+        if *reported == malformed {
+            return;
+        }
+        for error in &malformed {
+            event!(Warn, "host_malformed", error = error);
+        }
+        *reported = malformed;
     }
 
     /// Makes one call and counts its result. Replaces the connection pool if the call times out.
