--- a/review/stand_ins/src/bin/failed_with_503.rs
+++ b/review/stand_ins/src/bin/failed_with_503.rs
@@ -18,7 +18,7 @@
 
 use review_stand_ins::{
     http::{self, Message},
-    process::Gateway,
+    process::{Gateway, LIBAS_MEMORY_MB},
     record::Record,
     server::{self, Server},
     store::Store,
@@ -79,7 +79,7 @@
         store.put("servers", &server.id, &server.entry("ready"));
     }
     store.put("config", "main", &config());
-    let gateway = Gateway::start("gateway-0", store.address, &dir)?;
+    let gateway = Gateway::start("gateway-0", store.address, &dir, LIBAS_MEMORY_MB)?;
     record.line("the gateway is ready");
     let done = AtomicBool::new(false);
     thread::scope(|scope| {
--- a/review/stand_ins/src/bin/removed_after_outage.rs
+++ b/review/stand_ins/src/bin/removed_after_outage.rs
@@ -16,7 +16,7 @@
 
 use review_stand_ins::{
     http::{self, Message},
-    process::Gateway,
+    process::{Gateway, LIBAS_MEMORY_MB},
     record::Record,
     server::{self, Server},
     store::Store,
@@ -75,7 +75,7 @@
         store.put("servers", &server.id, &server.entry("ready"));
     }
     store.put("config", "main", &config());
-    let gateway = Gateway::start("gateway-0", store.address, &dir)?;
+    let gateway = Gateway::start("gateway-0", store.address, &dir, LIBAS_MEMORY_MB)?;
     record.line("the gateway is ready");
     let done = AtomicBool::new(false);
     let lost = AtomicUsize::new(0);
--- a/review/stand_ins/src/process.rs
+++ b/review/stand_ins/src/process.rs
@@ -12,6 +12,9 @@
 
 use crate::{free_port, http};
 
+/// Memory of a front machine of libas-rent, in MB (`limits.memory_mb`).
+pub const LIBAS_MEMORY_MB: u64 = 260;
+
 /// A gateway process. It is killed when this is dropped.
 pub struct Gateway {
     pub callers: SocketAddr,
@@ -21,24 +24,24 @@
     log: PathBuf,
 }
 
-/// Settings that `DEPLOY.md` and the sheet of libas-rent give, in the form of `deploy/gateway.yaml`.
-fn settings(id: &str, ports: [u16; 4], seeds: &str, store: SocketAddr) -> String {
+/// Settings that `DEPLOY.md` and the sheets give, in the form of `deploy/gateway.yaml`. Their bounds are those of libas-rent.
+fn settings(id: &str, ports: [u16; 4], seeds: &str, store: SocketAddr, memory_mb: u64) -> String {
     let [callers, readiness, exchange, metrics] = ports;
     format!(
         "id: \"{id}\"\ndomain: \"carthage\"\naddress: 127.0.0.1\ncallers: 127.0.0.1:{callers}\n\
          readiness: 127.0.0.1:{readiness}\nexchange: 127.0.0.1:{exchange}\nmetrics_port: {metrics}\n\
-         seeds: [{seeds}]\nstore: {store}\ncores: 1\nmemory_mb: 260\nbounds:\n  revoke_ms: 5000\n  grace_s: 8\n  \
+         seeds: [{seeds}]\nstore: {store}\ncores: 1\nmemory_mb: {memory_mb}\nbounds:\n  revoke_ms: 5000\n  grace_s: 8\n  \
          repeat_ratio: 0.9\n  repeat_slack: 56\n  repeat_window_s: 10\n  cold_over: 1.5\n  cold_slack: 5\n  session_s: 5\n"
     )
 }
 
 impl Gateway {
     /// Starts a gateway that reads `store`, with its files in `dir`, and waits until it is ready.
-    pub fn start(id: &str, store: SocketAddr, dir: &Path) -> Result<Self, String> {
+    pub fn start(id: &str, store: SocketAddr, dir: &Path, memory_mb: u64) -> Result<Self, String> {
         let ports = [free_port(), free_port(), free_port(), free_port()];
         let path = dir.join(format!("{id}.yaml"));
         let seeds = format!("127.0.0.1:{}", ports[2]);
-        fs::write(&path, settings(id, ports, &seeds, store)).map_err(|err| err.to_string())?;
+        fs::write(&path, settings(id, ports, &seeds, store, memory_mb)).map_err(|err| err.to_string())?;
         let log = dir.join(format!("{id}.log"));
         let child = spawn(&path, &log)?;
         let address = |port: u16| SocketAddr::from(([127, 0, 0, 1], port));
