--- a/review/stand_ins/src/server.rs
+++ b/review/stand_ins/src/server.rs
@@ -68,7 +68,11 @@
             self.connections.lock().unwrap().extend(stream.try_clone());
             let (server, handler) = (self.clone(), Arc::clone(handler));
             thread::spawn(move || {
+                let end = stream.try_clone();
                 let _ = server.serve(stream, &*handler);
+                if let Ok(end) = end {
+                    let _ = end.shutdown(Shutdown::Both);
+                }
             });
         }
     }
