--- a/review/stand_ins/src/bin/failed_with_503.rs
+++ b/review/stand_ins/src/bin/failed_with_503.rs
@@ -17,6 +17,7 @@
 };
 
 use review_stand_ins::{
+    config::{TENANT, booking_config},
     http::{self, Message},
     process::{Gateway, LIBAS_MEMORY_MB},
     record::Record,
@@ -41,11 +42,6 @@
 /// Statuses that promise that the request has not run.
 const PROMISES: [u16; 4] = [408, 421, 429, 503];
 
-fn config() -> String {
-    r#"{"version":1,"routes":[{"name":"book","hostname":"site.example","path_prefix":"/book/","route_type":"unsafe","timeout_ms":1500,"target_latency_ms":300,"priority":2,"service":"desk","max_attempts":1,"anonymous":false,"session_affinity":false,"stream_resume":false}],"services":[{"name":"desk","health_path":"/healthz","max_connections":110,"cold_per_s":0.0}],"limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000},"tenants":[{"name":"shop","api_keys":["key-of-the-shop"]}]}"#
-        .into()
-}
-
 /// What is known of all bookings.
 #[derive(Default)]
 struct Books {
@@ -78,7 +74,7 @@
         let server = start_server(&format!("desk-{n}"), failing, &books, record);
         store.put("servers", &server.id, &server.entry("ready"));
     }
-    store.put("config", "main", &config());
+    store.put("config", "main", &booking_config(1, TENANT));
     let gateway = Gateway::start("gateway-0", store.address, &dir, LIBAS_MEMORY_MB)?;
     record.line("the gateway is ready");
     let done = AtomicBool::new(false);
@@ -115,24 +111,25 @@
 fn start_server(id: &str, failing: Option<Arc<AtomicBool>>, books: &Arc<Books>, record: &Arc<Record>) -> Server {
     let (books, record) = (Arc::clone(books), Arc::clone(record));
     let count = AtomicUsize::new(0);
-    let handler = move |server: &Server, req: &mut Message, reader: &mut BufReader<TcpStream>, writer: &mut TcpStream| {
-        http::read_body(reader, req)?;
-        let id = req.field("x-attempt-id").unwrap_or_default().to_owned();
-        let booking = String::from_utf8_lossy(&req.body).into_owned();
-        record.line(&format!("{} runs {id} ({booking})", server.id));
-        *books.runs.lock().unwrap().entry(id.clone()).or_default() += 1;
-        *books.runs_of_booking.lock().unwrap().entry(booking).or_default() += 1;
-        thread::sleep(WORK);
-        let fails = failing.as_ref().is_some_and(|failing| failing.load(Ordering::SeqCst))
-            && count.fetch_add(1, Ordering::SeqCst) * FAILED_PERCENT % 100 < FAILED_PERCENT;
-        if fails {
-            record.line(&format!("{} fails {id}, which it ran, with 503 and no X-Not-Executed", server.id));
-            let fields = server::answer_fields(req);
-            let fields: Vec<(&str, &str)> = fields.iter().map(|(name, value)| (*name, value.as_str())).collect();
-            return http::respond(writer, "503 Service Unavailable", &fields, b"the ledger is not available");
-        }
-        server::answer(req, writer, b"booked")
-    };
+    let handler =
+        move |server: &Server, req: &mut Message, reader: &mut BufReader<TcpStream>, writer: &mut TcpStream| {
+            http::read_body(reader, req)?;
+            let id = req.field("x-attempt-id").unwrap_or_default().to_owned();
+            let booking = String::from_utf8_lossy(&req.body).into_owned();
+            record.line(&format!("{} runs {id} ({booking})", server.id));
+            *books.runs.lock().unwrap().entry(id.clone()).or_default() += 1;
+            *books.runs_of_booking.lock().unwrap().entry(booking).or_default() += 1;
+            thread::sleep(WORK);
+            let fails = failing.as_ref().is_some_and(|failing| failing.load(Ordering::SeqCst))
+                && count.fetch_add(1, Ordering::SeqCst) * FAILED_PERCENT % 100 < FAILED_PERCENT;
+            if fails {
+                record.line(&format!("{} fails {id}, which it ran, with 503 and no X-Not-Executed", server.id));
+                let fields = server::answer_fields(req);
+                let fields: Vec<(&str, &str)> = fields.iter().map(|(name, value)| (*name, value.as_str())).collect();
+                return http::respond(writer, "503 Service Unavailable", &fields, b"the ledger is not available");
+            }
+            server::answer(req, writer, b"booked")
+        };
     Server::start(id, "desk", Arc::new(handler))
 }
 
@@ -157,7 +154,10 @@
             let request = http::request("POST", "/book/dress", &fields, booking.as_bytes());
             let reply = http::call(gateway.callers, &request, left);
             let after = reply.elapsed().as_millis();
-            record.line_at(reply.sent_at, &format!("{id} sent, answered {} after {after} ms {}", reply.status, reply.error));
+            record.line_at(
+                reply.sent_at,
+                &format!("{id} sent, answered {} after {after} ms {}", reply.status, reply.error),
+            );
             if !PROMISES.contains(&reply.status) {
                 break;
             }
--- a/review/stand_ins/src/bin/last_tenant.rs
+++ b/review/stand_ins/src/bin/last_tenant.rs
@@ -13,6 +13,7 @@
 };
 
 use review_stand_ins::{
+    config::{KEY, TENANT, booking_config},
     http::{self, Message},
     process::{Gateway, LIBAS_MEMORY_MB},
     record::Record,
@@ -27,12 +28,6 @@
 const SENDS_FOR: Duration = Duration::from_millis(8_000);
 const PAUSE: Duration = Duration::from_millis(100);
 
-fn config(version: u64, tenants: &str) -> String {
-    format!(
-        r#"{{"version":{version},"routes":[{{"name":"book","hostname":"site.example","path_prefix":"/book/","route_type":"unsafe","timeout_ms":1500,"target_latency_ms":300,"priority":2,"service":"desk","max_attempts":1,"anonymous":false,"session_affinity":false,"stream_resume":false}}],"services":[{{"name":"desk","health_path":"/healthz","max_connections":110,"cold_per_s":0.0}}],"limits":{{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000}},"tenants":[{tenants}]}}"#
-    )
-}
-
 fn main() {
     let record = Arc::new(Record::create());
     match run(&record) {
@@ -50,36 +45,43 @@
     let store = Store::start();
     for n in 0..2 {
         let (runs, record) = (Arc::clone(&runs), Arc::clone(record));
-        let handler = move |server: &Server, req: &mut Message, reader: &mut BufReader<TcpStream>, writer: &mut TcpStream| {
-            http::read_body(reader, req)?;
-            let id = req.field("x-attempt-id").unwrap_or_default().to_owned();
-            record.line(&format!("{} runs {id} for the tenant {:?}", server.id, req.field("x-tenant").unwrap_or_default()));
-            runs.lock().unwrap().insert(id);
-            server::answer(req, writer, b"booked")
-        };
+        let handler =
+            move |server: &Server, req: &mut Message, reader: &mut BufReader<TcpStream>, writer: &mut TcpStream| {
+                http::read_body(reader, req)?;
+                let id = req.field("x-attempt-id").unwrap_or_default().to_owned();
+                record.line(&format!(
+                    "{} runs {id} for the tenant {:?}",
+                    server.id,
+                    req.field("x-tenant").unwrap_or_default()
+                ));
+                runs.lock().unwrap().insert(id);
+                server::answer(req, writer, b"booked")
+            };
         let server = Server::start(&format!("desk-{n}"), "desk", Arc::new(handler));
         store.put("servers", &server.id, &server.entry("ready"));
     }
-    let tenant = r#"{"name":"shop","api_keys":["key-of-the-shop"]}"#;
-    store.put("config", "main", &config(1, tenant));
+    store.put("config", "main", &booking_config(1, TENANT));
     let gateway = Gateway::start("gateway-0", store.address, &dir, LIBAS_MEMORY_MB)?;
     record.line("the gateway is ready");
     for number in 0..5 {
-        send(&gateway, &format!("before-{number}"), "key-of-the-shop", record);
+        send(&gateway, &format!("before-{number}"), KEY, record);
         thread::sleep(PAUSE);
     }
     if !without_trouble() {
-        store.put("config", "main", &config(2, ""));
+        store.put("config", "main", &booking_config(2, ""));
     }
     let acknowledged = Instant::now();
-    record.line_at(acknowledged, if without_trouble() { "no change" } else { "acknowledged: version 2 has no tenant any more" });
+    record.line_at(
+        acknowledged,
+        if without_trouble() { "no change" } else { "acknowledged: version 2 has no tenant any more" },
+    );
     let mut revoked = Vec::new();
     for number in 0.. {
         if acknowledged.elapsed() > SENDS_FOR {
             break;
         }
         let id = format!("after-{number}");
-        let sent_at = send(&gateway, &id, "key-of-the-shop", record);
+        let sent_at = send(&gateway, &id, KEY, record);
         if !without_trouble() && sent_at > acknowledged + REVOKE {
             revoked.push(id);
         }
@@ -101,8 +103,13 @@
 /// Sends a booking with `key`, and returns when.
 fn send(gateway: &Gateway, id: &str, key: &str, record: &Record) -> Instant {
     let key = format!("Bearer {key}");
-    let fields = [("host", "site.example"), ("x-attempt-id", id), ("x-deadline-ms", "3000"), ("authorization", key.as_str())];
-    let reply = http::call(gateway.callers, &http::request("POST", "/book/x", &fields, b"a deposit"), Duration::from_secs(3));
-    record.line_at(reply.sent_at, &format!("{id} sent, answered {} after {} ms {}", reply.status, reply.elapsed().as_millis(), reply.error));
+    let fields =
+        [("host", "site.example"), ("x-attempt-id", id), ("x-deadline-ms", "3000"), ("authorization", key.as_str())];
+    let reply =
+        http::call(gateway.callers, &http::request("POST", "/book/x", &fields, b"a deposit"), Duration::from_secs(3));
+    record.line_at(
+        reply.sent_at,
+        &format!("{id} sent, answered {} after {} ms {}", reply.status, reply.elapsed().as_millis(), reply.error),
+    );
     reply.sent_at
 }
--- a/review/stand_ins/src/bin/removed_after_outage.rs
+++ b/review/stand_ins/src/bin/removed_after_outage.rs
@@ -15,6 +15,7 @@
 };
 
 use review_stand_ins::{
+    config::{TENANT, booking_config},
     http::{self, Message},
     process::{Gateway, LIBAS_MEMORY_MB},
     record::Record,
@@ -40,11 +41,6 @@
 /// Number of callers.
 const CALLERS: usize = 4;
 
-fn config() -> String {
-    r#"{"version":1,"routes":[{"name":"book","hostname":"site.example","path_prefix":"/book/","route_type":"unsafe","timeout_ms":1500,"target_latency_ms":300,"priority":2,"service":"desk","max_attempts":1,"anonymous":false,"session_affinity":false,"stream_resume":false}],"services":[{"name":"desk","health_path":"/healthz","max_connections":110,"cold_per_s":0.0}],"limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000},"tenants":[{"name":"shop","api_keys":["key-of-the-shop"]}]}"#
-        .into()
-}
-
 /// A request that reached a server.
 struct Arrival {
     server: String,
@@ -56,7 +52,10 @@
     let record = Arc::new(Record::create());
     match run(&record) {
         Ok(late) => {
-            record.say(&format!("{late} requests reached the server later than {} ms after its removal", DRAIN.as_millis()));
+            record.say(&format!(
+                "{late} requests reached the server later than {} ms after its removal",
+                DRAIN.as_millis()
+            ));
             exit(i32::from(late > 0));
         }
         Err(err) => {
@@ -74,7 +73,7 @@
     for server in &servers {
         store.put("servers", &server.id, &server.entry("ready"));
     }
-    store.put("config", "main", &config());
+    store.put("config", "main", &booking_config(1, TENANT));
     let gateway = Gateway::start("gateway-0", store.address, &dir, LIBAS_MEMORY_MB)?;
     record.line("the gateway is ready");
     let done = AtomicBool::new(false);
@@ -101,9 +100,13 @@
     }
     let arrivals = arrivals.lock().unwrap();
     let mut late = 0;
-    for arrival in arrivals.iter().filter(|arrival| arrival.server == servers[0].id && arrival.at > removed_at + DRAIN) {
+    for arrival in arrivals.iter().filter(|arrival| arrival.server == servers[0].id && arrival.at > removed_at + DRAIN)
+    {
         let after = arrival.at.saturating_duration_since(removed_at).as_millis();
-        record.line_at(arrival.at, &format!("LATE: {} reached {} {after} ms after the removal", arrival.id, arrival.server));
+        record.line_at(
+            arrival.at,
+            &format!("LATE: {} reached {} {after} ms after the removal", arrival.id, arrival.server),
+        );
         late += 1;
     }
     record.say(&format!("{} bookings were answered 502 or 504", lost.load(Ordering::SeqCst)));
@@ -120,7 +123,10 @@
         if has_call || now >= began + MAX_OUTAGE - Duration::from_millis(60) {
             thread::sleep(Duration::from_millis(50));
             let ended = store.set_silent(false);
-            record.line_at(ended, &format!("the store answers again, after {} ms", ended.duration_since(began).as_millis()));
+            record.line_at(
+                ended,
+                &format!("the store answers again, after {} ms", ended.duration_since(began).as_millis()),
+            );
             return ended;
         }
         thread::sleep(Duration::from_millis(2));
@@ -129,14 +135,15 @@
 
 fn start_server(id: &str, arrivals: &Arc<Mutex<Vec<Arrival>>>, record: &Arc<Record>) -> Server {
     let (arrivals, record) = (Arc::clone(arrivals), Arc::clone(record));
-    let handler = move |server: &Server, req: &mut Message, reader: &mut BufReader<TcpStream>, writer: &mut TcpStream| {
-        http::read_body(reader, req)?;
-        let id = req.field("x-attempt-id").unwrap_or_default().to_owned();
-        record.line(&format!("{} runs {id}", server.id));
-        arrivals.lock().unwrap().push(Arrival { server: server.id.clone(), id, at: Instant::now() });
-        thread::sleep(WORK);
-        server::answer(req, writer, b"booked")
-    };
+    let handler =
+        move |server: &Server, req: &mut Message, reader: &mut BufReader<TcpStream>, writer: &mut TcpStream| {
+            http::read_body(reader, req)?;
+            let id = req.field("x-attempt-id").unwrap_or_default().to_owned();
+            record.line(&format!("{} runs {id}", server.id));
+            arrivals.lock().unwrap().push(Arrival { server: server.id.clone(), id, at: Instant::now() });
+            thread::sleep(WORK);
+            server::answer(req, writer, b"booked")
+        };
     Server::start(id, "desk", Arc::new(handler))
 }
 
@@ -158,7 +165,10 @@
             Duration::from_millis(3_000),
         );
         lost.fetch_add(usize::from(reply.status == 502 || reply.status == 504), Ordering::SeqCst);
-        record.line_at(reply.sent_at, &format!("{id} sent, answered {} after {} ms {}", reply.status, reply.elapsed().as_millis(), reply.error));
+        record.line_at(
+            reply.sent_at,
+            &format!("{id} sent, answered {} after {} ms {}", reply.status, reply.elapsed().as_millis(), reply.error),
+        );
         thread::sleep(PAUSE);
     }
 }
--- a/review/stand_ins/src/bin/stray_refusal.rs
+++ b/review/stand_ins/src/bin/stray_refusal.rs
@@ -17,6 +17,7 @@
 };
 
 use review_stand_ins::{
+    config::{TENANT, booking_config},
     http::{self, Message},
     process::{Gateway, LIBAS_MEMORY_MB},
     record::Record,
@@ -40,10 +41,6 @@
 const PAUSE: Duration = Duration::from_millis(20);
 /// Time that a caller has for a booking.
 const DEADLINE: Duration = Duration::from_millis(3_000);
-fn config() -> String {
-    r#"{"version":1,"routes":[{"name":"book","hostname":"site.example","path_prefix":"/book/","route_type":"unsafe","timeout_ms":1500,"target_latency_ms":300,"priority":2,"service":"desk","max_attempts":1,"anonymous":false,"session_affinity":false,"stream_resume":false}],"services":[{"name":"desk","health_path":"/healthz","max_connections":110,"cold_per_s":0.0}],"limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000},"tenants":[{"name":"shop","api_keys":["key-of-the-shop"]}]}"#
-        .into()
-}
 
 /// Servers that ran each attempt, by its id.
 type Runs = Mutex<HashMap<String, Vec<String>>>;
@@ -69,7 +66,7 @@
         let server = start_server(&format!("desk-{n}"), faulty, &runs, record);
         store.put("servers", &server.id, &server.entry("ready"));
     }
-    store.put("config", "main", &config());
+    store.put("config", "main", &booking_config(1, TENANT));
     let gateway = Gateway::start("gateway-0", store.address, &dir, LIBAS_MEMORY_MB)?;
     record.line("the gateway is ready");
     let done = AtomicBool::new(false);
@@ -104,24 +101,25 @@
     let answers = AtomicUsize::new(0);
     // Connections on which additional bytes follow the last answer.
     let spoiled: Mutex<HashSet<SocketAddr>> = Mutex::default();
-    let handler = move |server: &Server, req: &mut Message, reader: &mut BufReader<TcpStream>, writer: &mut TcpStream| {
-        http::read_body(reader, req)?;
-        let id = req.field("x-attempt-id").unwrap_or_default().to_owned();
-        let peer = writer.peer_addr()?;
-        record.line(&format!("{} runs {id}", server.id));
-        runs.lock().unwrap().entry(id.clone()).or_default().push(server.id.clone());
-        if spoiled.lock().unwrap().remove(&peer) {
-            record.line(&format!("{} sends additional bytes, late, while it runs {id}", server.id));
-            writer.write_all(EXTRA)?;
-        }
-        thread::sleep(WORK);
-        server::answer(req, writer, b"booked")?;
-        let is_faulty = faulty.as_ref().is_some_and(|faulty| faulty.load(Ordering::SeqCst));
-        if is_faulty && answers.fetch_add(1, Ordering::SeqCst) % SPOILED_EVERY == 0 {
-            spoiled.lock().unwrap().insert(peer);
-        }
-        Ok(())
-    };
+    let handler =
+        move |server: &Server, req: &mut Message, reader: &mut BufReader<TcpStream>, writer: &mut TcpStream| {
+            http::read_body(reader, req)?;
+            let id = req.field("x-attempt-id").unwrap_or_default().to_owned();
+            let peer = writer.peer_addr()?;
+            record.line(&format!("{} runs {id}", server.id));
+            runs.lock().unwrap().entry(id.clone()).or_default().push(server.id.clone());
+            if spoiled.lock().unwrap().remove(&peer) {
+                record.line(&format!("{} sends additional bytes, late, while it runs {id}", server.id));
+                writer.write_all(EXTRA)?;
+            }
+            thread::sleep(WORK);
+            server::answer(req, writer, b"booked")?;
+            let is_faulty = faulty.as_ref().is_some_and(|faulty| faulty.load(Ordering::SeqCst));
+            if is_faulty && answers.fetch_add(1, Ordering::SeqCst) % SPOILED_EVERY == 0 {
+                spoiled.lock().unwrap().insert(peer);
+            }
+            Ok(())
+        };
     Server::start(id, "desk", Arc::new(handler))
 }
 
@@ -139,7 +137,8 @@
         ];
         let reply = http::call(gateway.callers, &http::request("POST", "/book/dress", &fields, b"a deposit"), DEADLINE);
         let after = reply.elapsed().as_millis();
-        record.line_at(reply.sent_at, &format!("{id} sent, answered {} after {after} ms {}", reply.status, reply.error));
+        record
+            .line_at(reply.sent_at, &format!("{id} sent, answered {} after {after} ms {}", reply.status, reply.error));
         thread::sleep(PAUSE);
     }
 }
--- a/review/stand_ins/src/bin/uploads_at_once.rs
+++ b/review/stand_ins/src/bin/uploads_at_once.rs
@@ -16,6 +16,7 @@
 };
 
 use review_stand_ins::{
+    config::{TENANT, config, route},
     http::{self, Message},
     process::Gateway,
     record::Record,
@@ -38,19 +39,6 @@
 /// More closed connections than this break the rule.
 const MAX_CLOSED: usize = 3;
 
-fn config() -> String {
-    let route = |name: &str, kind: &str, timeout: u32| {
-        format!(
-            r#"{{"name":"{name}","hostname":"site.example","path_prefix":"/{name}/","route_type":"{kind}","timeout_ms":{timeout},"target_latency_ms":3000,"priority":1,"service":"draft","max_attempts":1,"anonymous":false,"session_affinity":false,"stream_resume":false}}"#
-        )
-    };
-    format!(
-        r#"{{"version":1,"routes":[{},{}],"services":[{{"name":"draft","health_path":"/healthz","max_connections":360,"cold_per_s":0.0}}],"limits":{{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000}},"tenants":[{{"name":"shop","api_keys":["key-of-the-shop"]}}]}}"#,
-        route("plan", "streaming", 20_000),
-        route("note", "unsafe", 20_000)
-    )
-}
-
 fn main() {
     let record = Arc::new(Record::create());
     match run(&record) {
@@ -69,7 +57,8 @@
         let server = start_server(&format!("draft-{n}"), record);
         store.put("servers", &server.id, &server.entry("ready"));
     }
-    store.put("config", "main", &config());
+    let routes = [route("plan", "streaming", "draft", 20_000), route("note", "unsafe", "draft", 20_000)].join(",");
+    store.put("config", "main", &config(1, &routes, "draft", TENANT));
     let mut gateway = Gateway::start("gateway-0", store.address, &dir, MEMORY_MB)?;
     record.line("the gateway is ready");
     let (callers, pid) = (gateway.callers, gateway.pid());
@@ -93,7 +82,15 @@
             let reply = http::call(callers, &request, Duration::from_secs(8));
             let counter = if reply.status == 200 { &uploaded } else { &lost };
             counter.fetch_add(1, Ordering::SeqCst);
-            record.line_at(reply.sent_at, &format!("{id} sent, answered {} after {} ms {}", reply.status, reply.elapsed().as_millis(), reply.error));
+            record.line_at(
+                reply.sent_at,
+                &format!(
+                    "{id} sent, answered {} after {} ms {}",
+                    reply.status,
+                    reply.elapsed().as_millis(),
+                    reply.error
+                ),
+            );
         };
         if without_trouble() {
             record.line("the callers come one after the other");
@@ -127,7 +124,9 @@
 fn watch_memory(pid: u32, done: &AtomicBool, peak: &AtomicU64, record: &Record) {
     while !done.load(Ordering::SeqCst) {
         let status = std::fs::read_to_string(format!("/proc/{pid}/status")).unwrap_or_default();
-        let resident = status.lines().find_map(|line| line.strip_prefix("VmRSS:")?.trim().strip_suffix("kB")?.trim().parse::<u64>().ok());
+        let resident = status
+            .lines()
+            .find_map(|line| line.strip_prefix("VmRSS:")?.trim().strip_suffix("kB")?.trim().parse::<u64>().ok());
         let resident = resident.unwrap_or(0) << 10;
         peak.fetch_max(resident, Ordering::SeqCst);
         if resident > MEMORY_MB << 20 {
@@ -154,7 +153,9 @@
         let mut stream = TcpStream::connect(callers)?;
         stream.set_read_timeout(Some(Duration::from_secs(15)))?;
         let mut reader = BufReader::new(stream.try_clone()?);
-        for (id, target, body) in [(format!("first-{n}"), "/note/x", "a note"), (format!("plan-{n}"), "/plan/x", "a plan")] {
+        for (id, target, body) in
+            [(format!("first-{n}"), "/note/x", "a note"), (format!("plan-{n}"), "/plan/x", "a plan")]
+        {
             stream.write_all(&http::request("POST", target, &fields(&id), body.as_bytes()))?;
             record.line(&format!("{id} sent"));
             let mut answer = http::read_head(&mut reader)?.ok_or(std::io::ErrorKind::UnexpectedEof)?;
@@ -174,26 +175,28 @@
 
 fn start_server(id: &str, record: &Arc<Record>) -> Server {
     let record = Arc::clone(record);
-    let handler = move |server: &Server, req: &mut Message, reader: &mut BufReader<TcpStream>, writer: &mut TcpStream| {
-        http::read_body(reader, req)?;
-        let id = req.field("x-attempt-id").unwrap_or_default().to_owned();
-        record.line(&format!("{} runs {id}", server.id));
-        if !req.target().starts_with("/plan/") {
-            thread::sleep(Duration::from_millis(30));
-            return server::answer(req, writer, b"noted");
-        }
-        let mut head = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\ncontent-type: text/event-stream\r\n".to_owned();
-        for (name, value) in server::answer_fields(req) {
-            head.push_str(&format!("{name}: {value}\r\n"));
-        }
-        writer.write_all(format!("{head}\r\n").as_bytes())?;
-        let started = Instant::now();
-        for number in 1..=EVENTS {
-            let event = format!("id: {number}\ndata: a part of the plan\n\n");
-            writer.write_all(format!("{:x}\r\n{event}\r\n", event.len()).as_bytes())?;
-            thread::sleep((started + EVENT_PAUSE * number as u32).saturating_duration_since(Instant::now()));
-        }
-        writer.write_all(b"0\r\n\r\n")
-    };
+    let handler =
+        move |server: &Server, req: &mut Message, reader: &mut BufReader<TcpStream>, writer: &mut TcpStream| {
+            http::read_body(reader, req)?;
+            let id = req.field("x-attempt-id").unwrap_or_default().to_owned();
+            record.line(&format!("{} runs {id}", server.id));
+            if !req.target().starts_with("/plan/") {
+                thread::sleep(Duration::from_millis(30));
+                return server::answer(req, writer, b"noted");
+            }
+            let mut head =
+                "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\ncontent-type: text/event-stream\r\n".to_owned();
+            for (name, value) in server::answer_fields(req) {
+                head.push_str(&format!("{name}: {value}\r\n"));
+            }
+            writer.write_all(format!("{head}\r\n").as_bytes())?;
+            let started = Instant::now();
+            for number in 1..=EVENTS {
+                let event = format!("id: {number}\ndata: a part of the plan\n\n");
+                writer.write_all(format!("{:x}\r\n{event}\r\n", event.len()).as_bytes())?;
+                thread::sleep((started + EVENT_PAUSE * number as u32).saturating_duration_since(Instant::now()));
+            }
+            writer.write_all(b"0\r\n\r\n")
+        };
     Server::start(id, "draft", Arc::new(handler))
 }
--- a/review/stand_ins/src/lib.rs
+++ b/review/stand_ins/src/lib.rs
@@ -3,6 +3,7 @@
 //! They use the standard library only, real sockets on the loopback address and the real clock. What they say and do
 //! follows the users' pages; where a page is silent they behave like a sound store, server or caller.
 
+pub mod config;
 pub mod http;
 pub mod process;
 pub mod record;
--- a/review/stand_ins/src/process.rs
+++ b/review/stand_ins/src/process.rs
@@ -45,8 +45,7 @@
         let log = dir.join(format!("{id}.log"));
         let child = spawn(&path, &log)?;
         let address = |port: u16| SocketAddr::from(([127, 0, 0, 1], port));
-        let gateway =
-            Self { callers: address(ports[0]), readiness: address(ports[1]), child, settings: path, log };
+        let gateway = Self { callers: address(ports[0]), readiness: address(ports[1]), child, settings: path, log };
         gateway.wait_until_ready()?;
         Ok(gateway)
     }
--- a/review/stand_ins/src/record.rs
+++ b/review/stand_ins/src/record.rs
@@ -1,12 +1,6 @@
 //! `record.txt` of a case: what was sent, answered and run, with times since the start.
 
-use std::{
-    fs::File,
-    io::Write,
-    path::Path,
-    sync::Mutex,
-    time::Instant,
-};
+use std::{fs::File, io::Write, path::Path, sync::Mutex, time::Instant};
 
 /// The record, which all threads write to.
 pub struct Record {
--- a/review/stand_ins/src/store.rs
+++ b/review/stand_ins/src/store.rs
@@ -90,7 +90,12 @@
     /// Status of an object as JSON text.
     pub fn status(&self, kind: &str, name: &str) -> String {
         let state = self.shared.state.lock().unwrap();
-        state.objects.get(kind).and_then(|objects| objects.get(name)).map(|entry| entry.status.clone()).unwrap_or_default()
+        state
+            .objects
+            .get(kind)
+            .and_then(|objects| objects.get(name))
+            .map(|entry| entry.status.clone())
+            .unwrap_or_default()
     }
 
     /// Begins or ends an outage in which calls get no answer. Calls that are under way get none either, nor later.
