--- a/crates/core/src/attempt.rs
+++ b/crates/core/src/attempt.rs
@@ -1,7 +1,7 @@
 //! Limits how often a request is sent. A request that is not idempotent runs at most once, so it is sent again only
 //! while it is certain that no earlier send has run.
 
-use crate::refusal::Outcome;
+use crate::refusal::{Outcome, Reason, Refusal};
 
 /// Limits on the sends of one request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -48,6 +48,15 @@
         if self.may_have_run() { Outcome::Unknown } else { Outcome::NotRun }
     }
 
+    /// Refusal of a request that gets no answer: for the reason `refused` if it certainly has not run, otherwise a failure
+    /// for the reason `lost` with an unknown outcome.
+    pub fn refuse(&self, refused: Reason, lost: Reason) -> Refusal {
+        match self.outcome() {
+            Outcome::NotRun => Refusal::not_run(refused),
+            Outcome::Unknown => Refusal::unknown(lost),
+        }
+    }
+
     /// Whether the request may be sent once more.
     pub fn allows_another(&self, limits: AttemptLimits) -> bool {
         let may_run_again = self.runs == 0 || limits.idempotent;
--- a/crates/core/src/refusal.rs
+++ b/crates/core/src/refusal.rs
@@ -72,8 +72,8 @@
                 }
             }
 
-            /// HTTP status of the response to the caller.
-            pub fn http_status(self) -> u16 {
+            /// HTTP status of the response to the caller if the request has not run.
+            pub(crate) fn http_status(self) -> u16 {
                 match self {
                     $(Self::$name => $status,)*
                 }
--- a/crates/daemon/src/callers/failure.rs
+++ b/crates/daemon/src/callers/failure.rs
@@ -3,6 +3,7 @@
 use std::fmt::Display;
 
 use eelgrasswell_core::{
+    caller_status::CallerStatus,
     id::RequestId,
     refusal::{Outcome, Reason, Refusal},
     unit::Millis,
@@ -72,6 +73,7 @@
     /// Makes the error response, and counts and logs the failure. `id` is used as the request id if no id of an attempt
     /// is set.
     pub fn into_response(self, id: &dyn Display) -> Response<Body> {
+        let status = CallerStatus::of_refusal(&self.refusal);
         let Refusal { reason, outcome, retry_after } = self.refusal;
         metrics::counter!(
             telemetry::REFUSALS, "reason" => reason.as_str(), "outcome" => outcome.to_string()
@@ -82,7 +84,7 @@
             Info,
             "refused",
             request = request_id,
-            status = reason.http_status(),
+            status = status,
             reason = reason,
             outcome = outcome,
             detail = self.message
@@ -96,7 +98,7 @@
         };
         let json = serde_json::to_vec(&Envelope { error }).expect("an error serialises to JSON");
         let mut response = Response::builder()
-            .status(reason.http_status())
+            .status(status.as_u16())
             .header(CONTENT_TYPE, "application/json")
             .header("x-request-id", request_id.as_str());
         if let Some(after) = retry_after {
--- a/crates/daemon/src/filter/answer.rs
+++ b/crates/daemon/src/filter/answer.rs
@@ -4,6 +4,7 @@
 
 use bytes::Bytes;
 use eelgrasswell_core::{
+    caller_status::CallerStatus,
     id::{HostId, RequestId},
     refusal::{Reason, Refusal},
     unit::{Cost, Tokens},
@@ -327,10 +328,10 @@
     response
 }
 
-/// Returns the status of an answer, or 502 if it is not a final HTTP status.
+/// Returns the status of an answer, or 502 if it is not a final HTTP status or promises that the request has not run.
 fn status(head: &Head) -> u16 {
-    let status = u16::try_from(head.status).unwrap_or_default();
-    if (200..1000).contains(&status) { status } else { 502 }
+    let status = u16::try_from(head.status).ok().filter(|status| (200..1000).contains(status)).unwrap_or(502);
+    CallerStatus::of_answer_or_unknown(status).as_u16()
 }
 
 fn cost_trailers(cost: Cost) -> HeaderMap {
--- a/crates/daemon/src/gateway/attempt.rs
+++ b/crates/daemon/src/gateway/attempt.rs
@@ -7,6 +7,7 @@
 use bytes::Bytes;
 use eelgrasswell_core::{
     backend::Backend,
+    caller_status::CallerStatus,
     canary::VersionRule,
     crash_evidence::{Block, PartId},
     id::{BackendId, ModelName, RequestId},
@@ -68,8 +69,8 @@
 
 /// A backend server's answer whose head has been received.
 pub struct Answer {
-    /// HTTP status.
-    pub status: StatusCode,
+    /// HTTP status, as callers get it.
+    pub status: CallerStatus,
     /// Header fields as the server sent them.
     pub headers: HeaderMap,
     /// Values of the header fields that the router evaluates.
@@ -103,6 +104,8 @@
     Blocked(Block),
     /// The request did not run.
     NotRun { backend: Arc<Backend>, why: String },
+    /// The server has run the request and failed, with a status that would promise callers that it was not run.
+    Failed { backend: Arc<Backend>, status: StatusCode },
     /// The request may have run.
     Lost { backend: Arc<Backend>, why: String },
 }
@@ -113,6 +116,7 @@
             Self::Unavailable(why) => write!(f, "no server: {why:?}"),
             Self::Blocked(block) => write!(f, "not sent: a part of the prompt crashed {} servers", block.servers),
             Self::NotRun { backend, why } => write!(f, "not run at {}: {why}", backend.id),
+            Self::Failed { backend, status } => write!(f, "failed at {} with {status}", backend.id),
             Self::Lost { backend, why } => write!(f, "lost at {}: {why}", backend.id),
         }
     }
@@ -285,13 +289,30 @@
                 return Err(SendFailure::NotRun { backend, why: "another server answers at its address".into() });
             }
             gateway.record_outcome(&backend, Outcome::Refused);
-            tokio::spawn(Answer { status, headers: head.headers, meta, body, guard }.drain());
+            tokio::spawn(drain(body, guard, meta));
             return Err(SendFailure::NotRun { backend, why: format!("it refused with {status}") });
         }
         if status.is_success() && (!meta.sealed || meta.encoded) {
             let why = "the answer is not sealed".into();
             return Err(self.fail_as_lost(gateway, backend, Some(SampleOutcome::Failed), why));
         }
+        let Some(status) = CallerStatus::of_answer(status.as_u16()) else {
+            event!(
+                Warn,
+                "promise_not_passed_on",
+                request = self.call.id,
+                backend = backend.id,
+                version = backend.version,
+                status = status.as_u16(),
+                idempotent = self.call.route.kind.is_idempotent(),
+                after = Millis::from(started.elapsed()),
+                config = self.call.config.version
+            );
+            metrics::counter!(telemetry::PROMISES_NOT_PASSED_ON).increment(1);
+            self.record_failure(gateway, &backend);
+            tokio::spawn(drain(body, guard, meta));
+            return Err(SendFailure::Failed { backend, status });
+        };
         if status.is_server_error() {
             self.record_failure(gateway, &backend);
         } else {
@@ -352,21 +373,34 @@
     }
 
     /// Reads the rest of an unwanted answer, for at most `DRAIN_TIMEOUT`, so that its connection can be reused.
-    pub async fn drain(mut self) {
-        let read_rest = async {
-            while let Some(frame) = self.body.frame().await {
-                if frame.is_err() {
-                    self.guard.record_crash();
-                    return false;
-                }
+    pub async fn drain(self) {
+        let Self { status, meta, body, guard, .. } = self;
+        let (gateway, shared_parts) = (guard.gateway.clone(), Arc::clone(&guard.shared_parts));
+        if drain(body, guard, meta).await && status.is_success() {
+            gateway.record_completion(&shared_parts);
+        }
+    }
+}
+
+/// Reads the rest of a response, for at most `DRAIN_TIMEOUT`, so that its connection can be reused. Returns whether it was
+/// complete.
+async fn drain(mut body: Incoming, guard: SendGuard, meta: ResponseMeta) -> bool {
+    let read_rest = async {
+        while let Some(frame) = body.frame().await {
+            if frame.is_err() {
+                guard.record_crash();
+                return false;
             }
-            true
-        };
-        match timeout(DRAIN_TIMEOUT, read_rest).await {
-            Ok(true) => self.finish(),
-            Ok(false) | Err(_) => event!(Debug, "answer_dropped", request = self.guard.id),
         }
+        true
+    };
+    let is_complete = timeout(DRAIN_TIMEOUT, read_rest).await.unwrap_or(false);
+    if is_complete {
+        guard.return_connection(&meta);
+    } else {
+        event!(Debug, "answer_dropped", request = guard.id);
     }
+    is_complete
 }
 
 impl SendGuard {
--- a/crates/daemon/src/gateway/execute.rs
+++ b/crates/daemon/src/gateway/execute.rs
@@ -6,13 +6,14 @@
 use eelgrasswell_core::{
     attempt::{AttemptLimits, Attempts},
     backend::Backend,
+    caller_status::CallerStatus,
     canary::VersionRule,
     crash_evidence::Block,
     escalation::EscalationSteps,
     id::{BackendId, ModelName},
     latency, pause,
     pool::Unavailable,
-    refusal::Reason,
+    refusal::{Reason, Refusal},
     repeat::Purpose,
     unit::Millis,
 };
@@ -154,7 +155,7 @@
                             repeat_acquired = true;
                         }
                         SendFailure::Unavailable(_) => return None,
-                        SendFailure::NotRun { .. } | SendFailure::Lost { .. } => {}
+                        SendFailure::NotRun { .. } | SendFailure::Failed { .. } | SendFailure::Lost { .. } => {}
                     }
                 }
             }
@@ -235,7 +236,7 @@
                 self.attempts.record_run();
                 self.tried.push(answer.guard.backend.id.clone());
             }
-            Err(SendFailure::Lost { backend, .. }) => {
+            Err(SendFailure::Failed { backend, .. } | SendFailure::Lost { backend, .. }) => {
                 self.attempts.record_run();
                 self.tried.push(backend.id.clone());
             }
@@ -300,14 +301,11 @@
     async fn handle_failure(&mut self, failure: SendFailure) -> Result<(), Failure> {
         event!(Info, "send_ended", request = self.call.id, error = failure);
         if self.call.remaining().is_zero() {
-            return Err(if self.attempts.may_have_run() { deadline_failure() } else { expired_failure() });
+            return Err(self.deadline_failure());
         }
         match failure {
             SendFailure::Unavailable(why) => self.handle_unavailable(why).await,
-            SendFailure::Blocked(block) if self.attempts.may_have_run() => {
-                Err(lost_failure(&format!("it crashed, as {} servers did on a part of the prompt", block.servers)))
-            }
-            SendFailure::Blocked(block) => Err(blocked_failure(block)),
+            SendFailure::Blocked(block) => Err(self.blocked_failure(block)),
             SendFailure::NotRun { .. } => {
                 let why = if !self.attempts.allows_another(self.limits()) {
                     "one has refused, and its tries are used up"
@@ -318,16 +316,15 @@
                 } else {
                     return Ok(());
                 };
-                // If an earlier send may have run, the failure must not say that the request was not run.
-                Err(if self.attempts.may_have_run() { lost_failure(why) } else { no_backend_failure(why) })
+                Err(self.no_backend_failure(why, NO_BACKEND_RETRY_AFTER))
             }
-            SendFailure::Lost { why, .. } => {
-                if self.try_acquire_repeat(Purpose::Failure) {
-                    Ok(())
-                } else {
-                    Err(lost_failure(&why))
-                }
+            SendFailure::Failed { .. } | SendFailure::Lost { .. } if self.try_acquire_repeat(Purpose::Failure) => {
+                Ok(())
             }
+            SendFailure::Failed { status, .. } => {
+                Err(Failure::unknown(Reason::BackendError, format!("the backend server failed with {status}")))
+            }
+            SendFailure::Lost { why, .. } => Err(lost_failure(&why)),
         }
     }
 
@@ -344,18 +341,41 @@
             }
             Unavailable::Cold | Unavailable::AllTried | Unavailable::NoneInService | Unavailable::Paused { .. } => {}
         }
-        if self.attempts.may_have_run() {
-            return Err(lost_failure("no other server can take the request"));
-        }
-        Err(match why {
-            Unavailable::NoneInService => no_backend_failure("none in service"),
-            Unavailable::Cold => no_backend_failure("all are cold"),
-            Unavailable::AllTried => no_backend_failure("all have refused"),
+        let (why, wait) = match why {
+            Unavailable::NoneInService => ("none in service", NO_BACKEND_RETRY_AFTER),
+            Unavailable::Cold => ("all are cold", NO_BACKEND_RETRY_AFTER),
+            Unavailable::AllTried => ("all have refused", NO_BACKEND_RETRY_AFTER),
             Unavailable::Paused { until } => {
                 let wait = pause::retry_after(self.gateway.clock.now(), until, &mut rand::rng());
-                no_backend_failure("all have asked for a pause").retry_after(wait)
+                ("all have asked for a pause", wait)
             }
-        })
+        };
+        Err(self.no_backend_failure(why, wait))
+    }
+
+    /// Failure of the request in its present state. Only a request that certainly has not run is refused, for the reason
+    /// `refused`, and may be sent again after `wait`.
+    fn failure(&self, refused: Reason, lost: Reason, message: String, wait: Option<Millis>) -> Failure {
+        let refusal = self.attempts.refuse(refused, lost);
+        let retry_after = wait.filter(|_| !self.attempts.may_have_run());
+        Failure { refusal: Refusal { retry_after, ..refusal }, message, request_id: None }
+    }
+
+    /// Failure for a request whose deadline has passed.
+    fn deadline_failure(&self) -> Failure {
+        self.failure(Reason::Expired, Reason::Deadline, "the deadline passed before an answer came".into(), None)
+    }
+
+    /// Failure for a request that no backend server can take.
+    fn no_backend_failure(&self, why: &str, wait: Millis) -> Failure {
+        let message = format!("no backend server can take the request: {why}");
+        self.failure(Reason::NoBackend, Reason::ConnectionLost, message, Some(wait))
+    }
+
+    /// Failure for a request that is not sent because a part of its prompt crashes servers.
+    fn blocked_failure(&self, block: Block) -> Failure {
+        let message = format!("{} servers have crashed on requests with a part of this prompt", block.servers);
+        self.failure(Reason::CrashesServers, Reason::ConnectionLost, message, Some(BLOCKED_RETRY_AFTER))
     }
 
     /// Makes the response for the caller. A stream is relayed; any other answer is buffered first, so that a broken one
@@ -372,7 +392,7 @@
             let why = match buffered {
                 Ok(Ok(body)) => return Ok(response(status, headers, body)),
                 Ok(Err(why)) => why,
-                Err(_) => return Err(deadline_failure()),
+                Err(_) => return Err(self.deadline_failure()),
             };
             event!(Info, "answer_broken", request = self.call.id, error = why);
             loop {
@@ -408,36 +428,14 @@
     }
 }
 
-/// Failure for a request whose deadline passed before it ran.
-fn expired_failure() -> Failure {
-    Failure::not_run(Reason::Expired, "the deadline passed before the request could run")
-}
-
-/// Failure for a request that may have run when its deadline passed.
-fn deadline_failure() -> Failure {
-    Failure::unknown(Reason::Deadline, "the deadline passed before an answer came")
-}
-
 /// Failure for a request that may have run and got no answer.
 fn lost_failure(why: &str) -> Failure {
     Failure::unknown(Reason::ConnectionLost, format!("the backend server gave no answer: {why}"))
 }
 
-/// Failure for a request that was not run because no backend server can take it.
-fn no_backend_failure(why: &str) -> Failure {
-    let message = format!("no backend server can take the request: {why}");
-    Failure::not_run(Reason::NoBackend, message).retry_after(NO_BACKEND_RETRY_AFTER)
-}
-
-/// Failure for a request that is not sent because a part of its prompt crashes servers.
-fn blocked_failure(block: Block) -> Failure {
-    let message = format!("{} servers have crashed on requests with a part of this prompt", block.servers);
-    Failure::not_run(Reason::CrashesServers, message).retry_after(BLOCKED_RETRY_AFTER)
-}
-
-fn response(status: StatusCode, headers: HeaderMap, body: Body) -> Response<Body> {
+fn response(status: CallerStatus, headers: HeaderMap, body: Body) -> Response<Body> {
     let mut response = Response::new(body);
-    *response.status_mut() = status;
+    *response.status_mut() = StatusCode::from_u16(status.as_u16()).expect("the status came in an answer");
     *response.headers_mut() = headers;
     response.headers_mut().remove(CONTENT_LENGTH);
     response
--- a/crates/daemon/src/gateway/relay.rs
+++ b/crates/daemon/src/gateway/relay.rs
@@ -4,6 +4,7 @@
 
 use bytes::Bytes;
 use eelgrasswell_core::{
+    caller_status::CallerStatus,
     event_order::{EventFault, EventOrder},
     event_stream::EventSplitter,
     pace::PaceSampler,
@@ -14,7 +15,6 @@
 use futures::stream;
 use http_body_util::{BodyExt, StreamBody};
 use hyper::{
-    StatusCode,
     body::Frame,
     header::{CONTENT_TYPE, HeaderValue},
 };
@@ -61,7 +61,7 @@
 
 /// What the caller has been told of a stream by the head of its first answer.
 pub struct StreamHead {
-    status: StatusCode,
+    status: CallerStatus,
     content_type: Option<HeaderValue>,
 }
 
--- a/crates/daemon/src/telemetry.rs
+++ b/crates/daemon/src/telemetry.rs
@@ -37,6 +37,8 @@
 pub const PAUSES: &str = "eelgrasswell_pauses_total";
 /// Refusals of backend servers that may have belonged to another request.
 pub const REFUSALS_DOUBTED: &str = "eelgrasswell_refusals_doubted_total";
+/// Answers with a status that would have promised callers that their request was not run.
+pub const PROMISES_NOT_PASSED_ON: &str = "eelgrasswell_promises_not_passed_on_total";
 /// Parts of prompts that were blocked because they crash backend servers.
 pub const PARTS_BLOCKED: &str = "eelgrasswell_parts_blocked_total";
 /// Version of the configuration in force.
--- a/crates/testbed/src/site/backend.rs
+++ b/crates/testbed/src/site/backend.rs
@@ -48,6 +48,8 @@
     pub endless: bool,
     /// Answers with 500.
     pub fails: bool,
+    /// Answers requests that it has run with this status, without saying that they were not run.
+    pub fails_with: Option<StatusCode>,
     /// Answers with 404 and a body that breaks off.
     pub breaks_refusal: bool,
     /// Refuses requests without running them.
@@ -80,6 +82,7 @@
             crashes_on_part: None,
             endless: false,
             fails: false,
+            fails_with: None,
             breaks_refusal: false,
             refuses: false,
             retry_after: None,
@@ -254,8 +257,8 @@
     let model = run.header("x-model").to_owned();
     let confidence = behaviour.confidence.get(&model).map_or_else(String::new, u8::to_string);
     let fields = [(seal.0, seal.1.as_str()), ("x-attempt-id", run.id.as_str()), ("x-confidence", confidence.as_str())];
-    if behaviour.fails {
-        return Ok(response(StatusCode::INTERNAL_SERVER_ERROR, &fields, "failed"));
+    if let Some(status) = behaviour.fails_with.or(behaviour.fails.then_some(StatusCode::INTERNAL_SERVER_ERROR)) {
+        return Ok(response(status, &fields, "failed"));
     }
     if behaviour.breaks_refusal {
         let mut response = response(StatusCode::NOT_FOUND, &fields, "");
