--- a/crates/core/src/canary.rs
+++ b/crates/core/src/canary.rs
@@ -1,7 +1,8 @@
 //! Rollout of a new version of a service, with a rollback if the new version is bad.
 //!
 //! During the first half of the rollout, a small share of new sessions uses the new version. If its answers show no
-//! problem, the share rises until the old servers have no work left. They stop as soon as the rollout is completed.
+//! problem, the share rises until the old servers have no work left. They stop as soon as the rollout is completed, and
+//! there is no way back. Therefore each step rests on answers that the version gave in the stage before it (`stage`).
 //!
 //! The requests of a session come at any router, and a session that has used the new version must not return to the old
 //! one. Routers that see different evidence at a time, or let the share fall while they are in doubt, would send it back.
@@ -9,10 +10,11 @@
 //! falls unless the version is withdrawn.
 
 use crate::{
-    answer_counters::Counters,
     id::{ServiceName, VersionName},
-    rollout::{Criteria, Monitor, Verdict},
+    request_kind::{CountersByKind, RequestKind},
+    rollout::{Criteria, Criterion, Monitor, PASS_SUM, Verdict},
     session_map::SessionMap,
+    stage::{Stage, StageEvidence},
     unit::Millis,
 };
 
@@ -23,17 +25,29 @@
 /// Share of the duration after which sessions on the old version may move to the new one.
 const SHIFT_AT: f64 = 0.51;
 /// Share of the duration after which all requests go to the new version.
-const FULL_AT: f64 = 0.62;
+const FULL_AT: f64 = 0.58;
 /// Share of sessions on the new version between `SHIFT_AT` and `FULL_AT`.
 const SHIFT_SHARE: f64 = 0.3;
 /// Time between the announcement of a rise of the share and its effect, in which the other routers learn of it.
 const RISE_NOTICE: Millis = Millis(1_000);
+/// Share of the duration from which the rollout is completed once the old servers have no work left.
+const COMPLETE_FROM: f64 = 0.75;
 /// Share of the duration after which work left at old servers no longer delays the completion.
 const COMPLETE_BY: f64 = 0.9;
-/// Minimum number of answers of the new version before it gets all requests.
+/// Minimum number of answers of the new version, in all stages together, before it gets all requests after a shift, and
+/// before its rollout is completed.
 const MIN_ANSWERS: u64 = 20;
+/// Share of the duration after which a version that is in doubt is withdrawn, since no time is left to clear it.
+const DECIDE_BY: f64 = 0.95;
+/// Evidence of too many errors, as a log-likelihood ratio, from which the new version is withdrawn. A good version
+/// reaches it by chance once in about e^12 / 0.14 = 1.2e6 answers.
+const MAX_ERROR_SUM: f64 = 12.0;
+/// Number of answers with all requests by which the evidence must not speak against the version any more, and the evidence
+/// for a good version below which it does. They bound what a bad version gets whose failures come seldom.
+const MAX_UNDECIDED_ANSWERS: u64 = 40;
+const MIN_EVIDENCE_FOR_GOOD: f64 = -2.0;
 /// Error rates of a good and of a bad version.
-const CRITERIA: Criteria = Criteria { good_error_rate: 0.01, bad_error_rate: 0.15 };
+const CRITERIA: Criteria = Criteria { good_error_rate: 0.005, bad_error_rate: 0.15 };
 
 /// An operator's order to move a service to another version.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -70,6 +84,8 @@
     pub excluded: Option<VersionName>,
     /// Whether the request must fail if no server satisfies the rule, instead of running on any version.
     pub strict: bool,
+    /// Whether `only` has yet to show that it is good, so that its servers are to be put under load.
+    pub on_trial: bool,
 }
 
 /// Progress of one order at this router.
@@ -77,14 +93,17 @@
 pub struct Canary {
     order: Order,
     started: Millis,
-    monitor: Monitor,
+    /// Tests of the new version for each kind of request.
+    monitors: [Monitor; RequestKind::ALL.len()],
     /// Number of answers of the new version.
     answers: u64,
+    evidence: StageEvidence,
     /// Whether the new version was found bad.
     bad: bool,
     /// Version of each session, by the hash of the session.
     sessions: SessionMap<PinnedSession>,
     rises: Rises,
+    skips_shift: bool,
 }
 
 /// Times since the start of an order at which the share of the new version rises. Routers exchange them; the earliest ones
@@ -119,11 +138,13 @@
         Self {
             order,
             started: now,
-            monitor: Monitor::default(),
+            monitors: Default::default(),
             answers: 0,
+            evidence: StageEvidence::default(),
             bad,
             sessions: SessionMap::default(),
             rises: Rises::default(),
+            skips_shift: false,
         }
     }
 
@@ -158,15 +179,41 @@
         self.bad = true;
     }
 
-    /// Evaluates the totals of the new version and of the other versions. Returns whether the new version was found bad
-    /// by this call.
-    pub fn evaluate(&mut self, now: Millis, target: Counters, baseline: Counters) -> bool {
-        self.answers = self.answers.max(target.answers);
-        let verdict = self.monitor.observe(now, CRITERIA, Millis::ZERO, target, baseline);
-        let newly_bad = matches!(verdict, Verdict::Stop(_)) && !self.bad && self.order.state != OrderState::Completed;
-        self.bad |= newly_bad;
+    /// Evaluates the totals of the new version and of the other versions. If the new version is found bad by this call,
+    /// returns the criterion that it failed.
+    pub fn evaluate(&mut self, now: Millis, target: CountersByKind, baseline: CountersByKind) -> Option<Criterion> {
+        self.answers = self.answers.max(target.total().answers);
+        if self.evidence.observe(self.stage(now), target, baseline) {
+            self.monitors.iter_mut().for_each(|monitor| monitor.begin_step(now));
+        }
+        let mut failed = None;
+        for kind in RequestKind::ALL {
+            let monitor = &mut self.monitors[kind.index()];
+            if let Verdict::Stop(criterion) =
+                monitor.observe(now, CRITERIA, Millis::ZERO, target.of(kind), baseline.of(kind))
+            {
+                failed = Some(criterion);
+            }
+        }
+        // The kinds' answers are independent of each other, so their evidence adds up.
+        let is_undecided = self.evidence.stage() == Stage::Full && self.evidence.answers() >= MAX_UNDECIDED_ANSWERS;
+        if self.monitors.iter().map(Monitor::error_sum).sum::<f64>() >= MAX_ERROR_SUM
+            || is_undecided && self.evidence_for_good() < MIN_EVIDENCE_FOR_GOOD
+        {
+            failed = Some(Criterion::Errors);
+        }
+        if failed.is_none() && self.progress(now) >= DECIDE_BY {
+            failed = self.monitors.iter().find_map(Monitor::doubted_criterion);
+        }
+        let newly_failed = failed.filter(|_| !self.bad && self.order.state != OrderState::Completed);
+        self.bad |= newly_failed.is_some();
         self.decide_rises(now);
-        newly_bad
+        newly_failed
+    }
+
+    /// Evidence on the new version in the present stage.
+    pub fn evidence(&self) -> &StageEvidence {
+        &self.evidence
     }
 
     /// Rises of the share that have been decided.
@@ -179,18 +226,25 @@
         self.rises.merge(rises);
     }
 
+    /// Lets the share rise to all requests at once if the version has enough answers by then. For a service whose servers
+    /// are filled one after the other, since a part of its requests would put none of them under load.
+    pub fn skip_shift(&mut self) {
+        self.skips_shift = true;
+    }
+
     /// Decides on the next rise of the share, unless the new version is in doubt.
     fn decide_rises(&mut self, now: Millis) {
-        if self.bad || self.monitor.in_doubt() {
+        if self.bad || self.in_doubt() {
             return;
         }
         let at = |share: f64| Millis((self.order.duration.0 as f64 * share) as u64);
         let earliest = self.elapsed(now) + RISE_NOTICE;
-        if earliest >= at(SHIFT_AT) {
+        let skips_shift = self.skips_shift && self.evidence.suffices(Stage::Canary, false) && !self.in_doubt();
+        if earliest >= at(SHIFT_AT) && !skips_shift && self.rises.to_full.is_none() {
             self.rises.to_shift.get_or_insert(earliest);
         }
-        // A service with few requests may have fewer than `MIN_ANSWERS` by now; the share before collects more.
-        if earliest >= at(FULL_AT) && self.is_trusted() {
+        // A service with few requests may have too few answers by now; the share before collects more.
+        if earliest >= at(FULL_AT) && (skips_shift || self.may_leave(Stage::Shift, now)) {
             self.rises.to_full.get_or_insert(earliest);
         }
     }
@@ -205,8 +259,8 @@
             return Some(OrderState::RolledBack);
         }
         let progress = self.progress(now);
-        let drained = progress >= FULL_AT && idle || progress >= COMPLETE_BY;
-        if self.is_trusted() && drained {
+        let drained = progress >= COMPLETE_FROM && idle || progress >= COMPLETE_BY;
+        if drained && self.has_passed(now) {
             return Some(OrderState::Completed);
         }
         (self.order.state == OrderState::New).then_some(OrderState::Running)
@@ -217,16 +271,15 @@
     pub fn version_rule(&mut self, now: Millis, session: u64, session_time: Millis) -> VersionRule {
         let target = self.order.target.clone();
         if self.order.state == OrderState::Completed {
-            return VersionRule { only: Some(target), excluded: None, strict: true };
+            return VersionRule { only: Some(target), strict: true, ..VersionRule::default() };
         }
         if self.bad {
-            return VersionRule { only: None, excluded: Some(target), strict: true };
+            return VersionRule { excluded: Some(target), strict: true, ..VersionRule::default() };
         }
-        let on_target = self.assign_session(now, session, session_time);
-        if on_target {
-            VersionRule { only: Some(target), excluded: None, strict: false }
+        if self.assign_session(now, session, session_time) {
+            VersionRule { only: Some(target), on_trial: !self.has_passed(now), ..VersionRule::default() }
         } else {
-            VersionRule { only: None, excluded: Some(target), strict: false }
+            VersionRule { excluded: Some(target), ..VersionRule::default() }
         }
     }
 
@@ -264,22 +317,49 @@
 
     /// Share of sessions for the new version.
     fn target_share(&self, now: Millis) -> f64 {
+        match self.stage(now) {
+            Stage::Waiting => 0.0,
+            Stage::Canary => CANARY_SHARE,
+            Stage::Shift => SHIFT_SHARE,
+            Stage::Full => 1.0,
+        }
+    }
+
+    fn stage(&self, now: Millis) -> Stage {
         let elapsed = self.elapsed(now);
         let has_risen = |at: Option<Millis>| at.is_some_and(|at| at <= elapsed);
         if has_risen(self.rises.to_full) {
-            1.0
+            Stage::Full
         } else if has_risen(self.rises.to_shift) {
-            SHIFT_SHARE
+            Stage::Shift
         } else if elapsed >= CANARY_DELAY {
-            CANARY_SHARE
+            Stage::Canary
         } else {
-            0.0
+            Stage::Waiting
         }
     }
 
-    /// Whether the new version has enough answers, and nothing suggests that it is bad.
-    fn is_trusted(&self) -> bool {
-        self.answers >= MIN_ANSWERS && !self.bad && !self.monitor.in_doubt()
+    /// Whether the new version has enough answers, also in `stage`, and nothing suggests that it is bad.
+    fn may_leave(&self, stage: Stage, now: Millis) -> bool {
+        let overdue = self.progress(now) >= COMPLETE_BY;
+        let has_answers = self.answers >= MIN_ANSWERS && self.evidence.suffices(stage, overdue);
+        has_answers && !self.bad && !self.in_doubt()
+    }
+
+    /// Whether the new version has shown under the load of all requests that it is good.
+    fn has_passed(&self, now: Millis) -> bool {
+        let needed = if self.progress(now) < COMPLETE_BY { PASS_SUM } else { 0.0 };
+        self.may_leave(Stage::Full, now) && self.evidence_for_good() > needed
+    }
+
+    /// Evidence of the present stage for a good version, as a log-likelihood ratio.
+    fn evidence_for_good(&self) -> f64 {
+        self.monitors.iter().map(Monitor::evidence_for_good).sum()
+    }
+
+    /// Whether there is evidence that the new version is bad, although not enough to withdraw it.
+    fn in_doubt(&self) -> bool {
+        self.monitors.iter().any(Monitor::in_doubt)
     }
 
     /// Elapsed share of the order's duration.
--- a/crates/core/src/pool.rs
+++ b/crates/core/src/pool.rs
@@ -18,6 +18,7 @@
     id::{BackendId, DomainId, ServiceName, VersionName},
     pause::Pauses,
     rate::{self, RecentSends},
+    stage,
     unit::Millis,
 };
 
@@ -110,6 +111,8 @@
     pub version: Option<&'a VersionName>,
     /// Version that the server must not run.
     pub excluded_version: Option<&'a VersionName>,
+    /// Whether the servers are filled one after the other, for the trial of `version` under load.
+    pub fills_servers: bool,
     /// Servers that the request has already been sent to.
     pub tried: &'a [BackendId],
     /// Failure domain of this router.
@@ -319,7 +322,10 @@
         }
         let healthy: Vec<BackendId> =
             within_limit.iter().filter(|id| self.entries[*id].is_healthy(now)).cloned().collect();
-        let candidates = if healthy.is_empty() { within_limit } else { healthy };
+        let mut candidates = if healthy.is_empty() { within_limit } else { healthy };
+        if requirements.fills_servers {
+            self.keep_loaded(&mut candidates);
+        }
         let id = self.best_candidate(&candidates, requirements, rng);
         let entry = self.entries.get_mut(&id).expect("the selected server is in the pool");
         entry.sends.record(now);
@@ -393,6 +399,19 @@
             < rate::cold_send_limit(requirements.cold_per_second * COLD_LIMIT_USAGE, requirements.routers)
     }
 
+    /// Keeps the candidate that the trial of its version loads. All routers rank them in the same order.
+    fn keep_loaded(&self, candidates: &mut Vec<BackendId>) {
+        candidates.sort_by_key(|id| stable_hash(&[id.as_str()]));
+        let load = |id: &BackendId| {
+            let entry = &self.entries[id];
+            (entry.backend.slots, entry.load + entry.peer_load)
+        };
+        let ranked: Vec<(u32, f64)> = candidates.iter().map(load).collect();
+        if let Some(index) = stage::first_with_room(&ranked) {
+            *candidates = vec![candidates.swap_remove(index)];
+        }
+    }
+
     fn best_candidate(
         &self,
         candidates: &[BackendId],
--- a/crates/core/src/rollout.rs
+++ b/crates/core/src/rollout.rs
@@ -12,7 +12,7 @@
 /// reaches it after about 225 answers.
 pub const STOP_SUM: f64 = 16.0;
 /// Evidence for a good version that a step must collect before the next step: ln(0.99 / 0.01).
-const PASS_SUM: f64 = 4.6;
+pub const PASS_SUM: f64 = 4.6;
 /// Sum from which a step waits instead of advancing.
 const DOUBT_SUM: f64 = 4.0;
 /// Maximum rate of slow answers of a good version; the latency target is a 95th percentile.
@@ -143,18 +143,38 @@
     }
 
     fn failed_criterion(&self) -> Option<Criterion> {
+        self.criterion_from(STOP_SUM)
+    }
+
+    /// The criterion on which there is evidence that the version is bad, although perhaps not enough to stop it.
+    pub fn doubted_criterion(&self) -> Option<Criterion> {
+        self.criterion_from(DOUBT_SUM)
+    }
+
+    /// The first criterion whose evidence against the version reaches `limit`.
+    fn criterion_from(&self, limit: f64) -> Option<Criterion> {
         let sums = [
             (self.errors, Criterion::Errors),
             (self.slow, Criterion::Latency),
             (self.pace, Criterion::Pace),
             (self.ratings, Criterion::Ratings),
         ];
-        sums.into_iter().find(|(sum, _)| sum.value >= STOP_SUM).map(|(_, criterion)| criterion)
+        sums.into_iter().find(|(sum, _)| sum.value >= limit).map(|(_, criterion)| criterion)
+    }
+
+    /// Evidence of the present step that the version fails no more requests than a good one, as a log-likelihood ratio.
+    pub fn evidence_for_good(&self) -> f64 {
+        self.step.evidence_for_good
+    }
+
+    /// Evidence that the version fails too many requests, as a log-likelihood ratio
+    pub fn error_sum(&self) -> f64 {
+        self.errors.value
     }
 
     /// Whether there is evidence that the version is bad, although not enough to stop it.
     pub fn in_doubt(&self) -> bool {
-        [self.errors, self.slow, self.pace, self.ratings].iter().any(|sum| sum.value >= DOUBT_SUM)
+        self.doubted_criterion().is_some()
     }
 
     fn baseline_error_rate(&self) -> Option<f64> {
@@ -190,10 +210,14 @@
     }
 }
 
-/// Failure rate of a baseline; none if it is based on too few answers or ratings.
+/// Failure rate of a baseline; none if it is based on too few answers or ratings. An estimate from few of them is made
+/// higher, so that chance does not make the baseline look better than it is.
 fn rate(failures: u64, trials: u64) -> Option<f64> {
     /// Minimum number of answers or ratings.
-    const MIN_TRIALS: u64 = 100;
+    const MIN_TRIALS: u64 = 20;
+    /// Number from which the estimate is taken as it is.
+    const MANY_TRIALS: u64 = 100;
+    let failures = if trials < MANY_TRIALS { failures + 1 } else { failures };
     (trials >= MIN_TRIALS).then(|| failures as f64 / trials as f64)
 }
 
--- a/crates/core/tests/canary.rs
+++ b/crates/core/tests/canary.rs
@@ -5,6 +5,8 @@
     answer_counters::Counters,
     canary::{Canary, Order, OrderState, Rises, VersionRule},
     hash::stable_hash,
+    request_kind::{CountersByKind, RequestKind},
+    rollout::Criterion,
     unit::Millis,
 };
 use proptest::prelude::*;
@@ -22,6 +24,18 @@
     Counters { answers, errors, ..Counters::default() }
 }
 
+fn of_kind(kind: RequestKind, counters: Counters) -> CountersByKind {
+    let mut by_kind = CountersByKind::default();
+    by_kind.add(kind, counters);
+    by_kind
+}
+
+/// Evaluates totals of one kind of request. Returns whether the version was found bad.
+fn evaluate(canary: &mut Canary, now: Millis, target: Counters, baseline: Counters) -> bool {
+    let of_kind = |counters| of_kind(RequestKind::Unsafe, counters);
+    canary.evaluate(now, of_kind(target), of_kind(baseline)).is_some()
+}
+
 fn on_target(rule: &VersionRule) -> bool {
     rule.only.as_ref().is_some_and(|version| version.as_str() == "v2")
 }
@@ -36,7 +50,19 @@
 /// Evaluates the totals every 200 ms, as routers do, from 5 s after the start to `until`.
 fn evaluate_until(canary: &mut Canary, until: Millis, target: Counters, baseline: Counters) {
     for ms in (5_000..=until.0).step_by(200) {
-        canary.evaluate(START + Millis(ms), target, baseline);
+        evaluate(canary, START + Millis(ms), target, baseline);
+    }
+}
+
+/// The same, with two more answers of the new version in each interval, all of them good.
+fn evaluate_answering_until(canary: &mut Canary, until: Millis, target: Counters, baseline: Counters) {
+    for (step, ms) in (5_000..=until.0).step_by(200).enumerate() {
+        evaluate(
+            canary,
+            START + Millis(ms),
+            Counters { answers: target.answers + 2 * step as u64, ..target },
+            baseline,
+        );
     }
 }
 
@@ -46,10 +72,12 @@
     assert_eq!(share(&mut canary, START + Millis(500)), 0.0);
     let first_half = share(&mut canary, START + Millis(5_000));
     assert!((0.03..0.09).contains(&first_half), "{first_half}");
-    evaluate_until(&mut canary, Millis(14_000), counters(80, 0), counters(1_000, 2));
+    evaluate_answering_until(&mut canary, Millis(14_000), counters(80, 0), counters(1_000, 2));
     assert_eq!(share(&mut canary, START + Millis(14_000)), 1.0);
-    assert_eq!(canary.next_state(START + Millis(14_000), false), None);
-    assert_eq!(canary.next_state(START + Millis(14_000), true), Some(OrderState::Completed));
+    assert_eq!(canary.next_state(START + Millis(14_000), true), None);
+    evaluate_answering_until(&mut canary, Millis(16_000), counters(80, 0), counters(1_000, 2));
+    assert_eq!(canary.next_state(START + Millis(16_000), false), None);
+    assert_eq!(canary.next_state(START + Millis(16_000), true), Some(OrderState::Completed));
     assert_eq!(canary.next_state(START + Millis(18_500), false), Some(OrderState::Completed));
 }
 
@@ -69,24 +97,24 @@
 #[test_case(counters(60, 40), counters(900, 120); "more errors than a failing baseline")]
 fn evaluate_bad_version(target: Counters, baseline: Counters) {
     let mut canary = Canary::new(order(OrderState::Running), START);
-    assert!(canary.evaluate(START + Millis(5_000), target, baseline));
+    assert!(evaluate(&mut canary, START + Millis(5_000), target, baseline));
     assert_eq!(canary.next_state(START + Millis(5_000), false), Some(OrderState::RolledBack));
     let rule = canary.version_rule(START + Millis(5_000), 1, SESSION_TIMEOUT);
-    assert_eq!(rule, VersionRule { only: None, excluded: Some("v2".into()), strict: true });
+    assert_eq!(rule, VersionRule { excluded: Some("v2".into()), strict: true, ..VersionRule::default() });
 }
 
 #[test_case(counters(100, 1), counters(900, 4); "few errors")]
 #[test_case(counters(100, 14), counters(900, 126); "as many errors as the baseline")]
 fn evaluate_good_version(target: Counters, baseline: Counters) {
     let mut canary = Canary::new(order(OrderState::Running), START);
-    assert!(!canary.evaluate(START + Millis(5_000), target, baseline));
+    assert!(!evaluate(&mut canary, START + Millis(5_000), target, baseline));
 }
 
 #[test]
 fn evaluate_version_that_turns_bad_late() {
     let mut canary = Canary::new(order(OrderState::Running), START);
-    assert!(!canary.evaluate(START + Millis(9_000), counters(400, 2), counters(3_000, 10)));
-    assert!(canary.evaluate(START + Millis(13_000), counters(430, 17), counters(3_100, 10)));
+    assert!(!evaluate(&mut canary, START + Millis(9_000), counters(400, 2), counters(3_000, 10)));
+    assert!(evaluate(&mut canary, START + Millis(13_000), counters(430, 17), counters(3_100, 10)));
 }
 
 #[test]
@@ -98,7 +126,7 @@
         assert!(!on_target(&canary.version_rule(START + Millis(at), in_share, SESSION_TIMEOUT)), "moved after {at} ms");
     }
     assert_eq!(canary.sessions_kept_on_old(START + Millis(8_000), SESSION_TIMEOUT), [in_share]);
-    evaluate_until(&mut canary, Millis(14_000), counters(80, 0), counters(1_000, 2));
+    evaluate_answering_until(&mut canary, Millis(14_000), counters(80, 0), counters(1_000, 2));
     assert!(on_target(&canary.version_rule(START + Millis(14_000), in_share, SESSION_TIMEOUT)));
 }
 
@@ -107,7 +135,7 @@
     let mut canary = Canary::new(order(OrderState::Running), START);
     let session = 10_000_000;
     assert!(on_target(&canary.version_rule(START + Millis(3_000), session, SESSION_TIMEOUT)));
-    canary.evaluate(START + Millis(9_000), counters(80, 0), counters(1_000, 2));
+    evaluate(&mut canary, START + Millis(9_000), counters(80, 0), counters(1_000, 2));
     assert!(on_target(&canary.version_rule(START + Millis(7_000), session, SESSION_TIMEOUT)));
     assert!(on_target(&canary.version_rule(START + Millis(11_000), session, SESSION_TIMEOUT)));
 }
@@ -140,16 +168,16 @@
 #[test]
 fn share_does_not_fall_in_doubt() {
     let mut canary = Canary::new(order(OrderState::Running), START);
-    evaluate_until(&mut canary, Millis(14_000), counters(80, 0), counters(1_000, 2));
+    evaluate_answering_until(&mut canary, Millis(14_000), counters(80, 0), counters(1_000, 2));
     assert_eq!(share(&mut canary, START + Millis(14_000)), 1.0);
-    assert!(!canary.evaluate(START + Millis(14_200), in_doubt(80), counters(1_000, 2)));
+    assert!(!evaluate(&mut canary, START + Millis(14_200), in_doubt(170), counters(1_000, 2)));
     assert_eq!(share(&mut canary, START + Millis(14_400)), 1.0);
 }
 
 #[test]
 fn share_does_not_rise_in_doubt() {
     let mut canary = Canary::new(order(OrderState::Running), START);
-    canary.evaluate(START + Millis(4_000), counters(80, 0), counters(1_000, 2));
+    evaluate(&mut canary, START + Millis(4_000), counters(80, 0), counters(1_000, 2));
     evaluate_until(&mut canary, Millis(15_000), in_doubt(80), counters(1_000, 2));
     assert!(share(&mut canary, START + Millis(15_000)) < 0.09);
     assert_eq!(canary.rises(), Rises::default());
@@ -170,9 +198,9 @@
         for (round, ms) in (9_000..19_000).step_by(100).enumerate() {
             let now = START + Millis(ms);
             for n in [0, 1] {
-                let good = if ms >= answers_at[n] { counters(80, 0) } else { counters(10, 0) };
+                let good = if ms >= answers_at[n] { counters(80 + ms / 100, 0) } else { counters(10, 0) };
                 let seen = if ms >= doubt_at[n] { in_doubt(good.answers) } else { good };
-                routers[n].evaluate(now, seen, counters(1_000, 2));
+                evaluate(&mut routers[n], now, seen, counters(1_000, 2));
                 let (delay, is_repeated) = messages[round];
                 in_flight.push((ms + delay % 500, 1 - n, routers[n].rises()));
                 if is_repeated {
@@ -193,3 +221,105 @@
         }
     }
 }
+
+/// Steps of 200 ms of a rollout whose version fails half of its requests while it gets at least `loaded_share` of all, with 6
+/// requests a step. Returns the last state and the share of requests that the version got.
+fn roll_out_version_that_fails_under_load(loaded_share: f64) -> (Option<OrderState>, f64) {
+    const REQUESTS: f64 = 6.0;
+    let mut canary = Canary::new(order(OrderState::Running), START);
+    let (mut sent, mut failed, mut on_old) = (0.0, 0.0, 0.0);
+    for ms in (0..DURATION.0).step_by(200) {
+        let now = START + Millis(ms);
+        let target = Counters { answers: sent as u64, errors: failed as u64, ..Counters::default() };
+        evaluate(&mut canary, now, target, counters(on_old as u64, 0));
+        if let Some(state) = canary.next_state(now, true) {
+            return (Some(state), sent / (DURATION.0 as f64 / 200.0 * REQUESTS));
+        }
+        let share = share(&mut canary, now);
+        sent += REQUESTS * share;
+        on_old += REQUESTS * (1.0 - share);
+        failed += if share >= loaded_share { REQUESTS * share / 2.0 } else { 0.0 };
+    }
+    (None, sent / (DURATION.0 as f64 / 200.0 * REQUESTS))
+}
+
+/// Guards against a rollout that advances on the answers of an earlier stage, or of another router's earlier report.
+#[test]
+fn stage_is_left_only_with_its_own_answers() {
+    let mut canary = Canary::new(order(OrderState::Running), START);
+    evaluate_until(&mut canary, Millis(16_000), counters(500, 0), counters(1_000, 2));
+    assert_eq!(canary.rises().to_full, None, "without an answer since the share rose");
+    evaluate_until(&mut canary, Millis(16_200), counters(507, 0), counters(1_000, 2));
+    assert_eq!(canary.rises().to_full, None);
+    evaluate_until(&mut canary, Millis(16_400), counters(508, 0), counters(1_000, 2));
+    assert!(canary.rises().to_full.is_some());
+    evaluate_until(&mut canary, Millis(17_600), counters(508, 0), counters(1_000, 2));
+    assert_eq!(canary.next_state(START + Millis(17_600), true), None, "without an answer to all requests");
+    evaluate_until(&mut canary, Millis(17_800), counters(537, 0), counters(1_000, 2));
+    assert_eq!(canary.next_state(START + Millis(17_800), true), None);
+    evaluate_until(&mut canary, Millis(17_800), counters(538, 0), counters(1_000, 2));
+    assert_eq!(canary.next_state(START + Millis(17_800), true), Some(OrderState::Completed));
+}
+
+/// Guards against a version that is sound while it has few requests, and is completed although it fails under load
+/// (review/3, EXPOSURE).
+#[test_case(0.2; "when its share rises")]
+#[test_case(0.9; "when it gets all requests")]
+fn version_that_fails_under_load_is_rolled_back(loaded_share: f64) {
+    let (state, exposed) = roll_out_version_that_fails_under_load(loaded_share);
+    assert_eq!(state, Some(OrderState::RolledBack));
+    assert!(exposed < 0.15, "the version got {exposed} of all requests");
+}
+
+/// Guards against a version that fails one kind of request and is hidden by the failures of another kind, part of which
+/// fails with all versions (found with review/3).
+#[test_case(RequestKind::Unsafe; "bookings")]
+#[test_case(RequestKind::Stream; "streams")]
+fn version_that_fails_one_kind_is_found(kind: RequestKind) {
+    let mut canary = Canary::new(order(OrderState::Running), START);
+    let (mut target, mut baseline) =
+        (of_kind(RequestKind::Safe, counters(100, 14)), of_kind(RequestKind::Safe, counters(400, 52)));
+    target.add(kind, counters(40, 10));
+    baseline.add(kind, counters(800, 3));
+    let failed = canary.evaluate(START + Millis(9_000), target, baseline);
+    assert_eq!(failed, Some(Criterion::Errors));
+}
+
+/// Guards against a rollout that is completed before the version has answered each kind of request under load.
+#[test]
+fn full_stage_is_left_with_answers_of_each_kind() {
+    let mut canary = Canary::new(order(OrderState::Running), START);
+    let mut baseline = of_kind(RequestKind::Safe, counters(100, 0));
+    baseline.add(RequestKind::Unsafe, counters(100, 0));
+    let mut target = of_kind(RequestKind::Safe, counters(40, 0));
+    for ms in (5_000..=16_000).step_by(200) {
+        target.add(RequestKind::Safe, counters(3, 0));
+        canary.evaluate(START + Millis(ms), target, baseline);
+    }
+    assert_eq!(share(&mut canary, START + Millis(16_000)), 1.0);
+    assert_eq!(canary.next_state(START + Millis(16_000), true), None);
+    target.add(RequestKind::Unsafe, counters(8, 0));
+    canary.evaluate(START + Millis(16_200), target, baseline);
+    assert_eq!(canary.next_state(START + Millis(16_200), true), Some(OrderState::Completed));
+}
+
+/// Guards against a version that stays in doubt with few requests until its time is over, and is completed later.
+#[test]
+fn version_in_doubt_at_the_end_is_withdrawn() {
+    let mut canary = Canary::new(order(OrderState::Running), START);
+    evaluate(&mut canary, START + Millis(4_000), counters(40, 0), counters(1_000, 2));
+    evaluate_until(&mut canary, Millis(18_800), in_doubt(40), counters(1_000, 2));
+    assert!(!canary.is_bad());
+    evaluate_until(&mut canary, Millis(19_000), in_doubt(40), counters(1_000, 2));
+    assert_eq!(canary.next_state(START + Millis(19_000), true), Some(OrderState::RolledBack));
+}
+
+/// Guards against a good version that is withdrawn because a part of the requests of one kind fails with all versions, and
+/// the others have answered few of that kind so far (found on libas-rent, review/3/day.toml --seed 1012).
+#[test]
+fn good_version_is_kept_while_baseline_is_small() {
+    let mut canary = Canary::new(order(OrderState::Running), START);
+    let target = of_kind(RequestKind::Safe, counters(6, 4));
+    let baseline = of_kind(RequestKind::Safe, counters(61, 12));
+    assert_eq!(canary.evaluate(START + Millis(4_000), target, baseline), None);
+}
--- a/crates/core/tests/pool.rs
+++ b/crates/core/tests/pool.rs
@@ -3,7 +3,7 @@
 
 use eelgrasswell_core::{
     backend::Backend,
-    hash::HashMap,
+    hash::{HashMap, HashSet},
     id::{BackendId, DomainId, ServiceName, VersionName},
     pool::{Outcome, Pool, Requirements, Unavailable},
     unit::Millis,
@@ -54,6 +54,7 @@
             overdue_after: Millis(300),
             version: None,
             excluded_version: None,
+            fills_servers: false,
             tried: &[],
             domain: &self.domain,
             cold_per_second: 0.0,
@@ -92,6 +93,24 @@
     assert!(spilled, "a prefix in high demand must not stay at one server");
 }
 
+/// Guards against a version on trial whose servers have so few requests each that it can't show how it is under load.
+#[test]
+fn choose_fills_servers_on_trial() {
+    let mut rig = Rig::with((1..=4).map(backend).collect());
+    let chosen: Vec<BackendId> = (0..24).map(|_| rig.choose(NOW, |req| req.fills_servers = true).unwrap()).collect();
+    // The servers have 8 slots each, of which 6 are used before the next one is.
+    for server in chosen.chunks(6) {
+        assert!(server.iter().all(|id| *id == server[0]), "{chosen:?}");
+    }
+    let servers: HashSet<&BackendId> = chosen.iter().collect();
+    assert_eq!(servers.len(), 4);
+    // Full servers share the rest, and another server takes the place of one that has failed.
+    assert!(rig.choose(NOW, |req| req.fills_servers = true).is_ok());
+    let mut rig = Rig::with((1..=4).map(backend).collect());
+    let other = rig.choose(NOW, |req| (req.fills_servers, req.tried) = (true, &chosen[..1])).unwrap();
+    assert_ne!(other, chosen[0]);
+}
+
 #[test_case(|b: &mut Backend| b.draining = true; "draining")]
 #[test_case(|b: &mut Backend| b.service = "other".into(); "another service")]
 #[test_case(|b: &mut Backend| b.domain = "gone".into(); "evacuated domain")]
--- a/crates/daemon/src/gateway/attempt.rs
+++ b/crates/daemon/src/gateway/attempt.rs
@@ -65,6 +65,8 @@
     pub head_deadline: Instant,
     /// Time after which the server gets no further requests until it answers this one.
     pub overdue_after: Millis,
+    /// Whether an earlier send of the request failed.
+    pub has_failed: bool,
 }
 
 /// A backend server's answer whose head has been received.
@@ -176,6 +178,7 @@
             overdue_after: self.overdue_after,
             version: self.rule.only.as_ref(),
             excluded_version: self.rule.excluded.as_ref(),
+            fills_servers: self.rule.on_trial && self.model.is_none(),
             tried: self.tried,
             domain: &gateway.settings.domain,
             cold_per_second: gateway.settings().bounds.cold_limit(cold_per_second),
@@ -186,7 +189,9 @@
         let mut pool = lock(&gateway.pool);
         let chosen = match pool.choose(now, &requirements, &mut rng) {
             Err(Unavailable::AllTried | Unavailable::Paused { .. }) if !self.rule.strict => {
-                pool.choose(now, &Requirements { version: None, excluded_version: None, ..requirements }, &mut rng)
+                let any_version =
+                    Requirements { version: None, excluded_version: None, fills_servers: false, ..requirements };
+                pool.choose(now, &any_version, &mut rng)
             }
             chosen => chosen,
         };
@@ -341,6 +346,9 @@
 
     fn record_failure(&self, gateway: &Gateway, backend: &Backend) {
         gateway.response_stats.record(self.sample(backend, SampleOutcome::Failed));
+        if gateway.is_on_trial(&backend.service, &backend.version) {
+            gateway.trial_failures.notify_one();
+        }
         gateway.record_outcome(backend, Outcome::Failed);
     }
 
@@ -348,9 +356,11 @@
         static NO_MODEL: std::sync::LazyLock<ModelName> = std::sync::LazyLock::new(ModelName::default);
         Sample {
             service: &backend.service,
+            kind: self.call.route.kind.into(),
             version: &backend.version,
             model: self.model.unwrap_or(&NO_MODEL),
             prompt: self.call.meta.prompt.0,
+            has_failed: self.has_failed,
             outcome,
         }
     }
--- a/crates/daemon/src/gateway/exchange.rs
+++ b/crates/daemon/src/gateway/exchange.rs
@@ -9,6 +9,7 @@
     fleet::Member,
     hash::HashMap,
     id::{BackendId, HostId, Incarnation, ServiceName, VersionName},
+    request_kind::RequestKind,
     unit::Millis,
 };
 use eelgrasswell_proto::v1::{
@@ -24,11 +25,14 @@
     transport::{Channel, Endpoint, Server},
 };
 
-use super::{Gateway, State, follow};
+use super::{Gateway, State, follow, response_stats::Report};
 use crate::{event, sync::lock, telemetry};
 
 /// Interval between two rounds of exchanges with peers.
 const INTERVAL: Duration = Duration::from_millis(400);
+/// Time after which peers are contacted when a version on trial has failed a request. Failures within it are reported
+/// together.
+const FAILURE_NOTICE: Duration = Duration::from_millis(60);
 /// Maximum number of peers contacted in one interval: all of a small fleet, or a random sample of a large one, in which
 /// updates spread within a few intervals.
 const FANOUT: usize = 5;
@@ -80,7 +84,10 @@
             let channel = channels.entry(address).or_insert_with(|| connect(address)).clone();
             tokio::spawn(exchange_with(gateway.clone(), address, channel));
         }
-        sleep(INTERVAL).await;
+        tokio::select! {
+            () = sleep(INTERVAL) => {}
+            () = gateway.trial_failures.notified() => sleep(FAILURE_NOTICE).await,
+        }
     }
 }
 
@@ -169,10 +176,11 @@
         let is_in_progress = |canary: &&Canary| matches!(canary.order().state, OrderState::New | OrderState::Running);
         let services: Vec<ServiceName> =
             lock(&self.canaries).values().filter(is_in_progress).map(|canary| canary.order().service.clone()).collect();
-        let mut versions: HashMap<(ServiceName, VersionName), Vec<ReporterCounters>> = HashMap::default();
-        for (service, version, reporter, counters) in self.response_stats.all_counters(self.incarnation) {
+        let mut versions: HashMap<(ServiceName, VersionName, RequestKind), Vec<ReporterCounters>> = HashMap::default();
+        for Report { service, kind, version, reporter, counters } in self.response_stats.all_counters(self.incarnation)
+        {
             if services.contains(&service) {
-                versions.entry((service, version)).or_default().push(ReporterCounters {
+                versions.entry((service, version, kind)).or_default().push(ReporterCounters {
                     reporter: reporter.0,
                     answers: counters.answers,
                     errors: counters.errors,
@@ -184,10 +192,11 @@
         }
         versions
             .into_iter()
-            .map(|((service, version), reporters)| FleetCounters {
+            .map(|((service, version, kind), reporters)| FleetCounters {
                 service: service.to_string(),
                 version: version.to_string(),
                 reporters,
+                kind: kind.index() as u32,
             })
             .collect()
     }
@@ -224,8 +233,10 @@
     }
 
     fn record_counters(&self, received: &FleetCounters) {
-        let service = ServiceName::from(received.service.as_str());
-        let version = VersionName::from(received.version.as_str());
+        let Some(&kind) = RequestKind::ALL.get(received.kind as usize) else {
+            event!(Debug, "counters_ignored", service = received.service, kind = received.kind);
+            return;
+        };
         for reporter in received.reporters.iter().filter(|entry| entry.reporter != self.incarnation.0) {
             let counters = Counters {
                 answers: reporter.answers,
@@ -235,7 +246,13 @@
                 slow_paced: reporter.slow_paced,
                 ..Counters::default()
             };
-            self.response_stats.record_peer(&service, &version, Incarnation(reporter.reporter), counters);
+            self.response_stats.record_peer(Report {
+                service: received.service.as_str().into(),
+                kind,
+                version: received.version.as_str().into(),
+                reporter: Incarnation(reporter.reporter),
+                counters,
+            });
         }
     }
 
--- a/crates/daemon/src/gateway/execute.rs
+++ b/crates/daemon/src/gateway/execute.rs
@@ -68,6 +68,8 @@
     /// Servers that the request was sent to. Cleared on escalation and when all servers have been tried.
     tried: Vec<BackendId>,
     attempts: Attempts,
+    /// Whether a send has failed.
+    has_failed: bool,
 }
 
 impl Execution {
@@ -84,6 +86,7 @@
             version_rule,
             tried: Vec::new(),
             attempts: Attempts::default(),
+            has_failed: false,
         }
     }
 
@@ -229,15 +232,18 @@
             tried: &self.tried,
             head_deadline: self.head_deadline(),
             overdue_after: self.overdue_after(),
+            has_failed: self.has_failed,
         };
         let result = attempt.run(&self.gateway).await;
         match &result {
             Ok(answer) => {
                 self.attempts.record_run();
+                self.has_failed |= answer.status.is_server_error();
                 self.tried.push(answer.guard.backend.id.clone());
             }
             Err(SendFailure::Failed { backend, .. } | SendFailure::Lost { backend, .. }) => {
                 self.attempts.record_run();
+                self.has_failed = true;
                 self.tried.push(backend.id.clone());
             }
             Err(SendFailure::NotRun { backend, .. }) => {
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -41,6 +41,7 @@
 use eelgrasswell_manifest::gateway::GatewaySettings;
 use eyre::Result;
 use metrics_exporter_prometheus::PrometheusHandle;
+use tokio::sync::Notify;
 
 use self::{connections::IdleConnections, mirror::Mirror, response_stats::ResponseStats};
 use crate::{
@@ -81,6 +82,8 @@
     peer_reports: Mutex<exchange::PeerReports>,
     crash_evidence: Mutex<CrashEvidence>,
     connections: IdleConnections,
+    /// Notified when a version on trial has failed a request, which the other gateways must learn at once.
+    trial_failures: Notify,
 }
 
 impl std::ops::Deref for Gateway {
@@ -135,6 +138,7 @@
             peer_reports: Mutex::default(),
             crash_evidence: Mutex::default(),
             connections: IdleConnections::default(),
+            trial_failures: Notify::new(),
         }))
     }
 }
--- a/crates/daemon/src/gateway/orders.rs
+++ b/crates/daemon/src/gateway/orders.rs
@@ -8,6 +8,7 @@
 use eelgrasswell_core::{
     canary::{Canary, Order, OrderState},
     id::{ServiceName, VersionName},
+    request_kind::{CountersByKind, RequestKind},
     unit::Millis,
 };
 use eelgrasswell_platform::{
@@ -23,7 +24,7 @@
 use crate::{event, sync::lock};
 
 /// Interval at which orders are evaluated.
-const INTERVAL: Duration = Duration::from_millis(200);
+const INTERVAL: Duration = Duration::from_millis(100);
 /// Time that each gateway waits for the one with the next lower id to write a state.
 const REPORT_TURN: Millis = Millis(800);
 
@@ -72,8 +73,11 @@
         let mut canaries = lock(&self.canaries);
         let canary = canaries.get_mut(&order.service)?;
         let rises_before = canary.rises();
-        let is_bad = canary.evaluate(now, target, baseline);
-        let (rises, elapsed) = (canary.rises(), canary.elapsed(now));
+        if self.is_plain(&order.service) {
+            canary.skip_shift();
+        }
+        let failed = canary.evaluate(now, target, baseline);
+        let (rises, elapsed, evidence) = (canary.rises(), canary.elapsed(now), *canary.evidence());
         if rises != rises_before {
             event!(
                 Info,
@@ -83,22 +87,36 @@
                 elapsed = elapsed,
                 to_shift = rises.to_shift.unwrap_or_default(),
                 to_full = rises.to_full.unwrap_or_default(),
-                answers = target.answers
+                answers = target.total().answers,
+                stage = format!("{:?}", evidence.stage()),
+                stage_answers = evidence.answers()
             );
         }
-        if is_bad {
+        if let Some(criterion) = failed {
+            self.trial_failures.notify_one();
+            let failures = |counters: CountersByKind| {
+                RequestKind::ALL
+                    .map(|kind| format!("{}/{}", counters.of(kind).errors, counters.of(kind).answers))
+                    .join(",")
+            };
+            let (failures, baseline_failures) = (failures(target), failures(baseline));
+            let (target, baseline) = (target.total(), baseline.total());
             event!(
                 Warn,
                 "version_bad",
                 service = order.service,
                 version = order.target,
+                elapsed = elapsed,
+                stage = format!("{:?}", evidence.stage()),
+                stage_answers = evidence.answers(),
+                criterion = criterion,
+                failures = failures,
+                baseline_failures = baseline_failures,
                 answers = target.answers,
-                errors = target.errors,
                 slow = target.slow,
                 baseline_answers = baseline.answers,
                 paced = target.paced,
                 slow_paced = target.slow_paced,
-                baseline_errors = baseline.errors,
                 baseline_slow = baseline.slow,
                 baseline_paced = baseline.paced,
                 baseline_slow_paced = baseline.slow_paced
@@ -108,6 +126,12 @@
         Some(PendingReport { order: canary.order().clone(), state })
     }
 
+    /// Whether the service is known to have no models.
+    fn is_plain(&self, service: &ServiceName) -> bool {
+        let config = self.config();
+        config.and_then(|config| config.service(service).map(|service| service.models.is_empty())).unwrap_or_default()
+    }
+
     /// Whether `version` of `service` is being rolled out.
     pub fn is_on_trial(&self, service: &ServiceName, version: &VersionName) -> bool {
         let canaries = lock(&self.canaries);
--- a/crates/daemon/src/gateway/response_stats.rs
+++ b/crates/daemon/src/gateway/response_stats.rs
@@ -8,6 +8,7 @@
     id::{Incarnation, ModelName, ServiceName, VersionName},
     latency::{LatencyEstimates, SLOW_FACTOR},
     pace::PaceEstimates,
+    request_kind::{CountersByKind, RequestKind},
     unit::Millis,
 };
 
@@ -22,24 +23,44 @@
 #[derive(Default)]
 struct State {
     /// This router's counters.
-    own: HashMap<(ServiceName, VersionName), Counters>,
+    own: HashMap<(ServiceName, RequestKind, VersionName), Counters>,
     /// Counters of all routers.
-    merged: MergedCounters<ServiceName>,
+    merged: MergedCounters<(ServiceName, RequestKind)>,
     latencies: LatencyEstimates,
     paces: PaceEstimates,
 }
 
+/// Running totals of one router for one version.
+#[derive(Clone, Debug)]
+pub struct Report {
+    /// Service.
+    pub service: ServiceName,
+    /// Kind of the requests.
+    pub kind: RequestKind,
+    /// Version of the backend servers.
+    pub version: VersionName,
+    /// The router.
+    pub reporter: Incarnation,
+    /// Its totals.
+    pub counters: Counters,
+}
+
 /// Result of one send, for the statistics.
 #[derive(Clone, Copy, Debug)]
 pub struct Sample<'a> {
     /// Service of the request.
     pub service: &'a ServiceName,
+    /// Kind of the request.
+    pub kind: RequestKind,
     /// Version of the backend server.
     pub version: &'a VersionName,
     /// Model that the request ran on; empty for plain services.
     pub model: &'a ModelName,
     /// Length of the prompt in tokens.
     pub prompt: u64,
+    /// Whether an earlier send of the request failed. Most such requests fail at any server, so what becomes of them says
+    /// little about the version.
+    pub has_failed: bool,
     /// How the send ended.
     pub outcome: SampleOutcome,
 }
@@ -64,7 +85,7 @@
         lock(&self.state).latencies.expected(service, model, prompt)
     }
 
-    /// Counts a sample. Returns its latency as a multiple of the expected one: 1 for a failure, infinity for a timeout.
+    /// Counts a sample, unless an earlier send of the request failed. Returns its latency as a multiple of the expected one: 1 for a failure, infinity for a timeout.
     pub fn record(&self, sample: Sample<'_>) -> f64 {
         let mut state = lock(&self.state);
         let slowness = match sample.outcome {
@@ -74,14 +95,18 @@
             SampleOutcome::Failed => 1.0,
             SampleOutcome::TimedOut => f64::INFINITY,
         };
-        let counters = state.own.entry((sample.service.clone(), sample.version.clone())).or_default();
+        if sample.has_failed {
+            return slowness;
+        }
+        let key = (sample.service.clone(), sample.kind, sample.version.clone());
+        let counters = state.own.entry(key).or_default();
         counters.answers += 1;
         counters.errors += u64::from(sample.outcome == SampleOutcome::Failed);
         counters.slow += u64::from(slowness > SLOW_FACTOR);
         slowness
     }
 
-    /// Counts the pace of an answer, in milliseconds per byte. `on_trial` is whether its version is being rolled out.
+    /// Counts the pace of a stream, in milliseconds per byte. `on_trial` is whether its version is being rolled out.
     pub fn record_pace(
         &self,
         service: &ServiceName,
@@ -92,37 +117,47 @@
     ) {
         let mut state = lock(&self.state);
         let is_slow = state.paces.is_slow(service, model, pace, on_trial);
-        let counters = state.own.entry((service.clone(), version.clone())).or_default();
+        let key = (service.clone(), RequestKind::Stream, version.clone());
+        let counters = state.own.entry(key).or_default();
         counters.paced += 1;
         counters.slow_paced += u64::from(is_slow);
     }
 
     /// Records the counters that another router reports.
-    pub fn record_peer(&self, service: &ServiceName, version: &VersionName, reporter: Incarnation, counters: Counters) {
-        lock(&self.state).merged.merge(service, version, reporter, counters);
+    pub fn record_peer(&self, report: Report) {
+        let Report { service, kind, version, reporter, counters } = report;
+        lock(&self.state).merged.merge(&(service, kind), &version, reporter, counters);
     }
 
-    /// The counters of all routers by service, version and reporter. This router's own are reported under `own`.
-    pub fn all_counters(&self, own: Incarnation) -> Vec<(ServiceName, VersionName, Incarnation, Counters)> {
+    /// The counters of all routers. This router's own are reported under `own`.
+    pub fn all_counters(&self, own: Incarnation) -> Vec<Report> {
         let mut state = lock(&self.state);
         let state = &mut *state;
-        for ((service, version), counters) in &state.own {
-            state.merged.merge(service, version, own, *counters);
+        for ((service, kind, version), counters) in &state.own {
+            state.merged.merge(&(service.clone(), *kind), version, own, *counters);
         }
-        let copy = |(service, version, reporter, counters): (&ServiceName, &VersionName, _, _)| {
-            (service.clone(), version.clone(), reporter, counters)
+        let report = |((service, kind), version, reporter, counters): (&(ServiceName, _), &VersionName, _, _)| Report {
+            service: service.clone(),
+            kind: *kind,
+            version: version.clone(),
+            reporter,
+            counters,
         };
-        state.merged.reports().map(copy).collect()
+        state.merged.reports().map(report).collect()
     }
 
     /// Totals over all routers: for the version `target`, and for the other versions of the service.
-    pub fn compare(&self, own: Incarnation, service: &ServiceName, target: &VersionName) -> (Counters, Counters) {
-        let of_service = |report: &(ServiceName, VersionName, Incarnation, Counters)| report.0 == *service;
-        let reports: Vec<_> = self.all_counters(own).into_iter().filter(of_service).collect();
-        let sum = |on_target: bool| {
-            let side = reports.iter().filter(|(_, version, _, _)| (version == target) == on_target);
-            side.fold(Counters::default(), |sum, (_, _, _, counters)| sum.plus(*counters))
-        };
-        (sum(true), sum(false))
+    pub fn compare(
+        &self,
+        own: Incarnation,
+        service: &ServiceName,
+        target: &VersionName,
+    ) -> (CountersByKind, CountersByKind) {
+        let (mut on_target, mut on_others) = (CountersByKind::default(), CountersByKind::default());
+        for report in self.all_counters(own).into_iter().filter(|report| report.service == *service) {
+            let side = if report.version == *target { &mut on_target } else { &mut on_others };
+            side.add(report.kind, report.counters);
+        }
+        (on_target, on_others)
     }
 }
