--- a/crates/core/src/confirmation.rs
+++ b/crates/core/src/confirmation.rs
@@ -9,17 +9,6 @@
 /// Maximum time for which a watch of the store may have missed a change before the store ends the watch.
 pub const MAX_WATCH_DELAY: Millis = Millis(1_100);
 
-/// Grace period of missing servers after the store was unavailable, because their entries may have expired meanwhile.
-const GRACE_AFTER_OUTAGE: Millis = Millis(2_200);
-/// Grace period of missing servers when only this router could not reach the store. It ends before the deadline after
-/// which a missing server must get no new requests.
-const GRACE_AFTER_DISCONNECT: Millis = Millis(1_200);
-/// Time after a failed call to the store within which entries may have expired.
-const EXPIRY_WINDOW: Millis = Millis(3_000);
-/// The store counts as available at the time of a failed call if the newest confirmation of another router is less than
-/// this much older than the call.
-const OTHERS_CONFIRMED_WITHIN: Millis = Millis(3_200);
-
 /// Longest time for which a gateway that follows another one may wait for a reply while nothing changes.
 pub const MAX_FOLLOW_WAIT: Millis = Millis(500);
 /// Time that responses may take in addition to the waits of a watch and of a follow request.
@@ -32,16 +21,6 @@
     watch_wait + MAX_FOLLOW_WAIT + SOURCE_MARGIN
 }
 
-/// Grace period for which backend servers that are missing from the list stay in use. It depends on the last failed
-/// call of this router to the store and on the newest confirmation of other routers.
-pub fn missing_grace_period(now: Millis, last_failure: Option<Millis>, others_confirmed: Option<Millis>) -> Millis {
-    let Some(failed) = last_failure.filter(|failed| now.saturating_sub(*failed) < EXPIRY_WINDOW) else {
-        return Millis::ZERO;
-    };
-    let store_was_available = others_confirmed.is_some_and(|confirmed| confirmed + OTHERS_CONFIRMED_WITHIN > failed);
-    if store_was_available { GRACE_AFTER_DISCONNECT } else { GRACE_AFTER_OUTAGE }
-}
-
 /// Time at which the copy was last confirmed to be current.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Confirmation {
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod ledger;
 pub mod membership;
 pub mod not_run;
+pub mod outage;
 pub mod pace;
 pub mod pause;
 pub mod pool;
--- a/crates/core/src/pool.rs
+++ b/crates/core/src/pool.rs
@@ -162,6 +162,8 @@
     pub added: Vec<BackendId>,
     /// Servers that started draining and accept no new requests.
     pub draining: Vec<BackendId>,
+    /// Servers that are no longer listed, and stay in use for the grace period if there is one.
+    pub missing: Vec<BackendId>,
     /// Servers that were dropped from the pool.
     pub removed: Vec<BackendId>,
 }
@@ -176,8 +178,9 @@
             self.insert(now, backend, &mut changes);
         }
         for (id, entry) in &mut self.entries {
-            if !listed.contains(id) {
-                entry.missing_until.get_or_insert(now + grace);
+            if !listed.contains(id) && entry.missing_until.is_none() {
+                entry.missing_until = Some(now + grace);
+                changes.missing.push(id.clone());
             }
         }
         changes.removed = self.expire(now);
--- a/crates/core/tests/confirmation.rs
+++ b/crates/core/tests/confirmation.rs
@@ -1,11 +1,6 @@
-//! Guards against keyed requests that are served after the configuration was last confirmed too long ago, and against
-//! missing servers that are kept too long.
+//! Guards against keyed requests that are served after the configuration was last confirmed too long ago.
 
-use eelgrasswell_core::{
-    confirmation::{Confirmation, missing_grace_period},
-    unit::Millis,
-};
-use test_case::test_case;
+use eelgrasswell_core::{confirmation::Confirmation, unit::Millis};
 
 const NOW: Millis = Millis(50_000);
 
@@ -45,12 +40,3 @@
     confirmation.confirm_by_peer(Millis(49_500), Millis(9_000));
     assert_eq!(confirmation.age(NOW), Some(Millis(1_000)));
 }
-
-#[test_case(None, None, 0; "no failed call")]
-#[test_case(Some(46_000), None, 0; "failed call long ago")]
-#[test_case(Some(49_000), None, 2_200; "no router reached the store")]
-#[test_case(Some(49_000), Some(44_000), 2_200; "others lost the store too")]
-#[test_case(Some(49_000), Some(47_500), 1_200; "others reached the store")]
-fn missing_grace_period_case(failed: Option<u64>, others: Option<u64>, expected: u64) {
-    assert_eq!(missing_grace_period(NOW, failed.map(Millis), others.map(Millis)), Millis(expected));
-}
--- a/crates/daemon/src/gateway/derived.rs
+++ b/crates/daemon/src/gateway/derived.rs
@@ -3,7 +3,6 @@
 
 use eelgrasswell_core::{
     canary::{Canary, Order},
-    confirmation,
     hash::{HashMap, HashSet},
     id::ServiceName,
 };
@@ -46,16 +45,8 @@
 
     fn apply_backends(&self) {
         let now = self.clock.now();
-        let (peer_confirmed_at, last_failure) = {
-            let config = lock(self.mirror.copy(Kind::Config));
-            (config.peer_confirmed_at(), config.last_failure())
-        };
-        let (list, grace) = {
-            let copy = lock(self.mirror.copy(Kind::Backends));
-            let grace =
-                confirmation::missing_grace_period(now, copy.last_failure().max(last_failure), peer_confirmed_at);
-            (copy.objects().map(objects::decode_backend).collect::<Vec<_>>(), grace)
-        };
+        let grace = self.mirror.missing_grace(now);
+        let list: Vec<_> = lock(self.mirror.copy(Kind::Backends)).objects().map(objects::decode_backend).collect();
         let mut backends = Vec::with_capacity(list.len());
         for entry in list {
             match entry {
@@ -70,6 +61,9 @@
         for id in changes.draining {
             event!(Info, "backend_draining", backend = id);
         }
+        for id in changes.missing {
+            event!(Info, "backend_missing", backend = id, grace = grace);
+        }
         for id in changes.removed {
             event!(Info, "backend_gone", backend = id);
         }
--- a/crates/daemon/src/gateway/mirror.rs
+++ b/crates/daemon/src/gateway/mirror.rs
@@ -8,6 +8,7 @@
     confirmation::Confirmation,
     hash::{HashMap, HashSet},
     id::HostId,
+    outage::Outage,
     unit::Millis,
 };
 use eelgrasswell_platform::{
@@ -27,6 +28,8 @@
     /// Time until which a copy counts as kept current by a followed watcher, by watcher and the index of the kind.
     synced_until: Mutex<HashMap<HostId, [Millis; Kind::ALL.len()]>>,
     changes: watch::Sender<()>,
+    /// Last outage of the store, according to the calls for the configuration and the backend servers.
+    outage: Mutex<Outage>,
     /// Malformed objects that have been reported.
     reported: Mutex<HashSet<(Kind, MalformedObject)>>,
 }
@@ -37,6 +40,7 @@
             copies: Default::default(),
             synced_until: Mutex::default(),
             changes: watch::Sender::new(()),
+            outage: Mutex::default(),
             reported: Mutex::default(),
         }
     }
@@ -62,8 +66,6 @@
     store_calls_fail: bool,
     /// Whether the copy is kept current by this gateway's own calls to the store, not by a watcher.
     source_is_store: bool,
-    /// Time of this gateway's last failed call to the store for this kind.
-    last_failure: Option<Millis>,
     /// Latest time at which another gateway's copy was confirmed to be current.
     peer_confirmed_at: Option<Millis>,
 }
@@ -126,14 +128,16 @@
         self.changes.send_replace(());
     }
 
-    /// Records that this gateway's calls to the store keep the copy of `kind` current.
-    pub fn record_store_success(&self, kind: Kind) {
+    /// Records that a call of this gateway to the store, answered at `now`, keeps the copy of `kind` current.
+    pub fn record_store_success(&self, kind: Kind, now: Millis) {
+        self.record_answer(kind, now);
         lock(self.copy(kind)).last_call_failed = false;
         self.set_source(kind, true);
     }
 
-    /// Records that another gateway keeps the copy of `kind` current.
-    pub fn record_watcher_sync(&self, kind: Kind) {
+    /// Records that another gateway keeps the copy of `kind` current at `now`.
+    pub fn record_watcher_sync(&self, kind: Kind, now: Millis) {
+        self.record_answer(kind, now);
         self.set_source(kind, false);
     }
 
@@ -158,12 +162,26 @@
         }
     }
 
-    /// Records that a call to the store for `kind` failed at `now`.
-    pub fn record_store_failure(&self, kind: Kind, now: Millis) {
+    fn record_answer(&self, kind: Kind, now: Millis) {
+        if shows_outage(kind) {
+            lock(&self.outage).record_answer(now);
+        }
+    }
+
+    /// Time for which a server that is found missing at `now` stays in use.
+    pub fn missing_grace(&self, now: Millis) -> Millis {
+        let others_confirmed = lock(self.copy(Kind::Config)).peer_confirmed_at;
+        lock(&self.outage).grace(now, others_confirmed)
+    }
+
+    /// Records that a call to the store for `kind`, which was sent at `sent`, failed at `now`.
+    pub fn record_store_failure(&self, kind: Kind, sent: Millis, now: Millis) {
+        if shows_outage(kind) {
+            lock(&self.outage).record_failure(sent, now);
+        }
         let mut copy = lock(self.copy(kind));
         copy.store_calls_fail = true;
         copy.last_call_failed = true;
-        copy.last_failure = Some(now);
         drop(copy);
         self.notify_followers();
     }
@@ -190,6 +208,11 @@
     }
 }
 
+/// Whether the calls for `kind` are made all the time, so that they show an outage of the store.
+fn shows_outage(kind: Kind) -> bool {
+    matches!(kind, Kind::Config | Kind::Backends)
+}
+
 impl ObjectCopy {
     /// Revision of the store that the copy corresponds to; none before the first read.
     pub fn revision(&self) -> Option<u64> {
@@ -288,16 +311,6 @@
         self.store_response.confirm_at(began_at);
     }
 
-    /// Time of this gateway's last failed call to the store for the copy.
-    pub fn last_failure(&self) -> Option<Millis> {
-        self.last_failure
-    }
-
-    /// Latest time at which another gateway's copy was confirmed to be current.
-    pub fn peer_confirmed_at(&self) -> Option<Millis> {
-        self.peer_confirmed_at
-    }
-
     /// Applies changes up to `revision`.
     pub fn apply_changes(&mut self, changes: Vec<Change>, revision: u64) {
         if !changes.is_empty() {
--- a/crates/daemon/src/gateway/sync.rs
+++ b/crates/daemon/src/gateway/sync.rs
@@ -64,19 +64,20 @@
     let mut needs_list = false;
     loop {
         if !gateway.is_watcher() && gateway.mirror.is_synced_by_watcher(kind, gateway.clock.now()) {
-            gateway.mirror.record_watcher_sync(kind);
+            gateway.mirror.record_watcher_sync(kind, gateway.clock.now());
             needs_list = true;
             failures = 0;
             sleep(SYNC_CHECK_INTERVAL).await;
             continue;
         }
+        let sent = gateway.clock.now();
         let Err(err) = sync_once(&gateway, kind, &mut client, needs_list).await else {
             if failures > 0 {
                 event!(Info, "store_regained", kind = kind, failures = failures);
             }
             failures = 0;
             needs_list = false;
-            gateway.mirror.record_store_success(kind);
+            gateway.mirror.record_store_success(kind, gateway.clock.now());
             continue;
         };
         if matches!(err, CallError::Refused(StoreError::HistoryGone)) {
@@ -88,7 +89,7 @@
         }
         failures += 1;
         needs_list = true;
-        gateway.mirror.record_store_failure(kind, gateway.clock.now());
+        gateway.mirror.record_store_failure(kind, sent, gateway.clock.now());
         sleep(backoff(failures, gateway.is_watcher())).await;
         if kind != Kind::Config {
             gateway.mirror.wait_for_store().await;
--- a/crates/testbed/tests/withdrawn_servers.rs
+++ b/crates/testbed/tests/withdrawn_servers.rs
@@ -251,3 +251,30 @@
     assert!(rig.gateways[0].log().contains("pause_ignored"));
     Ok(())
 }
+
+/// Guards against a server that was removed some seconds after an outage of the store and gets requests for longer than
+/// `drain_ms`, since it is taken for one whose entry lapsed in the outage (review/4, DRAIN).
+#[tokio::test]
+async fn server_removed_after_outage_gets_no_requests() -> Result<()> {
+    const DRAIN: Duration = Duration::from_millis(2_000);
+    let rig = Rig::start(RigPlan::default()).await?;
+    rig.store.set_faults(|faults| faults.unresponsive = true);
+    wait_until("the outage is noticed", async || rig.gateways[0].log().contains("event=store_lost kind=servers"))
+        .await?;
+    rig.store.set_faults(|faults| faults.unresponsive = false);
+    wait_until("the store is back", async || rig.gateways[0].log().contains("event=store_regained kind=servers"))
+        .await?;
+    sleep(Duration::from_millis(2_300)).await;
+    rig.store.delete("servers", &rig.desks[0].id);
+    let removed = Instant::now();
+    let mut sent = 0;
+    while removed.elapsed() < DRAIN + Duration::from_millis(400) {
+        let reply = post(&rig, 0, "/book/1", &format!("r{sent}")).await?;
+        ensure!(reply.status == StatusCode::OK, "{}", reply.text());
+        sent += 1;
+        sleep(Duration::from_millis(10)).await;
+    }
+    let late = rig.desks[0].arrivals().iter().filter(|at| **at > removed + DRAIN).count();
+    assert_eq!(late, 0, "requests reached the removed server later than {DRAIN:?}");
+    Ok(())
+}
