--- a/crates/testbed/src/site/scripted.rs
+++ b/crates/testbed/src/site/scripted.rs
@@ -33,6 +33,8 @@
     pub runs: bool,
     /// Bytes that it writes.
     pub bytes: Vec<u8>,
+    /// Whether it closes the connection then.
+    pub closes: bool,
 }
 
 type Handler = Arc<dyn Fn(&ScriptedRequest) -> Script + Send + Sync>;
@@ -104,7 +106,7 @@
         if script.runs {
             lock(&requests.runs).push(id);
         }
-        if stream.write_all(&script.bytes).await.is_err() {
+        if stream.write_all(&script.bytes).await.is_err() || script.closes {
             return;
         }
     }
--- a/crates/testbed/tests/repeated_refusals.rs
+++ b/crates/testbed/tests/repeated_refusals.rs
@@ -24,17 +24,17 @@
 fn refuses_again(req: &ScriptedRequest, status: &str, names: bool) -> Script {
     let first = refusal(status, &if names { naming(&req.first_id) } else { String::new() });
     if req.number == 0 {
-        return Script { runs: false, bytes: first.into() };
+        return Script { bytes: first.into(), ..Script::default() };
     }
-    Script { runs: true, bytes: (first + &success(&req.id)).into() }
+    Script { runs: true, bytes: (first + &success(&req.id)).into(), ..Script::default() }
 }
 
 /// Writes each refusal twice at once, and runs every second request on a connection.
 fn refuses_twice(req: &ScriptedRequest, names: bool) -> Script {
     let refusal = refusal("503 Service Unavailable", &if names { naming(&req.id) } else { String::new() });
     match req.number % 2 {
-        0 => Script { runs: false, bytes: (refusal.clone() + &refusal).into() },
-        _ => Script { runs: true, bytes: success(&req.id).into() },
+        0 => Script { bytes: (refusal.clone() + &refusal).into(), ..Script::default() },
+        _ => Script { runs: true, bytes: success(&req.id).into(), ..Script::default() },
     }
 }
 
--- a/crates/testbed/tests/withdrawn_servers.rs
+++ b/crates/testbed/tests/withdrawn_servers.rs
@@ -84,6 +84,7 @@
             req.id
         )
         .into(),
+        closes: false,
     })
     .await?;
     let mut entry = rig.desks[0].store_entry("desk", "v1", "ready");
