--- a/crates/daemon/src/gateway/callers.rs
+++ b/crates/daemon/src/gateway/callers.rs
@@ -19,19 +19,22 @@
 /// Time after the signal to stop during which new connections and requests are still served. The platform needs it to
 /// take the host out of rotation.
 const LINGER: Duration = Duration::from_millis(2_800);
+/// Largest share of the grace period in which new requests are served. The rest is for those that came last.
+const MAX_LINGER_SHARE: f64 = 0.4;
 /// Time before the platform kills the process at which connections that are still busy are closed.
 const KILL_MARGIN: Millis = Millis(700);
 
 /// Serves callers until a graceful shutdown has finished.
 pub async fn serve(gateway: Gateway, listener: TcpListener) {
-    let grace = gateway.settings().bounds.grace_period().saturating_sub(KILL_MARGIN);
+    let grace: Duration = gateway.settings().bounds.grace_period().saturating_sub(KILL_MARGIN).into();
+    let linger = LINGER.min(grace.mul_f64(MAX_LINGER_SHARE));
     let mut shutdown = gateway.shutdown.clone();
     let (limited, served) = (gateway.clone(), gateway);
     let endpoint = Endpoint {
         max_connections: Semaphore::MAX_PERMITS,
         limits: Box::new(move || connection_limits(&limited)),
         handler: Arc::new(move |req| Box::pin(handle(served.clone(), req))),
-        shutdown: ShutdownTimes { linger: LINGER, grace: grace.into() },
+        shutdown: ShutdownTimes { linger, grace },
     };
     endpoint.serve(listener, async move { shutdown.wait().await }).await;
 }
--- a/crates/testbed/tests/gateway.rs
+++ b/crates/testbed/tests/gateway.rs
@@ -386,6 +386,30 @@
     Ok(())
 }
 
+/// Guards against a request that comes late in the grace period, is passed on, and is cut without an answer at its end
+/// (issue 33, second report).
+#[tokio::test]
+async fn late_request_in_shutdown_is_answered_or_not_passed_on() -> Result<()> {
+    let rig = Rig::start(RigPlan { desks: 1, ..RigPlan::default() }).await?;
+    rig.desks[0].set_behaviour(|behaviour| behaviour.delay = Duration::from_millis(2_400));
+    rig.gateways[0].signal(Signal::Term)?;
+    let stopped = Instant::now();
+    let requests = (0..25).map(|n| {
+        let client = rig.customer("key-a").with("x-attempt-id", &format!("late-{n}"));
+        let callers = rig.gateways[0].callers;
+        async move {
+            tokio::time::sleep_until(stopped + Duration::from_millis(100 * n)).await;
+            client.post_json(callers, "/book/1", &json!({})).await.is_ok()
+        }
+    });
+    let answered = futures::future::join_all(requests).await;
+    for (n, is_answered) in answered.into_iter().enumerate() {
+        let is_passed_on = count_runs(&rig.desks, &format!("late-{n}")) > 0;
+        ensure!(is_answered || !is_passed_on, "late-{n} was passed on and got no answer");
+    }
+    Ok(())
+}
+
 /// Guards against a reload signal that ends the process, and against invalid settings that replace valid ones.
 #[tokio::test]
 async fn reload_settings() -> Result<()> {
