--- a/crates/core/src/canary.rs
+++ b/crates/core/src/canary.rs
@@ -125,6 +125,15 @@
     }
 }
 
+/// A session that stays on the old version.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct KeptSession {
+    /// Hash of the session.
+    pub session: u64,
+    /// Time of its last request, at any router.
+    pub last_used: Millis,
+}
+
 #[derive(Clone, Copy, Debug)]
 struct PinnedSession {
     on_target: bool,
@@ -298,19 +307,27 @@
     }
 
     /// Sessions that stay on the old version during the first half, although `CANARY_SHARE` includes them.
-    pub fn sessions_kept_on_old(&self, now: Millis, session_time: Millis) -> Vec<u64> {
+    pub fn sessions_kept_on_old(&self, now: Millis, session_time: Millis) -> Vec<KeptSession> {
         if self.progress(now) >= SHIFT_AT || self.bad {
             return Vec::new();
         }
         let is_kept = |session: u64, pin: &PinnedSession| {
             !pin.on_target && now.saturating_sub(pin.last_used) < session_time && is_in_share(session, CANARY_SHARE)
         };
-        self.sessions.iter().filter(|(session, pin)| is_kept(*session, pin)).map(|(session, _)| session).collect()
+        let kept = self.sessions.iter().filter(|(session, pin)| is_kept(*session, pin));
+        kept.map(|(session, pin)| KeptSession { session, last_used: pin.last_used }).collect()
     }
 
-    /// Pins a session with a request before the order to the old version, unless the session is pinned already.
-    pub fn pin_to_old(&mut self, now: Millis, session: u64, last_used: Millis, session_time: Millis) {
-        if self.sessions.get(session).is_none() {
+    /// Pins a session to the old version that it has used, before the order or at another router. A session that is
+    /// pinned to the new version stays there until its pin expires. An expired pin gives way: while this router had no
+    /// request of the session, others may have had some.
+    pub fn pin_to_old(&mut self, now: Millis, kept: KeptSession, session_time: Millis) {
+        let KeptSession { session, last_used } = kept;
+        let gives_way = |pin: &PinnedSession| {
+            let has_expired = now.saturating_sub(pin.last_used) >= session_time;
+            pin.last_used < last_used && (has_expired || !pin.on_target)
+        };
+        if self.sessions.get(session).is_none_or(gives_way) {
             self.sessions.insert(now, session_time, session, PinnedSession { on_target: false, last_used });
         }
     }
--- a/crates/core/tests/canary.rs
+++ b/crates/core/tests/canary.rs
@@ -3,7 +3,7 @@
 
 use eelgrasswell_core::{
     answer_counters::Counters,
-    canary::{Canary, Order, OrderState, Rises, VersionRule},
+    canary::{Canary, KeptSession, Order, OrderState, Rises, VersionRule},
     hash::stable_hash,
     request_kind::{CountersByKind, RequestKind},
     rollout::Criterion,
@@ -121,15 +121,48 @@
 fn version_rule_keeps_session_on_old_in_first_half() {
     let mut canary = Canary::new(order(OrderState::Running), START);
     let in_share = (0..).find(|session| session % 10_000 < 100).unwrap();
-    canary.pin_to_old(START, in_share, START, SESSION_TIMEOUT);
+    canary.pin_to_old(START, KeptSession { session: in_share, last_used: START }, SESSION_TIMEOUT);
     for at in [2_000, 4_000, 8_000] {
         assert!(!on_target(&canary.version_rule(START + Millis(at), in_share, SESSION_TIMEOUT)), "moved after {at} ms");
     }
-    assert_eq!(canary.sessions_kept_on_old(START + Millis(8_000), SESSION_TIMEOUT), [in_share]);
+    let kept = KeptSession { session: in_share, last_used: START + Millis(8_000) };
+    assert_eq!(canary.sessions_kept_on_old(START + Millis(8_000), SESSION_TIMEOUT), [kept]);
     evaluate_answering_until(&mut canary, Millis(14_000), counters(80, 0), counters(1_000, 2));
     assert!(on_target(&canary.version_rule(START + Millis(14_000), in_share, SESSION_TIMEOUT)));
 }
 
+/// Guards against a move in the first half of a session that other routers served on the old version after this router's
+/// own pin had expired.
+#[test_case(false; "own pin to the old version")]
+#[test_case(true; "own pin to the new version")]
+fn version_rule_keeps_session_that_went_on_elsewhere(own_on_target: bool) {
+    let mut canary = Canary::new(order(OrderState::Running), START);
+    let in_share = 10_000_000;
+    if own_on_target {
+        assert!(on_target(&canary.version_rule(START + Millis(2_000), in_share, SESSION_TIMEOUT)));
+    } else {
+        canary.pin_to_old(START, KeptSession { session: in_share, last_used: START }, SESSION_TIMEOUT);
+    }
+    let elsewhere = START + Millis(2_000) + SESSION_TIMEOUT;
+    canary.pin_to_old(elsewhere, KeptSession { session: in_share, last_used: elsewhere }, SESSION_TIMEOUT);
+    assert!(!on_target(&canary.version_rule(elsewhere + Millis(500), in_share, SESSION_TIMEOUT)));
+}
+
+/// Guards against late, repeated or reordered reports of a session that end its pin early or make it last for ever.
+#[test]
+fn pin_to_old_keeps_newest_use() {
+    let mut canary = Canary::new(order(OrderState::Running), START);
+    let kept = |last_used| KeptSession { session: 10_000_000, last_used };
+    let newest = START + Millis(1_000);
+    for last_used in [START, newest, START] {
+        canary.pin_to_old(newest, kept(last_used), SESSION_TIMEOUT);
+    }
+    let before_expiry = newest + Millis(SESSION_TIMEOUT.0 - 1);
+    assert_eq!(canary.sessions_kept_on_old(before_expiry, SESSION_TIMEOUT), [kept(newest)]);
+    canary.pin_to_old(before_expiry, kept(newest), SESSION_TIMEOUT);
+    assert_eq!(canary.sessions_kept_on_old(newest + SESSION_TIMEOUT, SESSION_TIMEOUT), []);
+}
+
 #[test]
 fn version_rule_keeps_session_on_new_version() {
     let mut canary = Canary::new(order(OrderState::Running), START);
--- a/crates/daemon/src/gateway/derived.rs
+++ b/crates/daemon/src/gateway/derived.rs
@@ -2,7 +2,7 @@
 //! servers, rollouts and evacuations.
 
 use eelgrasswell_core::{
-    canary::{Canary, Order},
+    canary::{Canary, KeptSession, Order},
     hash::{HashMap, HashSet},
     id::ServiceName,
 };
@@ -98,7 +98,7 @@
                 event!(Info, "order_received", service = order.service, target = order.target);
                 let mut canary = Canary::new(order, now);
                 for (session, used) in recent_sessions.iter() {
-                    canary.pin_to_old(now, session, *used, session_time);
+                    canary.pin_to_old(now, KeptSession { session, last_used: *used }, session_time);
                 }
                 canary
             });
--- a/crates/daemon/src/gateway/exchange.rs
+++ b/crates/daemon/src/gateway/exchange.rs
@@ -5,7 +5,7 @@
 
 use eelgrasswell_core::{
     answer_counters::Counters,
-    canary::{Canary, OrderState, Rises},
+    canary::{Canary, KeptSession, OrderState, Rises},
     fleet::Member,
     hash::HashMap,
     id::{BackendId, HostId, Incarnation, ServiceName, VersionName},
@@ -207,12 +207,14 @@
         let canaries = lock(&self.canaries);
         let progress = canaries.values().map(|canary| {
             let order = canary.order();
+            let kept = canary.sessions_kept_on_old(now, session_time);
             OrderProgress {
                 service: order.service.to_string(),
                 target: order.target.to_string(),
                 elapsed_ms: canary.elapsed(now).0,
                 bad: canary.is_bad(),
-                kept_sessions: canary.sessions_kept_on_old(now, session_time),
+                kept_sessions: kept.iter().map(|kept| kept.session).collect(),
+                kept_ages_ms: kept.iter().map(|kept| now.saturating_sub(kept.last_used).0 as u32).collect(),
                 outstanding_elsewhere: pool.outstanding_on_other_versions(&order.service, &order.target),
                 rise_to_shift_ms: canary.rises().to_shift.unwrap_or_default().0,
                 rise_to_full_ms: canary.rises().to_full.unwrap_or_default().0,
@@ -303,8 +305,11 @@
                 if progress.bad {
                     canary.mark_bad();
                 }
-                for session in &progress.kept_sessions {
-                    canary.pin_to_old(now, *session, now, session_time);
+                // Senders of older releases leave out the ages.
+                let ages = progress.kept_ages_ms.iter().copied().chain(std::iter::repeat(0));
+                for (&session, age) in progress.kept_sessions.iter().zip(ages) {
+                    let last_used = now.saturating_sub(Millis(age.into()));
+                    canary.pin_to_old(now, KeptSession { session, last_used }, session_time);
                 }
             }
         }
