Keep requests with a short shared prefix in their failure domain

Cause: a request with a shared prompt went to the server that a hash prefers over all failure domains, so three of four streams crossed domains, also those whose shared part is read again within milliseconds.

Change: a prefix under 2,000 tokens has its preferred server in each domain, and spills to other domains once the servers of the own one exceed the limit on load. A longer one keeps one server in all domains, as before.

--- a/crates/core/src/pool.rs
+++ b/crates/core/src/pool.rs
@@ -2,7 +2,8 @@
 //! report.
 //!
 //! - Many prompts share a prefix: requests with the same prefix go to one server while its load stays near the mean
-//!   (bounded-load consistent hashing), so that a prefix in high demand spills over to other servers.
+//!   (bounded-load consistent hashing), so that a prefix in high demand spills over to other servers. A short prefix has
+//!   such a server in each failure domain, a long one in all domains together.
 //! - Servers fail, slow down or stop responding: they get fewer requests and are tried again after a pause.
 //! - A server is cold: it gets at most a limited rate of requests.
 //! - A server shuts down, or asks for a pause: it gets none, whatever the list says.
@@ -19,7 +20,7 @@
     pause::Pauses,
     rate::{self, RecentSends},
     stage,
-    unit::Millis,
+    unit::{Millis, Tokens},
 };
 
 /// Multiple of the mean load up to which a server keeps receiving the requests of its prompt prefixes.
@@ -38,6 +39,9 @@
 const PROBE_INTERVAL: Millis = Millis(1_500);
 /// When the slowness of a server exceeds the median by more than this factor, its load is multiplied by the ratio.
 const SLOW_FACTOR: f64 = 1.5;
+/// Length of a shared prefix from which requests go to other failure domains for a server that keeps it. Processing a
+/// shorter one again takes less time and costs less than the way there.
+const MIN_PREFIX_TO_CROSS: Tokens = Tokens(2_000);
 /// Load added to servers of other failure domains, because traffic between domains has a cost.
 const REMOTE_DOMAIN_LOAD: Cost = 0.25;
 /// Share of the limit on requests to a cold server that the routers use.
@@ -96,13 +100,22 @@
     last_probe: Millis,
 }
 
+/// Prompt prefix that requests share.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct SharedPrefix {
+    /// Hash of the prefix.
+    pub hash: u64,
+    /// Length of the prefix.
+    pub tokens: Tokens,
+}
+
 /// Inputs to the selection of a backend server for one request.
 #[derive(Clone, Copy, Debug)]
 pub struct Requirements<'a> {
     /// Service that the request goes to.
     pub service: &'a ServiceName,
-    /// Hash of the prompt prefix that the request shares with others.
-    pub affinity: Option<u64>,
+    /// Prompt prefix that the request shares with others, if they should go to the same server.
+    pub shared_prefix: Option<SharedPrefix>,
     /// Load that the request puts on the server.
     pub cost: Cost,
     /// Time without a response after which the server is unhealthy until it responds.
@@ -426,9 +439,14 @@
             candidates.iter().map(|id| (self.entries[id].load(requirements, median), id)).collect();
         let mean = loads.iter().map(|(load, _)| load).sum::<f64>() / loads.len() as f64;
         let limit = mean * AFFINITY_LOAD_FACTOR + AFFINITY_SLACK.max(requirements.cost);
-        if let Some(affinity) = requirements.affinity {
-            let weight = |id: &BackendId| stable_hash(&[id.as_str(), &affinity.to_string()]);
-            let preferred = loads.iter().filter(|(load, _)| *load <= limit).min_by_key(|(_, id)| Reverse(weight(id)));
+        if let Some(prefix) = requirements.shared_prefix {
+            let hash = prefix.hash.to_string();
+            let weight = |id: &BackendId| stable_hash(&[id.as_str(), &hash]);
+            let must_cross = |id: &BackendId| {
+                prefix.tokens < MIN_PREFIX_TO_CROSS && self.entries[id].backend.domain != *requirements.domain
+            };
+            let within_limit = loads.iter().filter(|(load, _)| *load <= limit);
+            let preferred = within_limit.min_by_key(|(_, id)| (must_cross(id), Reverse(weight(id))));
             if let Some((_, id)) = preferred {
                 return (*id).clone();
             }
--- a/crates/core/tests/pool.rs
+++ b/crates/core/tests/pool.rs
@@ -5,8 +5,8 @@
     backend::Backend,
     hash::{HashMap, HashSet},
     id::{BackendId, DomainId, ServiceName, VersionName},
-    pool::{Outcome, Pool, Requirements, Unavailable},
-    unit::Millis,
+    pool::{Outcome, Pool, Requirements, SharedPrefix, Unavailable},
+    unit::{Millis, Tokens},
 };
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
@@ -28,6 +28,10 @@
     }
 }
 
+fn prefix(hash: u64, tokens: u64) -> SharedPrefix {
+    SharedPrefix { hash, tokens: Tokens(tokens) }
+}
+
 struct Rig {
     pool: Pool,
     rng: ChaCha8Rng,
@@ -49,7 +53,7 @@
     ) -> Result<BackendId, Unavailable> {
         let mut requirements = Requirements {
             service: &self.service,
-            affinity: None,
+            shared_prefix: None,
             cost: 1.0,
             overdue_after: Millis(300),
             version: None,
@@ -87,12 +91,40 @@
 #[test]
 fn choose_keeps_prefix_at_one_server_until_it_is_loaded() {
     let mut rig = Rig::with((1..=8).map(backend).collect());
-    let first = rig.choose(NOW, |req| req.affinity = Some(42)).unwrap();
-    assert_eq!(rig.choose(NOW, |req| req.affinity = Some(42)).unwrap(), first);
-    let spilled = (0..20).any(|_| rig.choose(NOW, |req| req.affinity = Some(42)).unwrap() != first);
+    let first = rig.choose(NOW, |req| req.shared_prefix = Some(prefix(42, 5_000))).unwrap();
+    assert_eq!(rig.choose(NOW, |req| req.shared_prefix = Some(prefix(42, 5_000))).unwrap(), first);
+    let spilled = (0..20).any(|_| rig.choose(NOW, |req| req.shared_prefix = Some(prefix(42, 5_000))).unwrap() != first);
     assert!(spilled, "a prefix in high demand must not stay at one server");
 }
 
+/// Guards against short prompts that cross failure domains for a prefix that is processed again within milliseconds, and
+/// against a domain that keeps its requests although its servers are more loaded than the others.
+#[test]
+fn choose_keeps_short_prefix_in_own_domain_until_it_is_loaded() {
+    let in_domain = |n: u8| Backend { domain: if n % 4 == 0 { "a" } else { "b" }.into(), ..backend(n) };
+    let is_own = |id: &BackendId| (1..=16).any(|n| n % 4 == 0 && in_domain(n).id == *id);
+    let mut rig = Rig::with((1..=16).map(in_domain).collect());
+    for hash in 0..8 {
+        assert!(is_own(&rig.choose(NOW, |req| req.shared_prefix = Some(prefix(hash, 500))).unwrap()));
+    }
+    let own: HashMap<BackendId, f64> = (1..=4).map(|n| (in_domain(n * 4).id, 20.0)).collect();
+    rig.pool.set_peer_loads(&own);
+    assert!(!is_own(&rig.choose(NOW, |req| req.shared_prefix = Some(prefix(1, 500))).unwrap()));
+}
+
+/// Guards against a long prefix that each failure domain processes again.
+#[test]
+fn choose_finds_long_prefix_in_any_domain() {
+    let in_domain = |n: u8| Backend { domain: if n % 4 == 0 { "a" } else { "b" }.into(), ..backend(n) };
+    let chosen = ["a", "b"].map(|domain| {
+        let mut rig = Rig { domain: domain.into(), ..Rig::with((1..=16).map(in_domain).collect()) };
+        (0..8)
+            .map(|hash| rig.choose(NOW, |req| req.shared_prefix = Some(prefix(hash, 5_000))).unwrap())
+            .collect::<Vec<_>>()
+    });
+    assert_eq!(chosen[0], chosen[1]);
+}
+
 /// Guards against a version on trial whose servers have so few requests each that it can't show how it is under load.
 #[test]
 fn choose_fills_servers_on_trial() {
@@ -295,7 +327,7 @@
     rig.pool.update(NOW, vec![backend(2)], Millis::ZERO);
     rig.pool.update(NOW, vec![backend(1), backend(2)], Millis::ZERO);
     assert_eq!(rig.choose(NOW, |_| {}), Ok("b2".into()));
-    assert_eq!(rig.choose(NOW, |r| r.affinity = Some(7)), Ok("b2".into()));
+    assert_eq!(rig.choose(NOW, |r| r.shared_prefix = Some(prefix(7, 5_000))), Ok("b2".into()));
 }
 
 /// While all servers pause, requests are refused with the time at which the first one may be asked. A server that was tried
--- a/crates/daemon/src/gateway/attempt.rs
+++ b/crates/daemon/src/gateway/attempt.rs
@@ -173,7 +173,7 @@
         let cost = self.cost();
         let requirements = Requirements {
             service: &call.service,
-            affinity: call.affinity_hash.filter(|_| call.route.affinity),
+            shared_prefix: call.shared_prefix.filter(|_| call.route.affinity),
             cost,
             overdue_after: self.overdue_after,
             version: self.rule.only.as_ref(),
--- a/crates/daemon/src/gateway/request.rs
+++ b/crates/daemon/src/gateway/request.rs
@@ -8,9 +8,10 @@
     crash_evidence::PartId,
     hash::stable_hash,
     id::{CustomerId, ModelName, RequestId, ServiceName},
+    pool::SharedPrefix,
     refusal::Reason,
     routing_config::{Caller, Customer, Route, RoutingConfig},
-    unit::Millis,
+    unit::{Millis, Tokens},
 };
 use eelgrasswell_platform::{
     objects::Kind,
@@ -66,8 +67,8 @@
     pub deadline: Instant,
     /// Hash of the session, or of the request id if there is no session.
     pub session: u64,
-    /// Hash of the prompt part that requests on the same subject share; none if the prompt has no such part.
-    pub affinity_hash: Option<u64>,
+    /// Prompt parts that requests on the same subject share; none if the prompt has no such parts.
+    pub shared_prefix: Option<SharedPrefix>,
     /// Parts of the prompt that other requests may share.
     pub shared_parts: Arc<[PartId]>,
 }
@@ -116,7 +117,7 @@
     let session = meta.session.as_deref().unwrap_or(id.as_str());
     let session = stable_hash(&[session]);
     let service = route.target(session).clone();
-    let affinity_hash = affinity_hash(&meta);
+    let shared_prefix = shared_prefix(&meta);
     let shared_parts = shared_parts(&meta);
     let customer = match caller {
         Caller::Customer(customer) => Some(customer),
@@ -136,7 +137,7 @@
         arrived,
         deadline,
         session,
-        affinity_hash,
+        shared_prefix,
         shared_parts,
     })
 }
@@ -190,11 +191,13 @@
     meta.prompt_parts[..shared].iter().map(|part| PartId::of(&part.id)).collect()
 }
 
-/// Hash of the last prompt part that other requests may share. It is the part before the last one, which belongs to
-/// this request alone.
-fn affinity_hash(meta: &RequestMeta) -> Option<u64> {
-    let shared = meta.prompt_parts.len().checked_sub(2)?;
-    Some(stable_hash(&[meta.prompt_parts[shared].id.as_str()]))
+/// The prompt parts that other requests may share, named by the last of them. The last part of all belongs to this
+/// request alone.
+fn shared_prefix(meta: &RequestMeta) -> Option<SharedPrefix> {
+    let (_, shared) = meta.prompt_parts.split_last()?;
+    let hash = stable_hash(&[shared.last()?.id.as_str()]);
+    let tokens = shared.iter().map(|part| part.tokens.0).fold(0, u64::saturating_add);
+    Some(SharedPrefix { hash, tokens: Tokens(tokens) })
 }
 
 /// The path and query (origin form), without the scheme and host of an absolute URI.
