Exchange states mostly within the failure domain, and report kept sessions once

Cause: of five partners of each round, chosen at random, most were in other domains, and in the first half of a rollout each message held all sessions that stay on the old version, some hundred a message.

Change: two of five partners are taken from other domains if the own one has enough; a session is reported for 2 s after a newer use was learned of. A reported use must be 200 ms newer than the known one, since the way of a report makes it look later: without that, gateways would pass reports on without end. Reports of load count for 2.5 s in place of 1.5 s, as peers of other domains are heard of less often.

--- a/crates/core/src/canary.rs
+++ b/crates/core/src/canary.rs
@@ -28,6 +28,10 @@
 const FULL_AT: f64 = 0.58;
 /// Share of sessions on the new version between `SHIFT_AT` and `FULL_AT`.
 const SHIFT_SHARE: f64 = 0.3;
+/// Time for which a router reports a newer use of a session that stays on the old version. Other routers pass it on.
+const KEPT_REPORT_TIME: Millis = Millis(2_000);
+/// Time by which a reported use must be later than the known one to be newer. The way of a report makes its use look later.
+const MIN_NEWER: Millis = Millis(200);
 /// Time between the announcement of a rise of the share and its effect, in which the other routers learn of it.
 const RISE_NOTICE: Millis = Millis(1_000);
 /// Share of the duration from which the rollout is completed once the old servers have no work left.
@@ -138,6 +142,8 @@
 struct PinnedSession {
     on_target: bool,
     last_used: Millis,
+    /// Time at which this router learned of the last use.
+    learned_at: Millis,
 }
 
 impl Canary {
@@ -302,17 +308,21 @@
             Some(pin) => pin.on_target || selected,
             None => selected,
         };
-        self.sessions.insert(now, session_time, session, PinnedSession { on_target, last_used: now });
+        let pin = PinnedSession { on_target, last_used: now, learned_at: now };
+        self.sessions.insert(now, session_time, session, pin);
         on_target
     }
 
-    /// Sessions that stay on the old version during the first half, although `CANARY_SHARE` includes them.
+    /// Sessions that stay on the old version during the first half, although `CANARY_SHARE` includes them, and of whose
+    /// last use other routers may not know.
     pub fn sessions_kept_on_old(&self, now: Millis, session_time: Millis) -> Vec<KeptSession> {
         if self.progress(now) >= SHIFT_AT || self.bad {
             return Vec::new();
         }
         let is_kept = |session: u64, pin: &PinnedSession| {
-            !pin.on_target && now.saturating_sub(pin.last_used) < session_time && is_in_share(session, CANARY_SHARE)
+            let is_active = now.saturating_sub(pin.last_used) < session_time;
+            let is_new = now.saturating_sub(pin.learned_at) < KEPT_REPORT_TIME;
+            !pin.on_target && is_active && is_new && is_in_share(session, CANARY_SHARE)
         };
         let kept = self.sessions.iter().filter(|(session, pin)| is_kept(*session, pin));
         kept.map(|(session, pin)| KeptSession { session, last_used: pin.last_used }).collect()
@@ -325,10 +335,11 @@
         let KeptSession { session, last_used } = kept;
         let gives_way = |pin: &PinnedSession| {
             let has_expired = now.saturating_sub(pin.last_used) >= session_time;
-            pin.last_used < last_used && (has_expired || !pin.on_target)
+            pin.last_used + MIN_NEWER <= last_used && (has_expired || !pin.on_target)
         };
+        let pin = PinnedSession { on_target: false, last_used, learned_at: now };
         if self.sessions.get(session).is_none_or(gives_way) {
-            self.sessions.insert(now, session_time, session, PinnedSession { on_target: false, last_used });
+            self.sessions.insert(now, session_time, session, pin);
         }
     }
 
--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -7,6 +7,8 @@
 
 use std::net::SocketAddr;
 
+use rand::{Rng, seq::IteratorRandom};
+
 use crate::{
     hash::{HashMap, stable_hash},
     id::{DomainId, HostId, Incarnation},
@@ -21,6 +23,12 @@
 const ROUTERS_PER_WATCHER: usize = 20;
 /// Minimum number of store watchers.
 const MIN_WATCHERS: usize = 2;
+/// Maximum number of routers that are contacted in one round of exchanges: all of a small fleet, or a random sample of a
+/// large one, in which updates spread within a few rounds.
+const EXCHANGE_FANOUT: usize = 5;
+/// Number of these that are taken from other failure domains if the own one has enough. Traffic between domains has a
+/// cost, and what one router of a domain has learned, the others get from it.
+const REMOTE_EXCHANGES: usize = 2;
 /// Grace period in which an unresponsive router still counts in the sharing of limits, because it may merely be
 /// disconnected from this router.
 const LIMIT_SHARE_GRACE: Millis = Millis(8_000);
@@ -84,6 +92,23 @@
         self.members.values()
     }
 
+    /// Addresses of the routers with which a router in `domain` exchanges states in the next round.
+    pub fn sample_partners(&self, domain: &DomainId, rng: &mut impl Rng) -> Vec<SocketAddr> {
+        if self.members.len() <= EXCHANGE_FANOUT {
+            return self.members.values().map(|member| member.address).collect();
+        }
+        let addresses = |is_near: bool| {
+            self.members
+                .values()
+                .filter(move |member| (member.domain == *domain) == is_near)
+                .map(|member| member.address)
+        };
+        let mut partners = addresses(true).sample(rng, EXCHANGE_FANOUT - REMOTE_EXCHANGES);
+        let remote = addresses(false).sample(rng, EXCHANGE_FANOUT - partners.len());
+        partners.extend(remote);
+        partners
+    }
+
     /// Number of routers that share limits, including this one; at least `min`.
     pub fn limit_sharers(&self, now: Millis, min: usize) -> usize {
         let others = self.members.values().filter(|member| now.saturating_sub(member.last_seen) < LIMIT_SHARE_GRACE);
--- a/crates/daemon/src/gateway/exchange.rs
+++ b/crates/daemon/src/gateway/exchange.rs
@@ -33,15 +33,13 @@
 /// Time after which peers are contacted when a version on trial has failed a request. Failures within it are reported
 /// together.
 const FAILURE_NOTICE: Duration = Duration::from_millis(60);
-/// Maximum number of peers contacted in one interval: all of a small fleet, or a random sample of a large one, in which
-/// updates spread within a few intervals.
-const FANOUT: usize = 5;
 /// Maximum number of members reported in one exchange.
 const MAX_MEMBERS_SENT: usize = 4;
 /// Timeout of one exchange.
 const TIMEOUT: Duration = Duration::from_millis(700);
-/// Age at which a peer's report of its loads and orders is no longer used.
-const MAX_REPORT_AGE: Millis = Millis(1_500);
+/// Age at which a peer's report of its loads and orders is no longer used. Peers of other failure domains are heard of
+/// less often than those of the own one.
+const MAX_REPORT_AGE: Millis = Millis(2_500);
 /// Factor by which loads are multiplied on the wire: they are sent in hundredths of a small request.
 const LOAD_SCALE: f64 = 100.0;
 
@@ -121,17 +119,14 @@
         let now = self.clock.now();
         let mut fleet = lock(&self.fleet);
         fleet.expire(now);
-        let mut known: Vec<SocketAddr> = fleet.members().map(|member| member.address).collect();
+        let mut partners = fleet.sample_partners(&self.settings.domain, &mut rand::rng());
         if fleet.alive(now).is_empty() {
-            known.extend(self.settings().seeds.iter().flatten());
+            partners.extend(self.settings().seeds.iter().flatten());
         }
-        known.sort();
-        known.dedup();
-        known.retain(|address| *address != own);
-        if known.len() <= FANOUT {
-            return known;
-        }
-        known.sample(&mut rand::rng(), FANOUT).copied().collect()
+        partners.sort();
+        partners.dedup();
+        partners.retain(|address| *address != own);
+        partners
     }
 
     /// The state that this gateway reports to its peers.
