--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -37,6 +37,7 @@
 pub mod retry;
 pub mod rollout;
 pub mod routing_config;
+pub mod second_send;
 pub mod session;
 pub mod session_map;
 pub mod shard;
--- a/crates/core/src/pool.rs
+++ b/crates/core/src/pool.rs
@@ -42,6 +42,8 @@
 const REMOTE_DOMAIN_LOAD: Cost = 0.25;
 /// Share of the limit on requests to a cold server that the routers use.
 const COLD_LIMIT_USAGE: f64 = 0.8;
+/// Difference from the mean up to which a load counts as equal to it. Loads are sums of fractions, which are inexact.
+const LOAD_TOLERANCE: Cost = 1e-6;
 
 /// Load that a request puts on a backend server, in units of one small request.
 pub type Cost = f64;
@@ -151,6 +153,11 @@
     Failed,
     /// The server rejected the request without running it.
     Refused,
+    /// The server has not responded for this multiple of the expected time, and the request was given up.
+    Slow {
+        /// Time waited, as a multiple of the expected time for the request.
+        slowness: f64,
+    },
     /// The server could not be reached, or broke off the connection.
     Unreachable,
 }
@@ -341,6 +348,24 @@
         Ok((Arc::clone(&entry.backend), send))
     }
 
+    /// Like `choose`, but only among the healthy warm servers whose load is not above the mean of the service's servers.
+    pub fn choose_spare(
+        &mut self,
+        now: Millis,
+        requirements: &Requirements<'_>,
+        rng: &mut impl Rng,
+    ) -> Result<(Arc<Backend>, SendId), Unavailable> {
+        let load = |entry: &Entry| entry.load + entry.peer_load;
+        let (sum, count) =
+            self.in_service(requirements.service).fold((0.0, 0), |(sum, count), entry| (sum + load(entry), count + 1));
+        let limit = sum / f64::from(count.max(1)) + LOAD_TOLERANCE;
+        let is_spare = |entry: &&Entry| load(entry) <= limit && entry.is_healthy(now) && entry.cold_until <= now;
+        let others = self.in_service(requirements.service).filter(|entry| !is_spare(entry));
+        let mut excluded: Vec<BackendId> = others.map(|entry| entry.backend.id.clone()).collect();
+        excluded.extend_from_slice(requirements.tried);
+        self.choose(now, &Requirements { tried: &excluded, ..*requirements }, rng)
+    }
+
     /// Records that the response to a send has started.
     pub fn record_response(&mut self, backend: &Backend, send: SendId) {
         if let Some(entry) = self.entry_mut(backend) {
@@ -509,10 +534,13 @@
             Outcome::Answered { slowness } => {
                 self.consecutive_failures = 0;
                 self.down_until = Millis::ZERO;
-                let average = self.slowness.unwrap_or(slowness);
-                self.slowness = Some(average + AVERAGE_WEIGHT * (slowness - average));
+                self.record_slowness(slowness);
                 0.0
             }
+            Outcome::Slow { slowness } => {
+                self.slowness.get_or_insert(1.0);
+                return self.record_slowness(slowness);
+            }
             Outcome::Refused => return,
             Outcome::Failed => 1.0,
             Outcome::Unreachable => {
@@ -524,4 +552,9 @@
         };
         self.failure_rate += AVERAGE_WEIGHT * (failure - self.failure_rate);
     }
+
+    fn record_slowness(&mut self, slowness: f64) {
+        let average = self.slowness.unwrap_or(slowness);
+        self.slowness = Some(average + AVERAGE_WEIGHT * (slowness - average));
+    }
 }
--- a/crates/core/src/repeat.rs
+++ b/crates/core/src/repeat.rs
@@ -12,6 +12,9 @@
 const LIMIT_USAGE: f64 = 0.8;
 /// Share of the fixed allowance that is reserved for repeats after failures, which callers need more than escalations.
 const RESERVED_FOR_FAILURES: f64 = 0.5;
+/// Share of the repeats per request that second sends of slow requests may use together with the others. They get nothing
+/// of the fixed allowance.
+const USABLE_FOR_SLOW_ANSWERS: f64 = 0.75;
 
 /// Limit on the repeats of a service over a sliding window.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -24,9 +27,11 @@
     pub window: Millis,
 }
 
-/// Reason for a repeat.
+/// Reason for a repeat, in ascending order of priority.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Purpose {
+    /// The answer is slow, and the request is sent to another server as well.
+    SlowAnswer,
     /// The request escalates to a larger model.
     Escalation,
     /// The previous send failed or was rejected.
@@ -57,11 +62,12 @@
     pub fn try_acquire(&mut self, now: Millis, purpose: Purpose, routers: usize) -> bool {
         self.drop_expired(now);
         let slack = self.limit.slack * LIMIT_USAGE / routers.max(1) as f64;
-        let slack = match purpose {
-            Purpose::Escalation => slack * (1.0 - RESERVED_FOR_FAILURES),
-            Purpose::Failure => slack,
+        let by_ratio = self.requests.len() as f64 * self.limit.ratio * LIMIT_USAGE;
+        let allowed = match purpose {
+            Purpose::SlowAnswer => by_ratio * USABLE_FOR_SLOW_ANSWERS,
+            Purpose::Escalation => by_ratio + slack * (1.0 - RESERVED_FOR_FAILURES),
+            Purpose::Failure => by_ratio + slack,
         };
-        let allowed = self.requests.len() as f64 * self.limit.ratio * LIMIT_USAGE + slack;
         if (self.repeats.len() + 1) as f64 > allowed {
             return false;
         }
--- a/crates/core/tests/pool.rs
+++ b/crates/core/tests/pool.rs
@@ -1,6 +1,8 @@
 //! Guards against requests to servers that must not get any, against overloaded cold servers, and against prompts that
 //! are sent to a server without their cached prefix.
 
+use std::sync::LazyLock;
+
 use eelgrasswell_core::{
     backend::Backend,
     hash::{HashMap, HashSet},
@@ -13,6 +15,8 @@
 use test_case::test_case;
 
 const NOW: Millis = Millis(10_000);
+/// Version on trial.
+static V2: LazyLock<VersionName> = LazyLock::new(|| "v2".into());
 
 fn backend(n: u8) -> Backend {
     Backend {
@@ -47,22 +51,48 @@
         now: Millis,
         change: impl FnOnce(&mut Requirements<'a>),
     ) -> Result<BackendId, Unavailable> {
-        let mut requirements = Requirements {
-            service: &self.service,
-            affinity: None,
-            cost: 1.0,
-            overdue_after: Millis(300),
-            version: None,
-            excluded_version: None,
-            fills_servers: false,
-            tried: &[],
-            domain: &self.domain,
-            cold_per_second: 0.0,
-            routers: 1,
-        };
+        let mut requirements = requirements(&self.service, &self.domain);
         change(&mut requirements);
         self.pool.choose(now, &requirements, &mut self.rng).map(|(backend, _)| backend.id.clone())
     }
+
+    fn choose_and_release(&mut self) -> BackendId {
+        let requirements = requirements(&self.service, &self.domain);
+        let (chosen, send) = self.pool.choose(NOW, &requirements, &mut self.rng).unwrap();
+        self.pool.release(&chosen, send, requirements.cost);
+        chosen.id.clone()
+    }
+
+    fn choose_spare(&mut self, tried: &[BackendId]) -> Result<BackendId, Unavailable> {
+        self.choose_spare_with(|req| req.tried = tried)
+    }
+
+    fn choose_spare_with<'a>(
+        &'a mut self,
+        change: impl FnOnce(&mut Requirements<'a>),
+    ) -> Result<BackendId, Unavailable> {
+        let mut requirements = requirements(&self.service, &self.domain);
+        change(&mut requirements);
+        let (chosen, send) = self.pool.choose_spare(NOW, &requirements, &mut self.rng)?;
+        self.pool.release(&chosen, send, requirements.cost);
+        Ok(chosen.id.clone())
+    }
+}
+
+fn requirements<'a>(service: &'a ServiceName, domain: &'a DomainId) -> Requirements<'a> {
+    Requirements {
+        service,
+        affinity: None,
+        cost: 1.0,
+        overdue_after: Millis(300),
+        version: None,
+        excluded_version: None,
+        fills_servers: false,
+        tried: &[],
+        domain,
+        cold_per_second: 0.0,
+        routers: 1,
+    }
 }
 
 #[test]
@@ -344,3 +374,56 @@
     let expected = if refusing == 4 { 0 } else { 1_950 };
     assert!(served >= expected, "{served} requests were served");
 }
+
+/// Guards against second sends to servers that are loaded above the mean, cold or unhealthy.
+#[test]
+fn choose_spare_excludes_loaded_servers() {
+    let cold = Backend { cold_remaining: Millis(5_000), ..backend(4) };
+    let mut rig = Rig::with(vec![backend(1), backend(2), backend(3), cold]);
+    rig.pool.set_peer_loads(&HashMap::from_iter([("b2".into(), 6.0), ("b1".into(), 1.0)]));
+    rig.pool.record_outcome(NOW, &backend(3), Outcome::Unreachable);
+    for _ in 0..20 {
+        assert_eq!(rig.choose_spare(&[]), Ok("b1".into()));
+    }
+    assert_eq!(rig.choose_spare(&["b1".into()]), Err(Unavailable::AllTried));
+}
+
+/// Guards against a second send that runs on another version than the first one while a version is on trial.
+#[test_case(|req| req.version = Some(&V2), &["b3"]; "on the new version")]
+#[test_case(|req| req.excluded_version = Some(&V2), &["b1", "b2"]; "on the others")]
+fn choose_spare_keeps_version(rule: fn(&mut Requirements<'_>), allowed: &[&str]) {
+    let mut rig = Rig::with(vec![backend(1), backend(2), Backend { version: V2.clone(), ..backend(3) }]);
+    for _ in 0..20 {
+        let chosen = rig.choose_spare_with(rule).unwrap();
+        assert!(allowed.contains(&chosen.as_str()), "{chosen}");
+    }
+    let tried: Vec<BackendId> = allowed.iter().map(|id| (*id).into()).collect();
+    let chosen = rig.choose_spare_with(|req| {
+        rule(req);
+        req.tried = &tried;
+    });
+    assert_eq!(chosen, Err(Unavailable::AllTried));
+}
+
+/// Guards against servers that are taken for loaded although all have the same load.
+#[test]
+fn choose_spare_equal_loads() {
+    let mut rig = Rig::with((1..=7).map(backend).collect());
+    rig.pool.set_peer_loads(&(1..=7).map(|n| (backend(n).id, 0.1)).collect());
+    assert!(rig.choose_spare(&[]).is_ok());
+}
+
+/// Guards against a server whose requests are given up again and again and which still gets as many, and against one late
+/// answer that has this effect.
+#[test]
+fn record_outcome_slow_server_gets_fewer() {
+    let mut rig = Rig::with(vec![backend(1), backend(2), backend(3)]);
+    let sends_to_slow = |rig: &mut Rig| (0..100).filter(|_| rig.choose_and_release() == "b1".into()).count();
+    for n in [2, 3] {
+        rig.pool.record_outcome(NOW, &backend(n), Outcome::Answered { slowness: 1.0 });
+    }
+    rig.pool.record_outcome(NOW, &backend(1), Outcome::Slow { slowness: 4.0 });
+    assert!(sends_to_slow(&mut rig) > 20);
+    (0..3).for_each(|_| rig.pool.record_outcome(NOW, &backend(1), Outcome::Slow { slowness: 4.0 }));
+    assert_eq!(sends_to_slow(&mut rig), 0);
+}
--- a/crates/core/tests/repeat.rs
+++ b/crates/core/tests/repeat.rs
@@ -45,3 +45,16 @@
     assert!(!budget.try_acquire(Millis(1_000), Purpose::Failure, 1));
     assert!(budget.try_acquire(Millis(11_001), Purpose::Failure, 1));
 }
+
+/// Guards against second sends of slow requests that leave no repeats to failed requests and escalations.
+#[test]
+fn try_acquire_second_sends_leave_room_for_others() {
+    let mut budget = RepeatBudget::new(LIMIT);
+    assert_eq!(granted(&mut budget, Millis(1_000), Purpose::SlowAnswer, 1), 0, "the fixed allowance is for others");
+    (0..100).for_each(|n| budget.record_request(Millis(1_000 + n)));
+    let now = Millis(2_000);
+    assert!(granted(&mut budget, now, Purpose::SlowAnswer, 1) > 0);
+    assert!(granted(&mut budget, now, Purpose::Escalation, 1) > 0);
+    assert!(!budget.try_acquire(now, Purpose::SlowAnswer, 1));
+    assert!(granted(&mut budget, now, Purpose::Failure, 1) > 0);
+}
--- a/crates/daemon/src/gateway/attempt.rs
+++ b/crates/daemon/src/gateway/attempt.rs
@@ -50,6 +50,7 @@
 const MAX_URGENCY: u32 = 9;
 
 /// Parameters of one send.
+#[derive(Clone, Copy)]
 pub struct Attempt<'a> {
     /// The request.
     pub call: &'a Call,
@@ -67,6 +68,8 @@
     pub overdue_after: Millis,
     /// Whether an earlier send of the request failed.
     pub has_failed: bool,
+    /// Whether only servers with spare capacity are considered, and only the versions that the rule allows.
+    pub spare_only: bool,
 }
 
 /// A backend server's answer whose head has been received.
@@ -125,12 +128,17 @@
 }
 
 impl Attempt<'_> {
-    /// Chooses a server, sends the request and waits for the head of the answer.
-    pub async fn run(&self, gateway: &Gateway) -> Result<Answer, SendFailure> {
-        if let Some(block) = gateway.find_block(&self.call.id, &self.call.shared_parts) {
-            return Err(SendFailure::Blocked(block));
+    /// Chooses a server and counts the send there.
+    pub fn choose(&self, gateway: &Gateway) -> Result<SendGuard, SendFailure> {
+        match gateway.find_block(&self.call.id, &self.call.shared_parts) {
+            Some(block) => Err(SendFailure::Blocked(block)),
+            None => self.choose_backend(gateway).map_err(SendFailure::Unavailable),
         }
-        let mut guard = self.choose_backend(gateway).map_err(SendFailure::Unavailable)?;
+    }
+
+    /// Sends the request to the server that `choose` chose and waits for the head of the answer. If the future is dropped,
+    /// the connection is closed and the load is taken off the server.
+    pub async fn send(&self, gateway: &Gateway, mut guard: SendGuard) -> Result<Answer, SendFailure> {
         let backend = Arc::clone(&guard.backend);
         let started = Instant::now();
         let conn = match self.connect(gateway, &backend).await {
@@ -187,8 +195,13 @@
         let now = gateway.clock.now();
         let mut rng = rand::rng();
         let mut pool = lock(&gateway.pool);
-        let chosen = match pool.choose(now, &requirements, &mut rng) {
-            Err(Unavailable::AllTried | Unavailable::Paused { .. }) if !self.rule.strict => {
+        let first_choice = if self.spare_only {
+            pool.choose_spare(now, &requirements, &mut rng)
+        } else {
+            pool.choose(now, &requirements, &mut rng)
+        };
+        let chosen = match first_choice {
+            Err(Unavailable::AllTried | Unavailable::Paused { .. }) if !self.rule.strict && !self.spare_only => {
                 let any_version =
                     Requirements { version: None, excluded_version: None, fills_servers: false, ..requirements };
                 pool.choose(now, &any_version, &mut rng)
--- a/crates/daemon/src/gateway/execute.rs
+++ b/crates/daemon/src/gateway/execute.rs
@@ -27,6 +27,7 @@
     attempt::{Answer, Attempt, SendFailure},
     relay::{Relay, StreamHead},
     request::Call,
+    second_send::{self, Other},
 };
 use crate::{
     callers::{
@@ -70,6 +71,8 @@
     attempts: Attempts,
     /// Whether a send has failed.
     has_failed: bool,
+    /// Whether the request has got a second send because of a slow answer.
+    second_sent: bool,
 }
 
 impl Execution {
@@ -87,6 +90,7 @@
             tried: Vec::new(),
             attempts: Attempts::default(),
             has_failed: false,
+            second_sent: false,
         }
     }
 
@@ -233,9 +237,36 @@
             head_deadline: self.head_deadline(),
             overdue_after: self.overdue_after(),
             has_failed: self.has_failed,
+            spare_only: false,
         };
-        let result = attempt.run(&self.gateway).await;
-        match &result {
+        let sends = second_send::run(self, attempt).await;
+        if let Some(other) = sends.other {
+            self.record_other(other);
+        }
+        self.record_send(&sends.result);
+        sends.result
+    }
+
+    /// Records the send of a pair that did not give the result.
+    fn record_other(&mut self, other: Other) {
+        self.second_sent = true;
+        match other {
+            Other::Cancelled(backend) => {
+                self.attempts.record_run();
+                self.tried.push(backend.id.clone());
+            }
+            Other::Ended(result) => {
+                self.record_send(&result);
+                match *result {
+                    Ok(answer) => drop(tokio::spawn(answer.drain())),
+                    Err(failure) => event!(Info, "send_ended", request = self.call.id, error = failure),
+                }
+            }
+        }
+    }
+
+    fn record_send(&mut self, result: &Result<Answer, SendFailure>) {
+        match result {
             Ok(answer) => {
                 self.attempts.record_run();
                 self.has_failed |= answer.status.is_server_error();
@@ -252,7 +283,33 @@
             }
             Err(SendFailure::Unavailable(_) | SendFailure::Blocked(_)) => {}
         }
-        result
+    }
+
+    /// Whether the request may be sent to another server while a send waits for its answer.
+    pub fn allows_second_send(&self) -> bool {
+        !self.second_sent && self.after_another_run().allows_another(self.limits())
+    }
+
+    /// Acquires the repeat for a second send from the budget.
+    pub fn try_acquire_second_send(&self) -> bool {
+        self.call.remaining() > MIN_REPEAT_TIME
+            && self.gateway.try_acquire_repeat(&self.call.service, Purpose::SlowAnswer)
+    }
+
+    /// Deadline for the head of an answer to a second send.
+    pub fn second_head_deadline(&self) -> Instant {
+        self.head_deadline_after(self.after_another_run())
+    }
+
+    /// Whether no send of the request has ended yet.
+    pub fn is_first_send(&self) -> bool {
+        self.attempts.sends() == 0
+    }
+
+    fn after_another_run(&self) -> Attempts {
+        let mut attempts = self.attempts;
+        attempts.record_run();
+        attempts
     }
 
     fn model(&self) -> Option<ModelName> {
@@ -266,7 +323,11 @@
     /// Deadline for the head of an answer: the request's own deadline if the request could not be repeated after the
     /// loss of this send, otherwise an earlier time that leaves time for another server.
     fn head_deadline(&self) -> Instant {
-        let mut after_loss = self.attempts;
+        self.head_deadline_after(self.attempts)
+    }
+
+    fn head_deadline_after(&self, attempts: Attempts) -> Instant {
+        let mut after_loss = attempts;
         after_loss.record_run();
         let may_repeat = after_loss.allows_another(self.limits());
         if !may_repeat {
@@ -278,7 +339,7 @@
     }
 
     /// Expected time to the first byte of an answer of the model in use.
-    fn expected_latency(&self) -> Option<Millis> {
+    pub fn expected_latency(&self) -> Option<Millis> {
         self.expected_latency_of(&self.model().unwrap_or_default())
     }
 
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -18,6 +18,7 @@
 mod reload;
 mod request;
 mod response_stats;
+mod second_send;
 pub mod store;
 mod sync;
 
@@ -43,7 +44,7 @@
 use metrics_exporter_prometheus::PrometheusHandle;
 use tokio::sync::Notify;
 
-use self::{connections::IdleConnections, mirror::Mirror, response_stats::ResponseStats};
+use self::{connections::IdleConnections, mirror::Mirror, response_stats::ResponseStats, second_send::SecondSends};
 use crate::{
     callers::endpoint,
     clock::{self, BootClock},
@@ -77,6 +78,7 @@
     sessions: Mutex<SessionMap<Millis>>,
     repeat_budgets: Mutex<HashMap<ServiceName, RepeatBudget>>,
     response_stats: ResponseStats,
+    second_sends: SecondSends,
     mirror: Mirror,
     fleet: Mutex<Fleet>,
     peer_reports: Mutex<exchange::PeerReports>,
@@ -133,6 +135,7 @@
             sessions: Mutex::default(),
             repeat_budgets: Mutex::default(),
             response_stats: ResponseStats::default(),
+            second_sends: SecondSends::open(),
             mirror: Mirror::default(),
             fleet: Mutex::default(),
             peer_reports: Mutex::default(),
@@ -179,6 +182,7 @@
         let acquired = self.with_repeat_budget(service, |budget| budget.try_acquire(now, purpose, routers));
         let purpose = match (acquired, purpose) {
             (false, _) => "denied",
+            (true, Purpose::SlowAnswer) => "slow_answer",
             (true, Purpose::Escalation) => "escalation",
             (true, Purpose::Failure) => "failure",
         };
--- a/crates/daemon/src/telemetry.rs
+++ b/crates/daemon/src/telemetry.rs
@@ -19,6 +19,10 @@
 pub const FIRST_BYTE: &str = "eelgrasswell_first_byte_seconds";
 /// Requests that a gateway sent again, by `purpose`.
 pub const REPEATS: &str = "eelgrasswell_repeats_total";
+/// Second sends of requests whose answer was slow, by `outcome`: `sent`, then `won` or `lost`.
+pub const SECOND_SENDS: &str = "eelgrasswell_second_sends_total";
+/// Requests whose answer was slow and that got no second send, by `reason`.
+pub const SECOND_SENDS_DENIED: &str = "eelgrasswell_second_sends_denied_total";
 /// Calls to the platform, by `kind` and `result`.
 pub const PLATFORM_CALLS: &str = "eelgrasswell_platform_calls_total";
 /// Commits of configuration changes by this router, by `result`.
--- a/crates/manifest/src/gateway.rs
+++ b/crates/manifest/src/gateway.rs
@@ -1,11 +1,14 @@
 //! Settings of a gateway: a router that sends requests to backend servers directly.
 
-use std::net::{IpAddr, SocketAddr};
+use std::{
+    net::{IpAddr, SocketAddr},
+    ops::RangeInclusive,
+};
 
 use compact_str::CompactString;
 use eelgrasswell_core::{
     id::{DomainId, HostId},
-    repeat,
+    repeat, second_send,
     unit::{Bytes, Millis},
 };
 use eyre::{Result, ensure};
@@ -40,6 +43,9 @@
     pub memory_mb: u64,
     /// Limits on the gateway's behaviour.
     pub bounds: Bounds,
+    /// Second sends of requests whose answer is slow; off if absent.
+    #[serde(default)]
+    pub second_send: Option<SecondSend>,
     /// Log level: `error`, `warn`, `info` or `debug`.
     #[serde(default = "default_log_level")]
     pub log_level: CompactString,
@@ -68,6 +74,50 @@
     pub session_s: f64,
 }
 
+/// Second sends of requests whose answer is slow.
+#[derive(Clone, Copy, Debug, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct SecondSend {
+    /// Share of the requests that may get a second send, from 0 to `MAX_SECOND_SEND_SHARE`; 0 turns them off.
+    pub max_share: f64,
+    /// Quantile of the time to the start of an answer after which an answer counts as slow.
+    #[serde(default = "default_quantile")]
+    pub quantile: f64,
+}
+
+/// Largest share of requests that may get a second send.
+const MAX_SECOND_SEND_SHARE: f64 = 0.2;
+/// Range of the quantile. Below the median, more than half of the answers would count as slow; the estimate knows too few
+/// answers for the highest quantiles.
+const SECOND_SEND_QUANTILES: RangeInclusive<f64> = 0.5..=0.999;
+
+fn default_quantile() -> f64 {
+    0.95
+}
+
+impl SecondSend {
+    fn check(&self) -> Result<()> {
+        let Self { max_share, quantile } = self;
+        ensure!(
+            (0.0..=MAX_SECOND_SEND_SHARE).contains(max_share),
+            "could not use second_send.max_share {max_share}: it must be from 0 to {MAX_SECOND_SEND_SHARE}"
+        );
+        ensure!(
+            SECOND_SEND_QUANTILES.contains(quantile),
+            "could not use second_send.quantile {quantile}: it must be from {} to {}",
+            SECOND_SEND_QUANTILES.start(),
+            SECOND_SEND_QUANTILES.end()
+        );
+        Ok(())
+    }
+
+    /// Limits on second sends; none if they are turned off.
+    pub fn limits(&self) -> Option<second_send::Limits> {
+        let limits = second_send::Limits { max_share: self.max_share, quantile: self.quantile };
+        Some(limits).filter(|limits| limits.max_share > 0.0)
+    }
+}
+
 impl Default for Bounds {
     fn default() -> Self {
         Self {
@@ -105,7 +155,7 @@
         for (name, value) in values {
             ensure!(value.is_finite() && value >= 0.0, "could not use bounds.{name} {value}: it must not be negative");
         }
-        Ok(())
+        self.second_send.map_or(Ok(()), |second_send| second_send.check())
     }
 
     /// Memory limit of the process.
--- a/crates/testbed/src/site/backend.rs
+++ b/crates/testbed/src/site/backend.rs
@@ -132,6 +132,23 @@
     runs: Mutex<Vec<Run>>,
     arrivals: Mutex<Vec<Instant>>,
     streams: AtomicUsize,
+    waiting: AtomicUsize,
+}
+
+/// A request that runs and whose response has not begun.
+struct WaitingRequest(Arc<State>);
+
+impl WaitingRequest {
+    fn new(state: Arc<State>) -> Self {
+        state.waiting.fetch_add(1, Ordering::SeqCst);
+        Self(state)
+    }
+}
+
+impl Drop for WaitingRequest {
+    fn drop(&mut self) {
+        self.0.waiting.fetch_sub(1, Ordering::SeqCst);
+    }
 }
 
 /// A stream that is being sent.
@@ -161,6 +178,7 @@
             runs: Mutex::default(),
             arrivals: Mutex::default(),
             streams: AtomicUsize::new(0),
+            waiting: AtomicUsize::new(0),
         });
         let accept_task = tokio::spawn(accept_connections(listener, Arc::clone(&state)));
         Ok(Self { id: id.into(), address, state, accept_task })
@@ -191,6 +209,11 @@
         self.state.streams.load(Ordering::SeqCst)
     }
 
+    /// Number of requests that run and whose response has not begun. A closed connection ends its request.
+    pub fn waiting(&self) -> usize {
+        self.state.waiting.load(Ordering::SeqCst)
+    }
+
     /// The server's entry in the store.
     pub fn store_entry(&self, service: &str, version: &str, state: &str) -> Value {
         json!({
@@ -246,10 +269,12 @@
         return Ok(response(StatusCode::SERVICE_UNAVAILABLE, &fields, "full"));
     }
     state.runs.lock().unwrap_or_else(PoisonError::into_inner).push(run.clone());
+    let waiting = WaitingRequest::new(Arc::clone(&state));
     sleep(behaviour.delay).await;
     if behaviour.unresponsive {
         std::future::pending::<()>().await;
     }
+    drop(waiting);
     if behaviour.drops_response {
         return Err(eyre!("the answer is lost"));
     }
