--- a/crates/core/tests/pool.rs
+++ b/crates/core/tests/pool.rs
@@ -32,6 +32,11 @@
     }
 }
 
+/// Every fourth server is in the domain of the rig's router.
+fn in_two_domains(n: u8) -> Backend {
+    Backend { domain: if n.is_multiple_of(4) { "a" } else { "b" }.into(), ..backend(n) }
+}
+
 fn prefix(hash: u64, tokens: u64) -> SharedPrefix {
     SharedPrefix { hash, tokens: Tokens(tokens) }
 }
@@ -131,13 +136,12 @@
 /// against a domain that keeps its requests although its servers are more loaded than the others.
 #[test]
 fn choose_keeps_short_prefix_in_own_domain_until_it_is_loaded() {
-    let in_domain = |n: u8| Backend { domain: if n % 4 == 0 { "a" } else { "b" }.into(), ..backend(n) };
-    let is_own = |id: &BackendId| (1..=16).any(|n| n % 4 == 0 && in_domain(n).id == *id);
-    let mut rig = Rig::with((1..=16).map(in_domain).collect());
+    let is_own = |id: &BackendId| (1..=4).any(|n| backend(n * 4).id == *id);
+    let mut rig = Rig::with((1..=16).map(in_two_domains).collect());
     for hash in 0..8 {
         assert!(is_own(&rig.choose(NOW, |req| req.shared_prefix = Some(prefix(hash, 500))).unwrap()));
     }
-    let own: HashMap<BackendId, f64> = (1..=4).map(|n| (in_domain(n * 4).id, 20.0)).collect();
+    let own: HashMap<BackendId, f64> = (1..=4).map(|n| (backend(n * 4).id, 20.0)).collect();
     rig.pool.set_peer_loads(&own);
     assert!(!is_own(&rig.choose(NOW, |req| req.shared_prefix = Some(prefix(1, 500))).unwrap()));
 }
@@ -145,9 +149,8 @@
 /// Guards against a long prefix that each failure domain processes again.
 #[test]
 fn choose_finds_long_prefix_in_any_domain() {
-    let in_domain = |n: u8| Backend { domain: if n % 4 == 0 { "a" } else { "b" }.into(), ..backend(n) };
     let chosen = ["a", "b"].map(|domain| {
-        let mut rig = Rig { domain: domain.into(), ..Rig::with((1..=16).map(in_domain).collect()) };
+        let mut rig = Rig { domain: domain.into(), ..Rig::with((1..=16).map(in_two_domains).collect()) };
         (0..8)
             .map(|hash| rig.choose(NOW, |req| req.shared_prefix = Some(prefix(hash, 5_000))).unwrap())
             .collect::<Vec<_>>()
