--- a/crates/core/src/routing_config.rs
+++ b/crates/core/src/routing_config.rs
@@ -22,7 +22,8 @@
     routes: HashMap<CompactString, Vec<Arc<Route>>>,
     /// Customers by API key.
     keys: HashMap<CompactString, Arc<Customer>>,
-    has_customers: bool,
+    /// Whether there is a list of customers, which may be empty. Without one, no key is checked.
+    checks_keys: bool,
 }
 
 /// Limits on requests and connections of callers.
@@ -148,20 +149,21 @@
 pub enum Caller {
     /// The customer that the key belongs to.
     Customer(Arc<Customer>),
-    /// A caller without a known key, where none is required: the route is anonymous, or no customers are configured.
+    /// A caller without a key on an anonymous route, or any caller if the configuration has no list of customers.
     Anonymous,
-    /// A caller without a known key, where one is required.
+    /// A caller with a key that is not in the configuration, or without a key where one is required.
     Unknown,
 }
 
 impl RoutingConfig {
-    /// Builds the snapshot. Routes without targets are left out.
+    /// Builds the snapshot. Routes without targets are left out. A list of customers that is empty admits nobody where a
+    /// key is required; without a list, no key is checked.
     pub fn new(
         version: Revision,
         limits: CallerLimits,
         routes: Vec<Route>,
         services: HashMap<ServiceName, Service>,
-        customers: Vec<Customer>,
+        customers: Option<Vec<Customer>>,
     ) -> Self {
         let mut by_host: HashMap<CompactString, Vec<Arc<Route>>> = HashMap::default();
         for route in routes.into_iter().filter(|route| !route.targets.is_empty()) {
@@ -170,12 +172,12 @@
         for routes in by_host.values_mut() {
             routes.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
         }
-        let has_customers = !customers.is_empty();
+        let checks_keys = customers.is_some();
         let mut keys = HashMap::default();
-        for customer in customers.into_iter().map(Arc::new) {
+        for customer in customers.into_iter().flatten().map(Arc::new) {
             keys.extend(customer.keys.iter().map(|key| (key.clone(), Arc::clone(&customer))));
         }
-        Self { version, limits, services, routes: by_host, keys, has_customers }
+        Self { version, limits, services, routes: by_host, keys, checks_keys }
     }
 
     /// Returns the route of `host` with the longest prefix of `path`. Case and port of `host` are ignored.
@@ -184,12 +186,15 @@
         self.routes.get(host.as_str())?.iter().find(|route| path.starts_with(route.prefix.as_str()))
     }
 
-    /// Returns the sender of a request on `route` with `key`.
+    /// Returns the sender of a request on `route` with `key`. A key that is not in the configuration may be a withdrawn
+    /// one, so it is refused on anonymous routes as well.
     pub fn identify_caller(&self, route: &Route, key: Option<&str>) -> Caller {
-        let customer = key.and_then(|key| self.keys.get(key));
-        match customer {
-            Some(customer) => Caller::Customer(Arc::clone(customer)),
-            None if route.anonymous || !self.has_customers => Caller::Anonymous,
+        if !self.checks_keys {
+            return Caller::Anonymous;
+        }
+        match key {
+            Some(key) => self.keys.get(key).map_or(Caller::Unknown, |customer| Caller::Customer(Arc::clone(customer))),
+            None if route.anonymous => Caller::Anonymous,
             None => Caller::Unknown,
         }
     }
--- a/crates/core/tests/routing_config.rs
+++ b/crates/core/tests/routing_config.rs
@@ -27,10 +27,13 @@
 }
 
 fn config() -> RoutingConfig {
+    let customer = |id: &str, key: &str| Customer { id: id.into(), priority: None, keys: vec![key.into()] };
+    config_with(Some(vec![customer("c1", "k1"), customer("c2", "k2")]))
+}
+
+fn config_with(customers: Option<Vec<Customer>>) -> RoutingConfig {
     let open = Route { anonymous: true, ..route("a.example", "/open/", "s3") };
     let routes = vec![route("a.example", "/x/", "s1"), route("a.example", "/x/y/", "s2"), open];
-    let customer = |id: &str, key: &str| Customer { id: id.into(), priority: None, keys: vec![key.into()] };
-    let customers = vec![customer("c1", "k1"), customer("c2", "k2")];
     RoutingConfig::new(Revision(1), CallerLimits::default(), routes, HashMap::default(), customers)
 }
 
@@ -62,6 +65,27 @@
     assert_eq!(id(config.identify_caller(open, Some("k1"))), "c1");
 }
 
+/// Guards against a withdrawn key that goes on working on an anonymous route.
+#[test]
+fn identify_caller_with_unknown_key_on_anonymous_route() {
+    let config = config();
+    let open = config.route("a.example", "/open/1").unwrap();
+    assert_eq!(config.identify_caller(open, Some("k3")), Caller::Unknown);
+}
+
+/// Guards against a list of customers that has become empty and lets all callers in (issue 34).
+#[test_case(Some(Vec::new()), Caller::Unknown, Caller::Anonymous; "empty list")]
+#[test_case(None, Caller::Anonymous, Caller::Anonymous; "no list")]
+fn identify_caller_without_customers(customers: Option<Vec<Customer>>, keyless: Caller, open_keyless: Caller) {
+    let config = config_with(customers);
+    let (keyed, open) = (config.route("a.example", "/x/1").unwrap(), config.route("a.example", "/open/1").unwrap());
+    for route in [keyed, open] {
+        assert_eq!(config.identify_caller(route, Some("k1")), keyless);
+    }
+    assert_eq!(config.identify_caller(keyed, None), keyless);
+    assert_eq!(config.identify_caller(open, None), open_keyless);
+}
+
 #[test]
 fn target_by_weight() {
     let target = |service: &str, weight| Target { service: service.into(), weight };
