--- a/crates/core/src/attempt.rs
+++ b/crates/core/src/attempt.rs
@@ -1,7 +1,10 @@
 //! Limits how often a request is sent. A request that is not idempotent runs at most once, so it is sent again only
 //! while it is certain that no earlier send has run.
 
-use crate::refusal::{Outcome, Reason, Refusal};
+use crate::{
+    not_run::NotRun,
+    refusal::{Outcome, Reason, Refusal},
+};
 
 /// Limits on the sends of one request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -29,7 +32,7 @@
     }
 
     /// Records a send that certainly has not run and never will.
-    pub fn record_not_run(&mut self) {
+    pub fn record_not_run(&mut self, _: &NotRun) {
         self.sends += 1;
     }
 
--- a/crates/core/src/pool.rs
+++ b/crates/core/src/pool.rs
@@ -16,6 +16,7 @@
     departure::{Departure, Departures},
     hash::{HashMap, HashSet, stable_hash},
     id::{BackendId, DomainId, ServiceName, VersionName},
+    not_run::NotRun,
     pause::Pauses,
     rate::{self, RecentSends},
     stage,
@@ -40,6 +41,9 @@
 const SLOW_FACTOR: f64 = 1.5;
 /// Load added to servers of other failure domains, because traffic between domains has a cost.
 const REMOTE_DOMAIN_LOAD: Cost = 0.25;
+/// Time for which a server is left out after another server has responded at its address. The list usually shows within
+/// this time where the server is now. A longer one would leave a server out that is there after all.
+const REPLACED_TIME: Millis = Millis(5_000);
 /// Share of the limit on requests to a cold server that the routers use.
 const COLD_LIMIT_USAGE: f64 = 0.8;
 
@@ -66,6 +70,8 @@
     cold_until: Millis,
     /// End of the grace period if the server is missing from the list.
     missing_until: Option<Millis>,
+    /// Time until which the server is left out because another server responds at its address.
+    replaced_until: Millis,
     /// Number of this router's requests outstanding at the server.
     outstanding: u32,
     /// Load of these requests.
@@ -178,6 +184,7 @@
             self.insert(now, backend, &mut changes);
         }
         for (id, entry) in &mut self.entries {
+            entry.replaced_until = Millis::ZERO;
             if !listed.contains(id) && entry.missing_until.is_none() {
                 entry.missing_until = Some(now + grace);
                 changes.missing.push(id.clone());
@@ -240,8 +247,8 @@
     }
 
     /// Whether any server of `service` accepts new requests.
-    pub fn has_available(&self, service: &ServiceName) -> bool {
-        self.in_service(service).next().is_some()
+    pub fn has_available(&self, now: Millis, service: &ServiceName) -> bool {
+        self.in_service(now, service).next().is_some()
     }
 
     /// Whether the pool has no servers.
@@ -250,8 +257,8 @@
     }
 
     /// Number of servers of `service` that run `version` and accept new requests.
-    pub fn available_with_version(&self, service: &ServiceName, version: &VersionName) -> usize {
-        self.in_service(service).filter(|entry| entry.backend.version == *version).count()
+    pub fn available_with_version(&self, now: Millis, service: &ServiceName, version: &VersionName) -> usize {
+        self.in_service(now, service).filter(|entry| entry.backend.version == *version).count()
     }
 
     /// Number of this router's requests outstanding at servers of `service` that run other versions than `version`.
@@ -263,7 +270,7 @@
     /// Whether the server still accepts new requests. Callers check this again right before a send.
     pub fn is_available(&self, now: Millis, backend: &Backend) -> bool {
         let entry = self.entries.get(&backend.id).filter(|entry| entry.backend.started_at == backend.started_at);
-        entry.is_some_and(|entry| self.is_in_service(entry) && self.pauses.end(now, entry.server).is_none())
+        entry.is_some_and(|entry| self.is_in_service(now, entry) && self.pauses.end(now, entry.server).is_none())
     }
 
     /// Records that `server` announced at `since` that it is shutting down. Returns whether that was not known.
@@ -298,13 +305,14 @@
         requirements: &Requirements<'_>,
         rng: &mut impl Rng,
     ) -> Result<(Arc<Backend>, SendId), Unavailable> {
-        if !self.has_available(requirements.service) {
+        if !self.has_available(now, requirements.service) {
             return Err(Unavailable::NoneInService);
         }
         let mut first_end: Option<Millis> = None;
         let mut has_unpaused = false;
         let mut eligible: Vec<BackendId> = Vec::new();
-        for entry in self.in_service(requirements.service).filter(|entry| requirements.allows_version(&entry.backend)) {
+        let in_service = self.in_service(now, requirements.service);
+        for entry in in_service.filter(|entry| requirements.allows_version(&entry.backend)) {
             if let Some(end) = self.pauses.end(now, entry.server) {
                 first_end = Some(first_end.map_or(end, |first| first.min(end)));
                 continue;
@@ -364,11 +372,13 @@
         }
     }
 
-    /// Removes a server after another server has responded at its address.
-    pub fn remove_replaced(&mut self, backend: &Backend) {
-        if self.entry_mut(backend).is_some() {
-            self.entries.remove(&backend.id);
-        }
+    /// Leaves an incarnation of a server out after another server has refused a request at its address, which `_proof` shows.
+    /// It is left out for `REPLACED_TIME`, or until the next update of the list if that comes first. Returns the time at which
+    /// this ends; none if the list names another incarnation or address by now.
+    pub fn remove_replaced(&mut self, now: Millis, backend: &Backend, _proof: &NotRun) -> Option<Millis> {
+        let entry = self.entry_mut(backend).filter(|entry| entry.backend.address == backend.address)?;
+        entry.replaced_until = now + REPLACED_TIME;
+        Some(entry.replaced_until)
     }
 
     /// Records that a server has reported that it stays cold for `remaining`.
@@ -382,13 +392,14 @@
         self.entries.get_mut(&backend.id).filter(|entry| entry.backend.started_at == backend.started_at)
     }
 
-    fn in_service(&self, service: &ServiceName) -> impl Iterator<Item = &Entry> {
-        let is_in_service = |entry: &&Entry| entry.backend.service == *service && self.is_in_service(entry);
+    fn in_service(&self, now: Millis, service: &ServiceName) -> impl Iterator<Item = &Entry> {
+        let is_in_service = move |entry: &&Entry| entry.backend.service == *service && self.is_in_service(now, entry);
         self.entries.values().filter(is_in_service)
     }
 
-    fn is_in_service(&self, entry: &Entry) -> bool {
+    fn is_in_service(&self, now: Millis, entry: &Entry) -> bool {
         !entry.backend.draining
+            && now >= entry.replaced_until
             && !self.evacuated.contains(&entry.backend.domain)
             && !self.departures.contains(entry.server)
     }
@@ -464,6 +475,7 @@
             backend: Arc::new(backend),
             cold_until,
             missing_until: None,
+            replaced_until: Millis::ZERO,
             outstanding: 0,
             load: 0.0,
             peer_load: 0.0,
--- a/crates/daemon/src/filter/execute.rs
+++ b/crates/daemon/src/filter/execute.rs
@@ -7,6 +7,7 @@
 use eelgrasswell_core::{
     attempt::{AttemptLimits, Attempts},
     id::{HostId, Incarnation, RequestId, Revision},
+    not_run::{Named, NotRun, Received, Unsent},
     refusal::{Outcome, Reason, Refusal},
     unit::{Cost, Millis, Tokens},
 };
@@ -134,7 +135,7 @@
 enum AttemptError {
     /// The attempt did not run. `revision` is that of the agent's configuration, 0 if unknown. `sent` is whether the
     /// agent received the attempt.
-    NotRun { refusal: Refusal, revision: Revision, sent: bool },
+    NotRun { refusal: Refusal, revision: Revision, sent: bool, proof: NotRun },
     /// The backend server failed.
     Failed(Failed),
     /// The outcome of the attempt is unknown.
@@ -157,7 +158,8 @@
             self.in_flight = None;
             match result {
                 Ok(started) => return Ok(self.start_answer(agent, id, started)),
-                Err(AttemptError::NotRun { refusal, revision, sent }) => {
+                Err(AttemptError::NotRun { refusal, revision, sent, proof }) => {
+                    self.attempts.record_not_run(&proof);
                     self.after_refusal(&agent, &id, refusal, revision, sent).await?;
                 }
                 Err(AttemptError::Failed(failed)) => self.after_failure(&agent, &id, failed).await?,
@@ -181,7 +183,8 @@
         let remaining = self.call.deadline.saturating_duration_since(Instant::now());
         if remaining.is_zero() {
             let refusal = Refusal::not_run(Reason::Deadline);
-            return Err(AttemptError::NotRun { refusal, revision: Revision(0), sent: false });
+            let proof = Unsent::begin().give_up();
+            return Err(AttemptError::NotRun { refusal, revision: Revision(0), sent: false, proof });
         }
         self.check_invariants();
         let req = self.execute_request(agent, id, remaining);
@@ -350,7 +353,6 @@
     ) -> Result<(), Failure> {
         let reason = refusal.reason;
         let failure = Failure::from(refusal).with_request_id(id);
-        self.attempts.record_not_run();
         self.chain.selection_history().record_refusal(&agent.view.id, self.chain.router.clock.now());
         self.tried_agents.push(agent.view.id.clone());
         let retry = may_retry_elsewhere(reason) && self.chain.try_acquire_retry(reason);
@@ -539,14 +541,16 @@
 
 impl From<Refused> for AttemptError {
     fn from(refused: Refused) -> Self {
-        if !refused.not_run {
+        // Each call has a stream of its own, so the refusal is the first response there.
+        let proof = Received::default().record_refusal(&RequestId::default(), Named::Nothing);
+        let Some(proof) = proof.filter(|_| refused.not_run) else {
             return Self::Failed(Failed { reason: refused.reason, bill: None });
-        }
+        };
         let mut refusal = Refusal::not_run(events::parse_reason(&refused.reason));
         if refused.retry_after_ms > 0 {
             refusal = refusal.retry_after(Millis(refused.retry_after_ms));
         }
-        Self::NotRun { refusal, revision: Revision(refused.revision), sent: true }
+        Self::NotRun { refusal, revision: Revision(refused.revision), sent: true, proof }
     }
 }
 
@@ -555,7 +559,8 @@
         match err {
             StreamError::NotSent => {
                 let refusal = Refusal::not_run(Reason::NoBackend);
-                Self::NotRun { refusal, revision: Revision(0), sent: false }
+                let proof = Unsent::begin().give_up();
+                Self::NotRun { refusal, revision: Revision(0), sent: false, proof }
             }
             StreamError::AnswerUnavailable(_) => Self::Lost(Reason::ConnectionLost),
         }
--- a/crates/daemon/src/gateway/attempt.rs
+++ b/crates/daemon/src/gateway/attempt.rs
@@ -11,7 +11,7 @@
     canary::VersionRule,
     crash_evidence::{Block, PartId},
     id::{BackendId, ModelName, RequestId},
-    not_run::Named,
+    not_run::{Evidence, Named, NotRun, Received, Unsent},
     pool::{Cost, Outcome, Requirements, SendId, Unavailable},
     unit::Millis,
 };
@@ -25,8 +25,8 @@
 
 use super::{
     Gateway, State,
-    connections::BackendConn,
-    net::{Conn, SendError},
+    connections::{BackendConn, Unanswered},
+    net::Conn,
     request::Call,
     response_stats::{Sample, SampleOutcome},
 };
@@ -105,7 +105,7 @@
     /// The request was not sent because a part of its prompt crashes servers.
     Blocked(Block),
     /// The request did not run.
-    NotRun { backend: Arc<Backend>, why: String },
+    NotRun { backend: Arc<Backend>, why: String, proof: NotRun },
     /// The server has run the request and failed, with a status that would promise callers that it was not run.
     Failed { backend: Arc<Backend>, status: StatusCode },
     /// The request may have run.
@@ -117,7 +117,7 @@
         match self {
             Self::Unavailable(why) => write!(f, "no server: {why:?}"),
             Self::Blocked(block) => write!(f, "not sent: a part of the prompt crashed {} servers", block.servers),
-            Self::NotRun { backend, why } => write!(f, "not run at {}: {why}", backend.id),
+            Self::NotRun { backend, why, .. } => write!(f, "not run at {}: {why}", backend.id),
             Self::Failed { backend, status } => write!(f, "failed at {} with {status}", backend.id),
             Self::Lost { backend, why } => write!(f, "lost at {}: {why}", backend.id),
         }
@@ -132,28 +132,30 @@
         }
         let mut guard = self.choose_backend(gateway).map_err(SendFailure::Unavailable)?;
         let backend = Arc::clone(&guard.backend);
+        let unsent = Unsent::begin();
         let started = Instant::now();
         let conn = match self.connect(gateway, &backend).await {
             Ok(conn) => conn,
             Err(why) => {
                 gateway.record_outcome(&backend, Outcome::Unreachable);
-                return Err(SendFailure::NotRun { backend, why });
+                return Err(SendFailure::NotRun { backend, why, proof: unsent.give_up() });
             }
         };
         // The server may have started to drain while the connection was opened.
         if !lock(&gateway.pool).is_available(gateway.clock.now(), &backend) {
-            return Err(SendFailure::NotRun { backend, why: "it accepts no new requests".into() });
+            let why = "it accepts no new requests".into();
+            return Err(SendFailure::NotRun { backend, why, proof: unsent.give_up() });
         }
         let conn = guard.conn.insert(conn);
-        let req = self.backend_request(gateway, &backend);
-        let result = timeout_at(self.head_deadline, conn.conn.send(req)).await;
+        let req = self.backend_request(gateway, &backend, conn.received.clone());
+        let result = timeout_at(self.head_deadline, conn.send(unsent, req)).await;
         let response = match result {
             Ok(Ok(response)) => response,
-            Ok(Err(SendError::NotSent(why))) => {
+            Ok(Err(Unanswered::NotSent { proof, why })) => {
                 gateway.record_outcome(&backend, Outcome::Unreachable);
-                return Err(SendFailure::NotRun { backend, why });
+                return Err(SendFailure::NotRun { backend, why, proof });
             }
-            Ok(Err(SendError::Lost(why))) => {
+            Ok(Err(Unanswered::Lost(why))) => {
                 gateway.record_crash(&backend, &self.call.id, &self.call.shared_parts, Millis::ZERO);
                 return Err(self.fail_as_lost(gateway, backend, None, why));
             }
@@ -220,17 +222,41 @@
         price.powf(PRICE_EXPONENT) * tokens.max(MIN_MODEL_COST)
     }
 
+    /// Takes an idle connection, or opens one if there is none or a new one is preferred.
     async fn connect(&self, gateway: &Gateway, backend: &Backend) -> Result<BackendConn, String> {
+        let idempotent = self.call.route.kind.is_idempotent();
+        if !idempotent && gateway.connections.prefers_new(gateway.clock.now(), backend) {
+            let opened = self.open(backend).await;
+            return match opened {
+                Ok(conn) => Ok(conn),
+                Err(why) => self.acquire_idle(gateway, backend).await.ok_or(why),
+            };
+        }
+        match self.acquire_idle(gateway, backend).await {
+            Some(conn) => Ok(conn),
+            None => self.open(backend).await,
+        }
+    }
+
+    async fn acquire_idle(&self, gateway: &Gateway, backend: &Backend) -> Option<BackendConn> {
         let idempotent = self.call.route.kind.is_idempotent();
         while let Some(mut conn) = gateway.connections.acquire(backend, &self.call.id, idempotent) {
             if conn.conn.ready().await {
-                return Ok(conn);
+                return Some(conn);
             }
         }
+        None
+    }
+
+    async fn open(&self, backend: &Backend) -> Result<BackendConn, String> {
         let limit = CONNECT_TIMEOUT.min(self.head_deadline.saturating_duration_since(Instant::now()));
         let opened = Conn::open(backend.address, limit).await;
         let mut conn = opened.map_err(|err| format!("could not connect to {}: {err}", backend.address))?;
-        if conn.ready().await { Ok(conn.into()) } else { Err(format!("{} closed the connection", backend.address)) }
+        if conn.ready().await {
+            Ok(conn.into())
+        } else {
+            Err(format!("the connection to {} is unusable", backend.address))
+        }
     }
 
     /// Urgency among the requests of a server: the customer's priority, or the route's if the customer has none.
@@ -239,7 +265,8 @@
         customer.unwrap_or(self.call.route.priority).min(MAX_URGENCY) as u8
     }
 
-    fn backend_request(&self, gateway: &Gateway, backend: &Arc<Backend>) -> Request<Full<Bytes>> {
+    /// The request to `backend`, on a connection on which `received` has come before.
+    fn backend_request(&self, gateway: &Gateway, backend: &Arc<Backend>, received: Received) -> Request<Full<Bytes>> {
         let call = self.call;
         let fields = RouterFields {
             backend: &backend.id,
@@ -253,10 +280,11 @@
         *req.method_mut() = call.method.clone();
         *req.uri_mut() = call.uri.clone();
         *req.headers_mut() = request::backend_headers(&call.headers, &fields);
-        let (gateway, backend) = (gateway.clone(), Arc::clone(backend));
+        let (gateway, backend, id) = (gateway.clone(), Arc::clone(backend), call.id.clone());
         hyper::ext::on_informational(&mut req, move |interim| {
             if response::is_leaving(interim.headers()) {
-                gateway.record_departure(&backend);
+                let named = Named::by_id(response::request_id(interim.headers()), &id);
+                gateway.record_interim_departure(&backend, &id, received.attribute(&id, named));
             }
         });
         req
@@ -275,28 +303,40 @@
         let meta = response::parse(head.status, &head.headers);
         let backend = Arc::clone(&guard.backend);
         lock(&gateway.pool).record_response(&backend, guard.send);
-        gateway.record_announcements(&backend, &self.call.id, &meta);
         let named = Named::by_id(meta.id.as_deref(), &self.call.id);
+        gateway.record_announcements(&backend, &self.call.id, &meta, guard.attribute(named));
         if named == Named::OtherRequest {
             let why = "an answer to another request came".into();
             return Err(self.fail_as_lost(gateway, backend, Some(SampleOutcome::Failed), why));
         }
         let status = head.status;
         if meta.not_run {
-            if !guard.believes_refusal(named) {
-                event!(Warn, "refusal_doubted", request = self.call.id, backend = backend.id, status = status.as_u16());
+            if named == Named::Nothing && !meta.replaced {
+                gateway.record_unnamed_refusal(&backend, &self.call.id);
+            }
+            let Some(proof) = guard.record_refusal(named) else {
+                event!(
+                    Warn,
+                    "refusal_doubted",
+                    request = self.call.id,
+                    backend = backend.id,
+                    status = status.as_u16(),
+                    idempotent = self.call.route.kind.is_idempotent()
+                );
                 metrics::counter!(telemetry::REFUSALS_DOUBTED).increment(1);
                 let why = "its refusal may belong to another request".into();
                 return Err(self.fail_as_lost(gateway, backend, None, why));
-            }
+            };
             if meta.replaced {
-                lock(&gateway.pool).remove_replaced(&backend);
-                return Err(SendFailure::NotRun { backend, why: "another server answers at its address".into() });
+                gateway.record_replaced(&backend, &self.call.id, &proof);
+                let why = "another server answers at its address".into();
+                return Err(SendFailure::NotRun { backend, why, proof });
             }
             gateway.record_outcome(&backend, Outcome::Refused);
             tokio::spawn(drain(body, guard, meta));
-            return Err(SendFailure::NotRun { backend, why: format!("it refused with {status}") });
+            return Err(SendFailure::NotRun { backend, why: format!("it refused with {status}"), proof });
         }
+        guard.record_response();
         if status.is_success() && (!meta.sealed || meta.encoded) {
             let why = "the answer is not sealed".into();
             return Err(self.fail_as_lost(gateway, backend, Some(SampleOutcome::Failed), why));
@@ -420,13 +460,26 @@
         self.gateway.record_crash(&self.backend, &self.id, &self.shared_parts, answering);
     }
 
-    /// Records a refusal on the connection. Returns whether it can be believed; if not, the connection is closed.
-    fn believes_refusal(&mut self, named: Named) -> bool {
-        let is_believed = self.conn.as_mut().is_some_and(|conn| conn.refusals.record(&self.id, named));
-        if !is_believed {
+    /// What shows that a response on the connection belongs to the request.
+    fn attribute(&self, named: Named) -> Option<Evidence> {
+        self.conn.as_ref()?.received.attribute(&self.id, named)
+    }
+
+    /// Records a response on the connection that is no refusal.
+    fn record_response(&mut self) {
+        if let Some(conn) = &mut self.conn {
+            conn.received.record_response();
+        }
+    }
+
+    /// Records a refusal on the connection. Returns the proof that the request did not run; if there is none, the connection
+    /// is closed.
+    fn record_refusal(&mut self, named: Named) -> Option<NotRun> {
+        let proof = self.conn.as_mut()?.received.record_refusal(&self.id, named);
+        if proof.is_none() {
             self.conn = None;
         }
-        is_believed
+        proof
     }
 
     fn return_connection(mut self, meta: &ResponseMeta) {
--- a/crates/daemon/src/gateway/connections.rs
+++ b/crates/daemon/src/gateway/connections.rs
@@ -6,16 +6,22 @@
     time::{Duration, Instant},
 };
 
+use bytes::Bytes;
 use eelgrasswell_core::{
     backend::Backend,
     hash::HashMap,
     id::{BackendId, RequestId},
-    not_run::Refusals,
+    not_run::{NotRun, Received, UnnamedRefusals, Unsent},
     unit::Millis,
 };
+use http_body_util::Full;
+use hyper::{Request, Response, body::Incoming};
 use tokio::time::sleep;
 
-use super::{Gateway, net::Conn};
+use super::{
+    Gateway,
+    net::{Conn, SendError},
+};
 use crate::sync::lock;
 
 /// Time for which an idle connection is kept if the server states no idle timeout.
@@ -35,19 +41,38 @@
 #[derive(Default)]
 pub struct IdleConnections {
     idle: Mutex<HashMap<(BackendId, SocketAddr), Vec<Idle>>>,
+    unnamed_refusals: Mutex<UnnamedRefusals>,
 }
 
 /// A connection to a backend server.
 pub struct BackendConn {
     /// The connection.
     pub conn: Conn,
-    /// Requests that were refused on it.
-    pub refusals: Refusals,
+    /// Responses that were received on it.
+    pub received: Received,
+}
+
+/// Why a request got no response.
+pub enum Unanswered {
+    /// No byte of it was sent.
+    NotSent { proof: NotRun, why: String },
+    /// It may have arrived.
+    Lost(String),
 }
 
 impl From<Conn> for BackendConn {
     fn from(conn: Conn) -> Self {
-        Self { conn, refusals: Refusals::default() }
+        Self { conn, received: Received::default() }
+    }
+}
+
+impl BackendConn {
+    /// Sends the request of the attempt `unsent` and waits for the head of the response.
+    pub async fn send(&mut self, unsent: Unsent, req: Request<Full<Bytes>>) -> Result<Response<Incoming>, Unanswered> {
+        self.conn.send(req).await.map_err(|err| match err {
+            SendError::NotSent(why) => Unanswered::NotSent { proof: unsent.give_up(), why },
+            SendError::Lost(why) => Unanswered::Lost(why),
+        })
     }
 }
 
@@ -68,7 +93,7 @@
         entries.retain(Idle::is_usable);
         let can_carry = |entry: &Idle| {
             entry.last_request != *id
-                && entry.conn.refusals.allow(id)
+                && entry.conn.received.allow(id)
                 && (idempotent || entry.since.elapsed() < MAX_IDLE_FOR_NON_IDEMPOTENT)
         };
         let index = entries.iter().rposition(can_carry)?;
@@ -82,7 +107,7 @@
             Some(timeout) => Duration::from(timeout).saturating_sub(IDLE_MARGIN),
             None => DEFAULT_IDLE_TIMEOUT,
         };
-        if idle_timeout.is_zero() || conn.conn.is_closed() || conn.refusals.is_full() {
+        if idle_timeout.is_zero() || conn.conn.is_closed() || conn.received.is_full() {
             return;
         }
         let mut idle = lock(&self.idle);
@@ -92,6 +117,17 @@
         }
     }
 
+    /// Records a refusal of `backend` that names no request. Returns whether the server was not known for them.
+    pub fn record_unnamed_refusal(&self, now: Millis, backend: &Backend) -> bool {
+        lock(&self.unnamed_refusals).record(now, backend.server())
+    }
+
+    /// Whether a request that may run once should be sent to `backend` on a new connection: on any other one, a refusal could
+    /// not be attributed, since the server does not name requests in refusals.
+    pub fn prefers_new(&self, now: Millis, backend: &Backend) -> bool {
+        lock(&self.unnamed_refusals).contains(now, backend.server())
+    }
+
     fn purge(&self) {
         lock(&self.idle).retain(|_, entries| {
             entries.retain(Idle::is_usable);
--- a/crates/daemon/src/gateway/execute.rs
+++ b/crates/daemon/src/gateway/execute.rs
@@ -246,8 +246,8 @@
                 self.has_failed = true;
                 self.tried.push(backend.id.clone());
             }
-            Err(SendFailure::NotRun { backend, .. }) => {
-                self.attempts.record_not_run();
+            Err(SendFailure::NotRun { backend, proof, .. }) => {
+                self.attempts.record_not_run(proof);
                 self.tried.push(backend.id.clone());
             }
             Err(SendFailure::Unavailable(_) | SendFailure::Blocked(_)) => {}
--- a/crates/daemon/src/telemetry.rs
+++ b/crates/daemon/src/telemetry.rs
@@ -37,6 +37,12 @@
 pub const PAUSES: &str = "eelgrasswell_pauses_total";
 /// Refusals of backend servers that may have belonged to another request.
 pub const REFUSALS_DOUBTED: &str = "eelgrasswell_refusals_doubted_total";
+/// Refusals of backend servers that named no request.
+pub const REFUSALS_UNNAMED: &str = "eelgrasswell_refusals_unnamed_total";
+/// Announcements of a shutdown or a pause in responses that may have belonged to another request.
+pub const ANNOUNCEMENTS_DOUBTED: &str = "eelgrasswell_announcements_doubted_total";
+/// Backend servers that were left out because another server responded at their address.
+pub const BACKENDS_REPLACED: &str = "eelgrasswell_backends_replaced_total";
 /// Answers with a status that would have promised callers that their request was not run.
 pub const PROMISES_NOT_PASSED_ON: &str = "eelgrasswell_promises_not_passed_on_total";
 /// Parts of prompts that were blocked because they crash backend servers.
