Report usage from one gateway that holds a lease in the store

Cause: calls of the platform's duty API may come from one gateway at a time only, and no code made them.

Change: gateways with the settings section `duties` count the requests of each customer by window, and report the counts to the holder of a lease and to one other candidate. The lease is one object in the store that is replaced only under the revision that was read. The holder settles the report of a window in the object and then sends it.

--- a/crates/daemon/src/gateway/exchange.rs
+++ b/crates/daemon/src/gateway/exchange.rs
@@ -14,6 +14,7 @@
 };
 use eelgrasswell_proto::v1::{
     BackendLoad, FleetCounters, FleetMember, FleetState, FollowReply, FollowRequest, OrderProgress, ReporterCounters,
+    UsageReply, UsageReport,
     fleet_client::FleetClient,
     fleet_server::{Fleet, FleetServer},
 };
@@ -65,6 +66,10 @@
     async fn follow(&self, request: Request<FollowRequest>) -> Result<Response<FollowReply>, Status> {
         Ok(Response::new(follow::handle_request(&self.0, &request.into_inner()).await))
     }
+
+    async fn report_usage(&self, request: Request<UsageReport>) -> Result<Response<UsageReply>, Status> {
+        Ok(Response::new(self.0.duties.handle_usage(request.get_ref())))
+    }
 }
 
 /// Serves exchanges on `listener`, and starts to exchange with peers and to follow watchers.
@@ -164,6 +169,7 @@
             loads,
             counters: self.counters(),
             orders: self.order_progress(now),
+            duty_lease: self.duties.lease_message(),
             ..FleetState::default()
         };
         self.add_crash_evidence(&mut state);
@@ -230,6 +236,7 @@
         self.record_loads(state, now);
         self.record_crash_evidence(state);
         self.record_departures(state);
+        self.duties.record_lease(state.duty_lease.as_ref());
     }
 
     fn record_counters(&self, received: &FleetCounters) {
--- a/crates/daemon/src/gateway/execute.rs
+++ b/crates/daemon/src/gateway/execute.rs
@@ -70,6 +70,8 @@
     attempts: Attempts,
     /// Whether a send has failed.
     has_failed: bool,
+    /// Whether the request was counted for its customer.
+    is_counted: bool,
 }
 
 impl Execution {
@@ -87,6 +89,7 @@
             tried: Vec::new(),
             attempts: Attempts::default(),
             has_failed: false,
+            is_counted: false,
         }
     }
 
@@ -235,6 +238,9 @@
             has_failed: self.has_failed,
         };
         let result = attempt.run(&self.gateway).await;
+        if matches!(result, Ok(_) | Err(SendFailure::Failed { .. })) {
+            self.record_usage();
+        }
         match &result {
             Ok(answer) => {
                 self.attempts.record_run();
@@ -255,6 +261,14 @@
         result
     }
 
+    /// Counts the request for its customer, once, when a server has begun to answer it.
+    fn record_usage(&mut self) {
+        if let Some(customer) = self.call.customer().filter(|_| !self.is_counted) {
+            self.gateway.duties.record_request(customer);
+            self.is_counted = true;
+        }
+    }
+
     fn model(&self) -> Option<ModelName> {
         match &self.call.meta.model {
             ModelSelection::Any => self.escalation_steps.model(self.step).cloned(),
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -7,6 +7,7 @@
 mod connections;
 mod crashes;
 mod derived;
+mod duties;
 mod exchange;
 mod execute;
 mod follow;
@@ -43,7 +44,7 @@
 use metrics_exporter_prometheus::PrometheusHandle;
 use tokio::sync::Notify;
 
-use self::{connections::IdleConnections, mirror::Mirror, response_stats::ResponseStats};
+use self::{connections::IdleConnections, duties::Duties, mirror::Mirror, response_stats::ResponseStats};
 use crate::{
     callers::endpoint,
     clock::{self, BootClock},
@@ -82,6 +83,7 @@
     peer_reports: Mutex<exchange::PeerReports>,
     crash_evidence: Mutex<CrashEvidence>,
     connections: IdleConnections,
+    duties: Duties,
     /// Notified when a version on trial has failed a request, which the other gateways must learn at once.
     trial_failures: Notify,
 }
@@ -113,18 +115,22 @@
     sync::spawn(&gateway);
     orders::spawn(gateway.clone());
     connections::spawn_purge(gateway.clone());
+    duties::spawn(&gateway);
     event!(Info, "gateway_started", id = settings.id, incarnation = gateway.incarnation, callers = settings.callers);
     callers::serve(gateway.clone(), callers).await;
+    gateway.duties.flush(&gateway).await;
     event!(Info, "gateway_stopped", id = settings.id);
     Ok(())
 }
 
 impl Gateway {
     fn new(settings: GatewaySettings, shutdown: Shutdown) -> Self {
+        let incarnation = clock::random_incarnation();
         Self(Arc::new(State {
+            duties: Duties::open(&settings, incarnation, BootClock),
             reloaded: RwLock::new(Arc::new(settings.clone())),
             settings,
-            incarnation: clock::random_incarnation(),
+            incarnation,
             clock: BootClock,
             shutdown,
             config: RwLock::default(),
--- a/crates/daemon/src/gateway/store.rs
+++ b/crates/daemon/src/gateway/store.rs
@@ -4,8 +4,13 @@
 
 use bytes::{Bytes, BytesMut};
 use compact_str::CompactString;
-use eelgrasswell_core::{transfer::Transfer, unit::Millis};
+use eelgrasswell_core::{
+    duty_lease::{Lease, Stored},
+    transfer::Transfer,
+    unit::Millis,
+};
 use eelgrasswell_platform::{
+    duties,
     objects::{Kind, MalformedObject, Object},
     store::{self, Changes, StoreError},
 };
@@ -122,6 +127,24 @@
         Ok(store::parse_written(response.status, &response.body)?)
     }
 
+    /// Reads the lease on the duties within `limit`; none if it does not exist.
+    pub async fn read_lease(&mut self, limit: Millis) -> Result<Option<Stored>, CallError> {
+        let response = self.call("read_lease", duties::read_request(), limit).await?;
+        Ok(duties::parse_read(response.status, &response.body)?)
+    }
+
+    /// Creates the lease on the duties if it does not exist, and returns its revision.
+    pub async fn create_lease(&mut self, lease: &Lease, limit: Millis) -> Result<u64, CallError> {
+        let response = self.call("create_lease", duties::create_request(lease), limit).await?;
+        Ok(duties::parse_written(response.status, &response.body)?)
+    }
+
+    /// Replaces the lease on the duties if it still has the revision of `stored`, and returns its new revision.
+    pub async fn replace_lease(&mut self, stored: &Stored, limit: Millis) -> Result<u64, CallError> {
+        let response = self.call("replace_lease", duties::replace_request(stored), limit).await?;
+        Ok(duties::parse_written(response.status, &response.body)?)
+    }
+
     async fn call(
         &mut self,
         name: &'static str,
--- a/crates/daemon/src/telemetry.rs
+++ b/crates/daemon/src/telemetry.rs
@@ -41,6 +41,18 @@
 pub const PROMISES_NOT_PASSED_ON: &str = "eelgrasswell_promises_not_passed_on_total";
 /// Parts of prompts that were blocked because they crash backend servers.
 pub const PARTS_BLOCKED: &str = "eelgrasswell_parts_blocked_total";
+/// Whether this gateway may perform the duties that one gateway performs for all: 1 or 0.
+pub const DUTY_HOLDER: &str = "eelgrasswell_duty_holder";
+/// Fence of this gateway's last lease on the duties.
+pub const DUTY_FENCE: &str = "eelgrasswell_duty_fence";
+/// Changes of the lease on the duties, by `change`.
+pub const DUTY_LEASE_CHANGES: &str = "eelgrasswell_duty_lease_changes_total";
+/// Reports of usage to the platform's API, by `result`.
+pub const USAGE_REPORTS: &str = "eelgrasswell_usage_reports_total";
+/// Last window of usage, by `stage`: settled or sent.
+pub const USAGE_WINDOW: &str = "eelgrasswell_usage_window";
+/// Messages with counts of requests to other gateways, by `result`.
+pub const USAGE_MESSAGES: &str = "eelgrasswell_usage_messages_total";
 /// Version of the configuration in force.
 pub const CONFIG_VERSION: &str = "eelgrasswell_config_version";
 /// Links that were lost because the connection broke or the agent became unresponsive.
--- a/crates/manifest/src/gateway.rs
+++ b/crates/manifest/src/gateway.rs
@@ -40,11 +40,57 @@
     pub memory_mb: u64,
     /// Limits on the gateway's behaviour.
     pub bounds: Bounds,
+    /// Duties that one gateway performs for all; none on most deployments.
+    #[serde(default)]
+    pub duties: Option<Duties>,
     /// Log level: `error`, `warn`, `info` or `debug`.
     #[serde(default = "default_log_level")]
     pub log_level: CompactString,
 }
 
+/// Calls to an API of the platform that only one gateway makes at a time.
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Duties {
+    /// Address of the API; none if there are no duties.
+    #[serde(default)]
+    pub address: Option<SocketAddr>,
+    /// Names of the duties. Unknown ones are ignored.
+    #[serde(default)]
+    pub names: Vec<CompactString>,
+    /// Limit on the calls per second of all gateways together; 0 if there are no duties.
+    #[serde(default)]
+    pub calls_per_s: f64,
+    /// Time in milliseconds without a renewal after which another gateway takes over.
+    #[serde(default = "default_lease_ms")]
+    pub lease_ms: u64,
+    /// Length of a window of usage in seconds.
+    #[serde(default = "default_window_s")]
+    pub window_s: f64,
+    /// Time in seconds after the end of a window by which its report is due.
+    #[serde(default = "default_due_s")]
+    pub due_s: f64,
+    /// Share by which the reported counts may differ from the true ones.
+    #[serde(default = "default_tolerance")]
+    pub tolerance: f64,
+}
+
+fn default_lease_ms() -> u64 {
+    3_000
+}
+
+fn default_window_s() -> f64 {
+    5.0
+}
+
+fn default_due_s() -> f64 {
+    10.0
+}
+
+fn default_tolerance() -> f64 {
+    0.05
+}
+
 /// Limits on the gateway's behaviour, set by operators. Each defaults to the strictest value in use.
 #[derive(Clone, Debug, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields, default)]
@@ -105,7 +151,7 @@
         for (name, value) in values {
             ensure!(value.is_finite() && value >= 0.0, "could not use bounds.{name} {value}: it must not be negative");
         }
-        Ok(())
+        self.duties.as_ref().map_or(Ok(()), Duties::check)
     }
 
     /// Memory limit of the process.
@@ -114,6 +160,40 @@
     }
 }
 
+impl Duties {
+    fn check(&self) -> Result<()> {
+        let ranges = [
+            ("calls_per_s", self.calls_per_s, 0.0, 1_000.0),
+            ("lease_ms", self.lease_ms as f64, 500.0, 60_000.0),
+            ("window_s", self.window_s, 1.0, 3_600.0),
+            ("due_s", self.due_s, 1.0, 3_600.0),
+            ("tolerance", self.tolerance, 0.0, 1.0),
+        ];
+        for (name, value, min, max) in ranges {
+            ensure!(
+                (min..=max).contains(&value),
+                "could not use duties.{name} {value}: it must be between {min} and {max}"
+            );
+        }
+        Ok(())
+    }
+
+    /// Time without a renewal after which another gateway takes over.
+    pub fn lease(&self) -> Millis {
+        Millis(self.lease_ms)
+    }
+
+    /// Length of a window of usage.
+    pub fn window(&self) -> Millis {
+        millis_from_seconds(self.window_s)
+    }
+
+    /// Time after the end of a window by which its report is due.
+    pub fn due(&self) -> Millis {
+        millis_from_seconds(self.due_s)
+    }
+}
+
 impl Bounds {
     /// Limit on repeats.
     pub fn repeat_limit(&self) -> repeat::RepeatLimit {
--- a/crates/testbed/src/site/mod.rs
+++ b/crates/testbed/src/site/mod.rs
@@ -2,11 +2,13 @@
 //! against them as separate processes.
 
 mod backend;
+mod duty_api;
 mod rig;
 mod scripted;
 mod store;
 
 pub use backend::{Behaviour, FakeBackend, Run, event};
+pub use duty_api::{ApiMode, DutyCall, FakeDutyApi};
 pub use rig::{GatewayProcess, Rig, RigPlan, config, wait_until};
 pub use scripted::{Script, ScriptedBackend, ScriptedRequest};
 pub use store::{FakeStore, StoreFaults};
--- a/crates/testbed/src/site/rig.rs
+++ b/crates/testbed/src/site/rig.rs
@@ -84,7 +84,12 @@
 impl Rig {
     /// Starts the stand-ins and gateways and waits until all gateways are ready.
     pub async fn start(plan: RigPlan) -> Result<Self> {
-        let rig = Self::start_unready(plan).await?;
+        Self::start_with(plan, "").await
+    }
+
+    /// Like `start`, with additional lines in the settings of all gateways.
+    pub async fn start_with(plan: RigPlan, settings: &str) -> Result<Self> {
+        let rig = Self::start_unready_with(plan, settings).await?;
         rig.store.put("config", "main", config(1));
         for gateway in &rig.gateways {
             let ready = wait_until("a gateway is ready", async || gateway.is_ready().await).await;
@@ -95,6 +100,10 @@
 
     /// Starts the stand-ins and gateways without a configuration in the store, so that the gateways are not ready.
     pub async fn start_unready(plan: RigPlan) -> Result<Self> {
+        Self::start_unready_with(plan, "").await
+    }
+
+    async fn start_unready_with(plan: RigPlan, added_settings: &str) -> Result<Self> {
         static NEXT: AtomicU16 = AtomicU16::new(0);
         let number = NEXT.fetch_add(1, Ordering::Relaxed);
         let dir = env::temp_dir().join(format!("eelgrasswell-rig-{}-{number}", std::process::id()));
@@ -124,7 +133,8 @@
                 seeds.join(", "),
                 store_links.get(n).map_or_else(|| store.address(n), FaultLink::address)
             );
-            fs::write(&settings, text).wrap_err_with(|| format!("could not write {}", settings.display()))?;
+            fs::write(&settings, text + added_settings)
+                .wrap_err_with(|| format!("could not write {}", settings.display()))?;
             let log = dir.join(format!("{name}.log"));
             let command = StartCommand {
                 name,
--- a/crates/testbed/src/site/store.rs
+++ b/crates/testbed/src/site/store.rs
@@ -4,6 +4,8 @@
 //! |---|---|
 //! | `GET /objects/KIND?after=NAME` | `items`, `has_more`, `store_revision` |
 //! | `GET /objects/KIND?watch=N&wait_ms=T` | `events`, `store_revision`; 410 if the history was dropped |
+//! | `POST /objects/KIND` | the new object; 409 if it exists |
+//! | `PUT /objects/KIND/NAME` | the object; 409 if `metadata.revision` differs; 404 |
 //! | `PUT /objects/KIND/NAME/status` | the object; 409 if `metadata.revision` differs; 404 |
 
 use std::{
@@ -24,7 +26,7 @@
     net::TcpListener,
     sync::watch,
     task::JoinHandle,
-    time::{Instant, timeout_at},
+    time::{Instant, sleep, timeout_at},
 };
 
 /// Number of objects on one page of a list.
@@ -39,6 +41,9 @@
     pub unresponsive_to: Vec<usize>,
     /// No call gets a response.
     pub unresponsive: bool,
+    /// Writes of specs by the gateway with this index get no response and take effect after this time, if their condition
+    /// still holds.
+    pub late_writes: Option<(usize, Duration)>,
 }
 
 /// A running stand-in. It stops when this is dropped. Each gateway gets an address of its own, so that faults and
@@ -66,6 +71,8 @@
     /// JSON texts that `Value` can't hold, each with the text that stands for it in objects.
     raw: Vec<(String, String)>,
     calls: HashMap<(usize, String), u64>,
+    /// Number of late writes that have taken effect, and of those whose condition no longer held.
+    late_writes: (u64, u64),
 }
 
 impl FakeStore {
@@ -122,6 +129,18 @@
         object.map_or(Value::Null, |object| object["status"].clone())
     }
 
+    /// Spec of an object; null if the object does not exist.
+    pub fn spec(&self, kind: &str, name: &str) -> Value {
+        let inner = self.state.lock();
+        let object = inner.kinds.get(kind).and_then(|objects| objects.get(name));
+        object.map_or(Value::Null, |object| object["spec"].clone())
+    }
+
+    /// Number of late writes that have taken effect, and of those whose condition no longer held.
+    pub fn late_writes(&self) -> (u64, u64) {
+        self.state.lock().late_writes
+    }
+
     /// Changes the simulated faults.
     pub fn set_faults(&self, change: impl FnOnce(&mut StoreFaults)) {
         change(&mut self.state.lock().faults);
@@ -148,6 +167,20 @@
     }
 }
 
+impl Inner {
+    fn change(&mut self, kind: &str, name: &str, change: impl FnOnce(&mut Value)) -> Value {
+        self.revision += 1;
+        let objects = self.kinds.entry(kind.into()).or_default();
+        let new = || json!({ "metadata": { "name": name }, "spec": null, "status": null });
+        let object = objects.entry(name.into()).or_insert_with(new);
+        change(object);
+        object["metadata"]["revision"] = self.revision.into();
+        let object = object.clone();
+        self.history.push((self.revision, kind.into(), json!({ "deleted": false, "object": object })));
+        object
+    }
+}
+
 impl State {
     fn lock(&self) -> std::sync::MutexGuard<'_, Inner> {
         self.inner.lock().unwrap_or_else(PoisonError::into_inner)
@@ -156,19 +189,7 @@
     fn change(&self, kind: &str, name: &str, change: impl FnOnce(&mut Value)) -> Value {
         let (object, revision) = {
             let mut inner = self.lock();
-            inner.revision += 1;
-            let revision = inner.revision;
-            let object = inner
-                .kinds
-                .entry(kind.into())
-                .or_default()
-                .entry(name.into())
-                .or_insert_with(|| json!({ "metadata": { "name": name }, "spec": null, "status": null }));
-            change(object);
-            object["metadata"]["revision"] = revision.into();
-            let object = object.clone();
-            inner.history.push((revision, kind.into(), json!({ "deleted": false, "object": object })));
-            (object, revision)
+            (inner.change(kind, name, change), inner.revision)
         };
         self.changes.send_replace(revision);
         object
@@ -180,7 +201,7 @@
         raw.iter().fold(value.to_string(), |text, (placeholder, spec)| text.replace(placeholder, spec))
     }
 
-    async fn handle_request(&self, gateway: usize, req: Request<Incoming>) -> (StatusCode, Value) {
+    async fn handle_request(self: &Arc<Self>, gateway: usize, req: Request<Incoming>) -> (StatusCode, Value) {
         let path: Vec<String> = req.uri().path().split('/').skip(2).map(str::to_owned).collect();
         let query: HashMap<String, String> = req
             .uri()
@@ -194,9 +215,25 @@
         if let Some(failure) = self.simulate_fault(gateway).await {
             return failure;
         }
-        if req.method() == hyper::Method::PUT {
+        let method = req.method().clone();
+        if method == hyper::Method::PUT || method == hyper::Method::POST {
             let body = req.into_body().collect().await.map(|body| body.to_bytes()).unwrap_or_default();
-            return self.put_status(&path, &body);
+            if path.last().is_some_and(|last| last == "status") {
+                return self.put_status(&path, &body);
+            }
+            let late = self.lock().faults.late_writes;
+            if let Some((_, delay)) = late.filter(|(late, _)| *late == gateway) {
+                // A task of its own, since the caller closes the connection before that.
+                let state = Arc::clone(self);
+                tokio::spawn(async move {
+                    sleep(delay).await;
+                    let took_effect = state.write_spec(&path, &body).0.is_success();
+                    let counts = &mut state.lock().late_writes;
+                    *(if took_effect { &mut counts.0 } else { &mut counts.1 }) += 1;
+                });
+                return std::future::pending().await;
+            }
+            return self.write_spec(&path, &body);
         }
         match query.get("watch").and_then(|revision| revision.parse().ok()) {
             Some(revision) => {
@@ -251,6 +288,30 @@
         }
     }
 
+    /// Creates the object named in `body`, or replaces the spec of the object named in `path` under the revision in
+    /// `body`.
+    fn write_spec(&self, path: &[String], body: &[u8]) -> (StatusCode, Value) {
+        let body: Value = serde_json::from_slice(body).unwrap_or_default();
+        let named = path.get(1).cloned();
+        let name = named.clone().unwrap_or_else(|| body["metadata"]["name"].as_str().unwrap_or_default().to_owned());
+        // The condition and the change are one step.
+        let mut inner = self.lock();
+        let known = inner.kinds.get(&path[0]).and_then(|objects| objects.get(&name)).cloned();
+        match (named, known) {
+            (Some(_), None) => return (StatusCode::NOT_FOUND, Value::Null),
+            (None, Some(known)) => return (StatusCode::CONFLICT, known),
+            (Some(_), Some(known)) if body["metadata"]["revision"] != known["metadata"]["revision"] => {
+                return (StatusCode::CONFLICT, known);
+            }
+            (Some(_), Some(_)) | (None, None) => {}
+        }
+        let object = inner.change(&path[0], &name, |object| object["spec"] = body["spec"].clone());
+        let revision = inner.revision;
+        drop(inner);
+        self.changes.send_replace(revision);
+        (StatusCode::OK, object)
+    }
+
     fn put_status(&self, path: &[String], body: &[u8]) -> (StatusCode, Value) {
         let body: Value = serde_json::from_slice(body).unwrap_or_default();
         let known = {
