--- a/crates/core/src/duty_lease.rs
+++ b/crates/core/src/duty_lease.rs
@@ -156,7 +156,8 @@
     heard: Option<Heard>,
     /// Highest fence that was read or heard of.
     max_fence: Fence,
-    /// Last window that is not reported if this router creates the object.
+    /// Last window that is not reported if this router creates the object: also the last one that is known to be settled, in
+    /// case the object was deleted.
     first_settled: WindowId,
     /// Content of the write in progress.
     in_flight: Option<Lease>,
@@ -249,7 +250,10 @@
 
     /// Records that a read ended at `now` with the object, or without one if there is none.
     pub fn record_read(&mut self, now: Millis, object: Option<Stored>) -> Option<Change> {
-        self.max_fence = self.max_fence.max(object.as_ref().map_or(Fence(0), |object| object.lease.fence));
+        if let Some(object) = &object {
+            self.max_fence = self.max_fence.max(object.lease.fence);
+            self.first_settled = self.first_settled.max(object.lease.settled_through);
+        }
         let before = match std::mem::replace(&mut self.phase, Phase::Listening { since: now }) {
             Phase::Holding(held) => Some(held),
             Phase::Listening { .. } | Phase::Observing { .. } => None,
@@ -298,6 +302,7 @@
                     renewed.skip_through(held.settled_through);
                 }
                 self.max_fence = self.max_fence.max(fence);
+                self.first_settled = self.first_settled.max(renewed.stored.lease.settled_through);
                 self.phase = Phase::Holding(renewed);
                 self.not_before = sent + Millis(self.duration.0 / RENEWALS_PER_LEASE);
                 is_new.then_some(Change::Taken(fence))
@@ -337,6 +342,7 @@
             held.must_read = true;
         }
         self.max_fence = self.max_fence.max(heard.fence);
+        self.first_settled = self.first_settled.max(heard.settled_through);
         self.heard = Some(heard);
         true
     }
