--- a/crates/daemon/src/gateway/execute.rs
+++ b/crates/daemon/src/gateway/execute.rs
@@ -73,6 +73,8 @@
     has_failed: bool,
     /// Whether the request has got a second send because of a slow answer.
     second_sent: bool,
+    /// Whether the request was counted for its customer.
+    is_counted: bool,
 }
 
 impl Execution {
@@ -91,6 +93,7 @@
             attempts: Attempts::default(),
             has_failed: false,
             second_sent: false,
+            is_counted: false,
         }
     }
 
@@ -266,6 +269,9 @@
     }
 
     fn record_send(&mut self, result: &Result<Answer, SendFailure>) {
+        if matches!(result, Ok(_) | Err(SendFailure::Failed { .. })) {
+            self.record_usage();
+        }
         match result {
             Ok(answer) => {
                 self.attempts.record_run();
@@ -312,6 +318,14 @@
         attempts
     }
 
+    /// Counts the request for its customer, once, when a server has begun to answer it.
+    fn record_usage(&mut self) {
+        if let Some(customer) = self.call.customer().filter(|_| !self.is_counted) {
+            self.gateway.duties.record_request(customer);
+            self.is_counted = true;
+        }
+    }
+
     fn model(&self) -> Option<ModelName> {
         match &self.call.meta.model {
             ModelSelection::Any => self.escalation_steps.model(self.step).cloned(),
