Send no request on a connection with unread bytes (part 1)

Bytes that are in the socket before a request is written are not its response. The HTTP library finds them only once the runtime has been told of them. Until then it writes the request and takes them for the response.

The connection asks the kernel (recv with MSG_PEEK) when it is taken for a request, and right before the first byte of the request is written. With unread bytes, or if the other end has closed it, an idle connection is passed over, and a request is not written and counts as unsent. To ask, the owner of the connection shares the stream with the HTTP library (gateway::socket); there is still one descriptor for each connection.

--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -18,6 +18,7 @@
 mod reload;
 mod request;
 mod response_stats;
+mod socket;
 pub mod store;
 mod sync;
 
--- a/crates/daemon/src/gateway/net.rs
+++ b/crates/daemon/src/gateway/net.rs
@@ -17,6 +17,8 @@
     time::timeout,
 };
 
+use super::socket::Socket;
+
 /// Time after which the kernel closes a connection with unacknowledged bytes (`TCP_USER_TIMEOUT`). An unresponsive
 /// connection shows no other sign.
 const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(1_500);
@@ -28,6 +30,7 @@
 /// An open connection. Dropping it closes the socket at once, so that the other end stops work on the request.
 pub struct Conn {
     sender: SendRequest<Full<Bytes>>,
+    socket: Socket,
     task: AbortHandle,
 }
 
@@ -55,13 +58,14 @@
     /// Connects to `address` within `limit`.
     pub async fn open(address: SocketAddr, limit: Duration) -> io::Result<Self> {
         let stream = timeout(limit, connect(address)).await.map_err(|_| io::ErrorKind::TimedOut)??;
-        let (sender, connection) = http1::handshake(TokioIo::new(stream)).await.map_err(io::Error::other)?;
+        let socket = Socket::from(stream);
+        let (sender, connection) = http1::handshake(TokioIo::new(socket.clone())).await.map_err(io::Error::other)?;
         // The request in progress gets the error, too. Between requests, an error only means that the other end has
         // closed the connection.
         let task = tokio::spawn(async move {
             let _ = connection.await;
         });
-        Ok(Self { sender, task: task.abort_handle() })
+        Ok(Self { sender, socket, task: task.abort_handle() })
     }
 
     /// Whether the other end has closed the connection or sent data without a request.
@@ -69,15 +73,18 @@
         self.sender.is_closed() || self.task.is_finished()
     }
 
-    /// Waits until the connection is ready for a request; false if it is closed.
+    /// Waits until the connection is ready for a request; false if it is closed, or if bytes have come without a request.
     pub async fn ready(&mut self) -> bool {
-        self.sender.ready().await.is_ok() && !self.is_closed()
+        self.sender.ready().await.is_ok() && !self.is_closed() && self.socket.is_quiet()
     }
 
-    /// Sends a request and waits for the head of the response.
+    /// Sends a request and waits for the head of the response. Nothing is sent if bytes have come before: they are not its
+    /// response.
     pub async fn send(&mut self, req: Request<Full<Bytes>>) -> Result<Response<Incoming>, SendError> {
-        self.sender.try_send_request(req).await.map_err(|mut err| {
-            let unsent = err.take_message().is_some();
+        self.socket.begin_request();
+        let result = self.sender.try_send_request(req).await;
+        result.map_err(|mut err| {
+            let unsent = err.take_message().is_some() || self.socket.has_rejected_request();
             let text = error_chain(err.error());
             if unsent { SendError::NotSent(text) } else { SendError::Lost(text) }
         })
