Send fewer new requests to a server that is slow at the moment

A server that is two or three times slower for some seconds kept its share of the new requests: the moving average of its slowness needs about ten answers, more than one gateway gets from a server in this time.

With the new setting `server_pace` (off when left out), a gateway samples the starts of answers and the pace of running streams, compares each server with the median of the service's servers over about the last second, and raises the load of a slow one when it chooses a server. Running streams stay, nothing is recorded for the version, cold servers are left out, and a service that is slow as a whole has no slow servers.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -38,6 +38,7 @@
 pub mod rollout;
 pub mod routing_config;
 pub mod second_send;
+pub mod server_pace;
 pub mod session;
 pub mod session_map;
 pub mod shard;
--- a/crates/core/src/pace.rs
+++ b/crates/core/src/pace.rs
@@ -64,6 +64,11 @@
 }
 
 impl PaceEstimates {
+    /// Median pace, in milliseconds per byte; none before the first answer.
+    pub fn median(&self, service: &ServiceName, model: &ModelName) -> Option<f64> {
+        self.medians.get(&(service.clone(), model.clone())).copied()
+    }
+
     /// Returns whether an answer with the pace `pace` is slow. Answers of a version on trial do not change the median, so
     /// that the version is compared with the others however many requests it gets.
     pub fn is_slow(&mut self, service: &ServiceName, model: &ModelName, pace: f64, on_trial: bool) -> bool {
--- a/crates/core/src/pool.rs
+++ b/crates/core/src/pool.rs
@@ -18,6 +18,7 @@
     id::{BackendId, DomainId, ServiceName, VersionName},
     pause::Pauses,
     rate::{self, RecentSends},
+    server_pace::{Baseline, RecentPace},
     stage,
     unit::Millis,
 };
@@ -78,6 +79,9 @@
     /// Sends whose response has not started, with the time from which the response is overdue.
     unanswered: Vec<(SendId, Millis)>,
     health: Health,
+    pace: RecentPace,
+    /// Whether the last sample of `pace` showed that the server is slow at the moment.
+    is_slow: bool,
 }
 
 /// Identifies a send, which is one transmission of a request to a backend server, among the sends of one router.
@@ -336,7 +340,7 @@
         if requirements.fills_servers {
             self.keep_loaded(&mut candidates);
         }
-        let id = self.best_candidate(&candidates, requirements, rng);
+        let id = self.best_candidate(now, &candidates, requirements, rng);
         let entry = self.entries.get_mut(&id).expect("the selected server is in the pool");
         entry.sends.record(now);
         entry.health.record_probe(now);
@@ -389,6 +393,17 @@
         }
     }
 
+    /// Records that something took a server `ratio` times the usual time. Returns the factor on its load if this shows that
+    /// the server has become slow. A cold server is slow for another reason.
+    pub fn record_pace(&mut self, now: Millis, backend: &Backend, ratio: f64) -> Option<f64> {
+        let entry = self.entry_mut(backend).filter(|entry| entry.cold_until <= now)?;
+        entry.pace.record(now, ratio);
+        let (pace, was_slow) = (entry.pace, entry.is_slow);
+        let factor = if pace.may_be_slow() { self.baseline(now, &backend.service).factor(&pace) } else { 1.0 };
+        self.entry_mut(backend)?.is_slow = factor > 1.0;
+        (factor > 1.0 && !was_slow).then_some(factor)
+    }
+
     /// Removes a server after another server has responded at its address.
     pub fn remove_replaced(&mut self, backend: &Backend) {
         if self.entry_mut(backend).is_some() {
@@ -442,13 +457,15 @@
 
     fn best_candidate(
         &self,
+        now: Millis,
         candidates: &[BackendId],
         requirements: &Requirements<'_>,
         rng: &mut impl Rng,
     ) -> BackendId {
         let median = self.median_slowness(candidates);
+        let baseline = self.baseline(now, requirements.service);
         let mut loads: Vec<(f64, &BackendId)> =
-            candidates.iter().map(|id| (self.entries[id].load(requirements, median), id)).collect();
+            candidates.iter().map(|id| (self.entries[id].load(requirements, median, &baseline), id)).collect();
         let mean = loads.iter().map(|(load, _)| load).sum::<f64>() / loads.len() as f64;
         let limit = mean * AFFINITY_LOAD_FACTOR + AFFINITY_SLACK.max(requirements.cost);
         if let Some(affinity) = requirements.affinity {
@@ -465,6 +482,10 @@
         least_loaded.expect("there are candidates").1.clone()
     }
 
+    fn baseline(&self, now: Millis, service: &ServiceName) -> Baseline {
+        Baseline::new(now, self.in_service(service).map(|entry| &entry.pace))
+    }
+
     fn median_slowness(&self, candidates: &[BackendId]) -> f64 {
         let mut values: Vec<f64> = candidates.iter().filter_map(|id| self.entries[id].health.slowness).collect();
         if values.is_empty() {
@@ -495,6 +516,8 @@
             sends: RecentSends::default(),
             unanswered: Vec::new(),
             health: Health::default(),
+            pace: RecentPace::default(),
+            is_slow: false,
         }
     }
 
@@ -509,9 +532,10 @@
         self.health.is_usable(now) && self.unanswered.iter().all(|(_, overdue)| now < *overdue)
     }
 
-    fn load(&self, requirements: &Requirements<'_>, median_slowness: f64) -> f64 {
+    fn load(&self, requirements: &Requirements<'_>, median_slowness: f64, baseline: &Baseline) -> f64 {
         let factor = self.health.slowness.map_or(1.0, |slowness| slowness / median_slowness);
         let factor = if factor > SLOW_FACTOR { factor } else { 1.0 };
+        let factor = factor.max(baseline.factor(&self.pace));
         let remote = if self.backend.domain == *requirements.domain { 0.0 } else { REMOTE_DOMAIN_LOAD };
         (self.load + self.peer_load + requirements.cost) * factor + remote
     }
--- a/crates/daemon/src/gateway/attempt.rs
+++ b/crates/daemon/src/gateway/attempt.rs
@@ -337,6 +337,7 @@
             let elapsed = Millis::from(started.elapsed());
             let slowness = gateway.response_stats.record(self.sample(&backend, SampleOutcome::Answered(elapsed)));
             gateway.record_outcome(&backend, Outcome::Answered { slowness });
+            gateway.record_start_pace(&backend, slowness);
         }
         Ok(Answer { status, headers: head.headers, meta, body, guard })
     }
--- a/crates/daemon/src/gateway/execute.rs
+++ b/crates/daemon/src/gateway/execute.rs
@@ -312,7 +312,8 @@
         attempts
     }
 
-    fn model(&self) -> Option<ModelName> {
+    /// Model in use; none for a plain service.
+    pub fn model(&self) -> Option<ModelName> {
         match &self.call.meta.model {
             ModelSelection::Any => self.escalation_steps.model(self.step).cloned(),
             ModelSelection::Named(model) => Some(model.clone()),
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -19,6 +19,7 @@
 mod request;
 mod response_stats;
 mod second_send;
+mod server_pace;
 pub mod store;
 mod sync;
 
--- a/crates/daemon/src/gateway/relay.rs
+++ b/crates/daemon/src/gateway/relay.rs
@@ -10,6 +10,7 @@
     pace::PaceSampler,
     pool::Outcome,
     repeat::Purpose,
+    server_pace::StreamSampler,
 };
 use eyre::{Report, eyre};
 use futures::stream;
@@ -96,6 +97,8 @@
     splitter: EventSplitter,
     /// Sampler of the answer in progress.
     pace: PaceSampler,
+    /// Sampler of the same answer for the pace of its server.
+    server_pace: StreamSampler,
     order: EventOrder,
     /// Fault behind the last events that were passed on.
     fault: Option<EventFault>,
@@ -123,6 +126,7 @@
             answer: Some(answer),
             splitter: EventSplitter::default(),
             pace: PaceSampler::default(),
+            server_pace: StreamSampler::default(),
             order,
             fault: None,
             owes_event: false,
@@ -230,6 +234,7 @@
             self.owes_event |= self.splitter.is_inside_known_field();
             self.splitter.reset();
             self.pace = PaceSampler::default();
+            self.server_pace = StreamSampler::default();
             event!(Info, "stream_broken", request = self.execution.call.id, error = why);
             if !self.resumable || !self.order.is_resumable() {
                 return Err(self.cut_error(&why));
@@ -245,8 +250,13 @@
     /// returned first, and the fault with the next read.
     fn push(&mut self, data: &Bytes) -> Result<Option<Bytes>, String> {
         let now = self.execution.gateway.clock.now();
-        let pace = self.pace.record(now, eelgrasswell_core::unit::Bytes(data.len() as u64));
+        let bytes = eelgrasswell_core::unit::Bytes(data.len() as u64);
+        let pace = self.pace.record(now, bytes);
         self.record_pace(pace);
+        if let Some(answer) = &self.answer {
+            let model = || self.execution.model().unwrap_or_default();
+            self.execution.gateway.record_stream_pace(&mut self.server_pace, now, answer, model, bytes);
+        }
         let Some(mut events) = self.splitter.push(data) else {
             return if self.splitter.is_overlong() { Err("an event is too long".into()) } else { Ok(None) };
         };
--- a/crates/daemon/src/gateway/response_stats.rs
+++ b/crates/daemon/src/gateway/response_stats.rs
@@ -123,6 +123,11 @@
         counters.slow_paced += u64::from(is_slow);
     }
 
+    /// Usual pace of the answers of a model, in milliseconds per byte; none before the first answer.
+    pub fn usual_pace(&self, service: &ServiceName, model: &ModelName) -> Option<f64> {
+        lock(&self.state).paces.median(service, model)
+    }
+
     /// Records the counters that another router reports.
     pub fn record_peer(&self, report: Report) {
         let Report { service, kind, version, reporter, counters } = report;
--- a/crates/daemon/src/gateway/second_send.rs
+++ b/crates/daemon/src/gateway/second_send.rs
@@ -236,6 +236,7 @@
         let expected = self.execution.expected_latency().map_or(1, |expected| expected.0.max(1));
         let slowness = (waited.0 as f64 / expected as f64).max(SLOW_FACTOR);
         self.execution.gateway.record_outcome(&cancelled.backend, Outcome::Slow { slowness });
+        self.execution.gateway.record_start_pace(&cancelled.backend, slowness);
     }
 
     /// Records the time of a single send in the estimate. A failure has no time.
--- a/crates/daemon/src/telemetry.rs
+++ b/crates/daemon/src/telemetry.rs
@@ -23,6 +23,8 @@
 pub const SECOND_SENDS: &str = "eelgrasswell_second_sends_total";
 /// Requests whose answer was slow and that got no second send, by `reason`.
 pub const SECOND_SENDS_DENIED: &str = "eelgrasswell_second_sends_denied_total";
+/// Backend servers found slow for a moment, by the `source` of the last sample: the start of an answer, or a running stream.
+pub const SLOW_MOMENTS: &str = "eelgrasswell_slow_moments_total";
 /// Calls to the platform, by `kind` and `result`.
 pub const PLATFORM_CALLS: &str = "eelgrasswell_platform_calls_total";
 /// Commits of configuration changes by this router, by `result`.
--- a/crates/manifest/src/gateway.rs
+++ b/crates/manifest/src/gateway.rs
@@ -46,6 +46,9 @@
     /// Second sends of requests whose answer is slow; off if absent.
     #[serde(default)]
     pub second_send: Option<SecondSend>,
+    /// Whether servers that are slow at the moment get fewer new requests.
+    #[serde(default)]
+    pub server_pace: bool,
     /// Log level: `error`, `warn`, `info` or `debug`.
     #[serde(default = "default_log_level")]
     pub log_level: CompactString,
