--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -20,6 +20,7 @@
 mod request;
 mod response_stats;
 mod second_send;
+mod server_pace;
 mod socket;
 pub mod store;
 mod sync;
--- a/crates/manifest/src/gateway.rs
+++ b/crates/manifest/src/gateway.rs
@@ -49,6 +49,9 @@
     /// Duties that one gateway performs for all; none on most deployments.
     #[serde(default)]
     pub duties: Option<Duties>,
+    /// Whether servers that are slow at the moment get fewer new requests.
+    #[serde(default)]
+    pub server_pace: bool,
     /// Log level: `error`, `warn`, `info` or `debug`.
     #[serde(default = "default_log_level")]
     pub log_level: CompactString,
