Hold requests back in gateways while a service has no free slot

The settings section `admission` turns it on; without it, gateways behave as before. Before its first send, a request gets a permit, waits for one or is refused as not run. Gateways report their outstanding requests in BackendLoad. Capacities are computed every 100 ms and after a change of the list of servers, so that the request path goes over no servers. Retry-After of requests that all servers have refused comes from the predicted rate in place of 0.4 s. With the section, requests to plain services avoid servers whose slots are all in use while another one has a free slot.

The urgency of a request moves from Attempt to Call, which admission needs before there is an attempt.

Tests: cargo nextest run -p eelgrasswell-core -p eelgrasswell-manifest -p eelgrasswell-proto: 500 passed; -p eelgrasswell-testbed -E 'binary(scarce_capacity)': 5 passed. A first run of these 5 had two failures: requests passed in the up to 100 ms between the first list of servers and the first computation; hence the one after each change.

--- a/crates/core/src/pool.rs
+++ b/crates/core/src/pool.rs
@@ -18,6 +18,7 @@
     id::{BackendId, DomainId, ServiceName, VersionName},
     pause::Pauses,
     rate::{self, RecentSends},
+    room::ServerSlots,
     stage,
     unit::Millis,
 };
@@ -72,6 +73,8 @@
     load: Cost,
     /// Load that the other routers have outstanding at the server.
     peer_load: Cost,
+    /// Number of requests that the other routers have outstanding at the server.
+    peer_outstanding: u32,
     sends: RecentSends,
     /// Sends whose response has not started, with the time from which the response is overdue.
     unanswered: Vec<(SendId, Millis)>,
@@ -113,6 +116,8 @@
     pub excluded_version: Option<&'a VersionName>,
     /// Whether the servers are filled one after the other, for the trial of `version` under load.
     pub fills_servers: bool,
+    /// Whether servers whose slots are all in use are avoided while another one has a free slot.
+    pub avoids_full: bool,
     /// Servers that the request has already been sent to.
     pub tried: &'a [BackendId],
     /// Failure domain of this router.
@@ -234,9 +239,30 @@
         }
     }
 
-    /// Load that this router has outstanding at each server; servers without load are left out.
-    pub fn own_loads(&self) -> impl Iterator<Item = (&BackendId, Cost)> {
-        self.entries.iter().filter(|(_, entry)| entry.load > 0.0).map(|(id, entry)| (id, entry.load))
+    /// Replaces the numbers of requests that the other routers have outstanding at each server.
+    pub fn set_peer_outstanding(&mut self, counts: &HashMap<BackendId, u32>) {
+        for (id, entry) in &mut self.entries {
+            entry.peer_outstanding = counts.get(id).copied().unwrap_or_default();
+        }
+    }
+
+    /// Load and number of requests that this router has outstanding at each server; servers without load are left out.
+    pub fn own_loads(&self) -> impl Iterator<Item = (&BackendId, Cost, u32)> {
+        let loaded = self.entries.iter().filter(|(_, entry)| entry.load > 0.0);
+        loaded.map(|(id, entry)| (id, entry.load, entry.outstanding))
+    }
+
+    /// Slots of all servers.
+    pub fn slots(&self, now: Millis) -> Vec<ServerSlots> {
+        let slots = |entry: &Entry| ServerSlots {
+            id: entry.backend.id.clone(),
+            service: entry.backend.service.clone(),
+            slots: entry.backend.slots,
+            in_service: self.is_in_service(entry),
+            usable: entry.health.is_sound(now) && self.pauses.end(now, entry.server).is_none(),
+            own: entry.outstanding,
+        };
+        self.entries.values().map(slots).collect()
     }
 
     /// Whether any server of `service` accepts new requests.
@@ -329,6 +355,9 @@
         if requirements.fills_servers {
             self.keep_loaded(&mut candidates);
         }
+        if requirements.avoids_full && candidates.iter().any(|id| self.entries[id].has_free_slot()) {
+            candidates.retain(|id| self.entries[id].has_free_slot());
+        }
         let id = self.best_candidate(&candidates, requirements, rng);
         let entry = self.entries.get_mut(&id).expect("the selected server is in the pool");
         entry.sends.record(now);
@@ -467,6 +496,7 @@
             outstanding: 0,
             load: 0.0,
             peer_load: 0.0,
+            peer_outstanding: 0,
             sends: RecentSends::default(),
             unanswered: Vec::new(),
             health: Health::default(),
@@ -484,6 +514,10 @@
         self.health.is_usable(now) && self.unanswered.iter().all(|(_, overdue)| now < *overdue)
     }
 
+    fn has_free_slot(&self) -> bool {
+        self.outstanding.saturating_add(self.peer_outstanding) < self.backend.slots
+    }
+
     fn load(&self, requirements: &Requirements<'_>, median_slowness: f64) -> f64 {
         let factor = self.health.slowness.map_or(1.0, |slowness| slowness / median_slowness);
         let factor = if factor > SLOW_FACTOR { factor } else { 1.0 };
@@ -498,6 +532,11 @@
         now >= self.down_until && (!is_suspect || now >= self.last_probe + PROBE_INTERVAL)
     }
 
+    /// Whether the server gets more than probes.
+    fn is_sound(&self, now: Millis) -> bool {
+        now >= self.down_until && self.failure_rate <= SUSPECT_FAILURE_RATE
+    }
+
     fn record_probe(&mut self, now: Millis) {
         if self.failure_rate > SUSPECT_FAILURE_RATE {
             self.last_probe = now;
--- a/crates/core/tests/pool.rs
+++ b/crates/core/tests/pool.rs
@@ -55,6 +55,7 @@
             version: None,
             excluded_version: None,
             fills_servers: false,
+            avoids_full: false,
             tried: &[],
             domain: &self.domain,
             cold_per_second: 0.0,
@@ -344,3 +345,17 @@
     let expected = if refusing == 4 { 0 } else { 1_950 };
     assert!(served >= expected, "{served} requests were served");
 }
+
+/// Guards against requests that queue at a full server while another one has a free slot. Here the loads say
+/// otherwise.
+#[test_case(true, "b2"; "avoided")]
+#[test_case(false, "b1"; "not asked for")]
+fn choose_avoids_full_servers(avoids_full: bool, expected: &str) {
+    let small = Backend { slots: 1, ..backend(1) };
+    let mut rig = Rig::with(vec![small, backend(2)]);
+    rig.pool.set_peer_loads(&HashMap::from_iter([("b2".into(), 5.0)]));
+    rig.pool.set_peer_outstanding(&HashMap::from_iter([("b1".into(), 1), ("b2".into(), 5)]));
+    assert_eq!(rig.choose(NOW, |r| r.avoids_full = avoids_full), Ok(expected.into()));
+    rig.pool.set_peer_outstanding(&HashMap::from_iter([("b1".into(), 1), ("b2".into(), 8)]));
+    assert_eq!(rig.choose(NOW, |r| r.avoids_full = true), Ok("b1".into()), "all are full");
+}
--- a/crates/daemon/src/gateway/attempt.rs
+++ b/crates/daemon/src/gateway/attempt.rs
@@ -46,9 +46,6 @@
 /// time, but less than in proportion to its price.
 const PRICE_EXPONENT: f64 = 0.6;
 
-/// Urgency of the least urgent requests; 0 is the most urgent.
-const MAX_URGENCY: u32 = 9;
-
 /// Parameters of one send.
 pub struct Attempt<'a> {
     /// The request.
@@ -179,6 +176,7 @@
             version: self.rule.only.as_ref(),
             excluded_version: self.rule.excluded.as_ref(),
             fills_servers: self.rule.on_trial && self.model.is_none(),
+            avoids_full: gateway.admission.is_some() && self.model.is_none() && !call.route.affinity,
             tried: self.tried,
             domain: &gateway.settings.domain,
             cold_per_second: gateway.settings().bounds.cold_limit(cold_per_second),
@@ -233,12 +231,6 @@
         if conn.ready().await { Ok(conn.into()) } else { Err(format!("{} closed the connection", backend.address)) }
     }
 
-    /// Urgency among the requests of a server: the customer's priority, or the route's if the customer has none.
-    fn urgency(&self) -> u8 {
-        let customer = self.call.customer.as_ref().and_then(|customer| customer.priority);
-        customer.unwrap_or(self.call.route.priority).min(MAX_URGENCY) as u8
-    }
-
     fn backend_request(&self, gateway: &Gateway, backend: &Arc<Backend>) -> Request<Full<Bytes>> {
         let call = self.call;
         let fields = RouterFields {
@@ -247,7 +239,7 @@
             customer: call.customer(),
             model: self.model,
             resume_after: self.resume_after,
-            urgency: Some(self.urgency()),
+            urgency: Some(call.urgency()),
         };
         let mut req = Request::new(Full::new(call.body.clone()));
         *req.method_mut() = call.method.clone();
--- a/crates/daemon/src/gateway/derived.rs
+++ b/crates/daemon/src/gateway/derived.rs
@@ -55,6 +55,7 @@
             }
         }
         let changes = lock(&self.pool).update(now, backends, grace);
+        self.refresh_admission();
         for id in changes.added {
             event!(Info, "backend_added", backend = id);
         }
@@ -111,5 +112,6 @@
             lock(self.mirror.copy(Kind::Evacuations)).objects().map(objects::evacuated_domain).collect();
         event!(Info, "evacuations_changed", count = domains.len());
         lock(&self.pool).set_evacuated(domains);
+        self.refresh_admission();
     }
 }
--- a/crates/daemon/src/gateway/exchange.rs
+++ b/crates/daemon/src/gateway/exchange.rs
@@ -43,7 +43,7 @@
 /// Age at which a peer's report of its loads and orders is no longer used.
 const MAX_REPORT_AGE: Millis = Millis(1_500);
 /// Factor by which loads are multiplied on the wire: they are sent in hundredths of a small request.
-const LOAD_SCALE: f64 = 100.0;
+pub const LOAD_SCALE: f64 = 100.0;
 
 /// The other gateways' last reports, each with the time at which it was received.
 #[derive(Default)]
@@ -145,8 +145,11 @@
             domain: member.domain.to_string(),
             reaches_store: member.reaches_store,
         };
-        let load =
-            |(id, load): (&BackendId, f64)| BackendLoad { backend: id.to_string(), load: (load * LOAD_SCALE) as u64 };
+        let load = |(id, load, outstanding): (&BackendId, f64, u32)| BackendLoad {
+            backend: id.to_string(),
+            load: (load * LOAD_SCALE) as u64,
+            outstanding,
+        };
         let members = {
             let fleet = lock(&self.fleet);
             let alive = fleet.alive(now);
@@ -314,6 +317,9 @@
     }
 
     fn record_loads(&self, state: &FleetState, now: Millis) {
+        if let Some(admission) = &self.admission {
+            admission.record_peer(now, state);
+        }
         let mut reports = lock(&self.peer_reports);
         reports.loads.insert(state.id.as_str().into(), (now, state.loads.clone()));
         reports.loads.retain(|_, (at, _)| now.saturating_sub(*at) < MAX_REPORT_AGE);
--- a/crates/daemon/src/gateway/execute.rs
+++ b/crates/daemon/src/gateway/execute.rs
@@ -24,6 +24,7 @@
 
 use super::{
     Gateway,
+    admission::Permit,
     attempt::{Answer, Attempt, SendFailure},
     relay::{Relay, StreamHead},
     request::Call,
@@ -70,6 +71,8 @@
     attempts: Attempts,
     /// Whether a send has failed.
     has_failed: bool,
+    /// Admission of the request; none if requests are not held back.
+    permit: Option<Permit>,
 }
 
 impl Execution {
@@ -87,11 +90,15 @@
             tried: Vec::new(),
             attempts: Attempts::default(),
             has_failed: false,
+            permit: None,
         }
     }
 
     /// Runs the request until the answer for the caller begins.
     pub async fn start(mut self) -> Result<Response<Body>, Failure> {
+        if let Some(admission) = &self.gateway.admission {
+            self.permit = Some(admission.admit(&self.call, self.expected_latency()).await?);
+        }
         let answer = loop {
             match self.attempt(None).await {
                 Ok(answer) if answer.status.is_server_error() && self.try_acquire_repeat(Purpose::Failure) => {
@@ -322,7 +329,7 @@
                 } else {
                     return Ok(());
                 };
-                Err(self.no_backend_failure(why, NO_BACKEND_RETRY_AFTER))
+                Err(self.no_backend_failure(why, self.no_backend_retry_after()))
             }
             SendFailure::Failed { .. } | SendFailure::Lost { .. } if self.try_acquire_repeat(Purpose::Failure) => {
                 Ok(())
@@ -348,12 +355,13 @@
             Unavailable::Cold | Unavailable::AllTried | Unavailable::NoneInService | Unavailable::Paused { .. } => {}
         }
         let (why, wait) = match why {
-            Unavailable::NoneInService => ("none in service", NO_BACKEND_RETRY_AFTER),
-            Unavailable::Cold => ("all are cold", NO_BACKEND_RETRY_AFTER),
-            Unavailable::AllTried => ("all have refused", NO_BACKEND_RETRY_AFTER),
+            // Without servers, there is no rate from which a time could be derived.
+            Unavailable::NoneInService => ("none in service", Some(NO_BACKEND_RETRY_AFTER)),
+            Unavailable::Cold => ("all are cold", self.no_backend_retry_after()),
+            Unavailable::AllTried => ("all have refused", self.no_backend_retry_after()),
             Unavailable::Paused { until } => {
                 let wait = pause::retry_after(self.gateway.clock.now(), until, &mut rand::rng());
-                ("all have asked for a pause", wait)
+                ("all have asked for a pause", Some(wait))
             }
         };
         Err(self.no_backend_failure(why, wait))
@@ -373,9 +381,16 @@
     }
 
     /// Failure for a request that no backend server can take.
-    fn no_backend_failure(&self, why: &str, wait: Millis) -> Failure {
+    fn no_backend_failure(&self, why: &str, wait: Option<Millis>) -> Failure {
         let message = format!("no backend server can take the request: {why}");
-        self.failure(Reason::NoBackend, Reason::ConnectionLost, message, Some(wait))
+        self.failure(Reason::NoBackend, Reason::ConnectionLost, message, wait)
+    }
+
+    fn no_backend_retry_after(&self) -> Option<Millis> {
+        match &self.gateway.admission {
+            Some(admission) => admission.return_time(&self.call),
+            None => Some(NO_BACKEND_RETRY_AFTER),
+        }
     }
 
     /// Failure for a request that is not sent because a part of its prompt crashes servers.
@@ -388,6 +403,9 @@
     /// can be repeated.
     async fn respond(mut self, answer: Answer) -> Result<Response<Body>, Failure> {
         self.log_answer(&answer);
+        if let Some(permit) = &mut self.permit {
+            permit.record_answer();
+        }
         let mut answer = answer;
         loop {
             let (status, headers) = (answer.status, headers::end_to_end(&answer.headers));
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -1,6 +1,7 @@
 //! The gateway: a router that sends requests directly to backend servers. The platform stores its configuration and
 //! the list of backend servers.
 
+mod admission;
 mod announcements;
 mod attempt;
 mod callers;
@@ -80,6 +81,8 @@
     mirror: Mirror,
     fleet: Mutex<Fleet>,
     peer_reports: Mutex<exchange::PeerReports>,
+    /// None if the settings have no section for it.
+    admission: Option<admission::Admission>,
     crash_evidence: Mutex<CrashEvidence>,
     connections: IdleConnections,
     /// Notified when a version on trial has failed a request, which the other gateways must learn at once.
@@ -111,6 +114,7 @@
     readiness::spawn_metrics((settings.address, settings.metrics_port).into(), metrics);
     exchange::spawn(gateway.clone(), inner);
     sync::spawn(&gateway);
+    admission::spawn(gateway.clone());
     orders::spawn(gateway.clone());
     connections::spawn_purge(gateway.clone());
     event!(Info, "gateway_started", id = settings.id, incarnation = gateway.incarnation, callers = settings.callers);
@@ -122,6 +126,7 @@
 impl Gateway {
     fn new(settings: GatewaySettings, shutdown: Shutdown) -> Self {
         Self(Arc::new(State {
+            admission: settings.admission.as_ref().map(admission::Admission::open),
             reloaded: RwLock::new(Arc::new(settings.clone())),
             settings,
             incarnation: clock::random_incarnation(),
--- a/crates/daemon/src/gateway/request.rs
+++ b/crates/daemon/src/gateway/request.rs
@@ -38,6 +38,9 @@
 /// `Retry-After` while the configuration is not confirmed to be current.
 const STALE_RETRY_AFTER: Millis = Millis(250);
 
+/// Urgency of the least urgent requests; 0 is the most urgent.
+const MAX_URGENCY: u32 = 9;
+
 /// A request that has been read and authorised.
 pub struct Call {
     /// Id of the caller's attempt, or a new one if the caller sent none.
@@ -83,6 +86,12 @@
         self.customer.as_ref().map(|customer| &customer.id)
     }
 
+    /// Urgency among the requests of a service: the customer's priority, or the route's if the customer has none.
+    pub fn urgency(&self) -> u8 {
+        let customer = self.customer.as_ref().and_then(|customer| customer.priority);
+        customer.unwrap_or(self.route.priority).min(MAX_URGENCY) as u8
+    }
+
     /// Models among which the router chooses; empty if the caller names the model or the service has no models.
     pub fn models(&self) -> &[ModelName] {
         match &self.meta.model {
--- a/crates/daemon/src/telemetry.rs
+++ b/crates/daemon/src/telemetry.rs
@@ -48,6 +48,11 @@
 /// Budget warnings, by `customer` and `percent` of the cap.
 pub const BUDGET_WARNINGS: &str = "eelgrasswell_budget_warnings_total";
 
+/// Waits of requests for a free slot and refusals for want of one, by `result` and `priority`.
+pub const ADMISSIONS: &str = "eelgrasswell_admissions_total";
+/// Time for which requests waited for a free slot in seconds, by `priority`.
+pub const ADMISSION_WAIT: &str = "eelgrasswell_admission_wait_seconds";
+
 /// Installs the metrics recorder of the process.
 pub fn install() -> Result<PrometheusHandle> {
     PrometheusBuilder::new().install_recorder().wrap_err("could not install the metrics recorder")
--- a/crates/manifest/src/gateway.rs
+++ b/crates/manifest/src/gateway.rs
@@ -40,6 +40,9 @@
     pub memory_mb: u64,
     /// Limits on the gateway's behaviour.
     pub bounds: Bounds,
+    /// Admission while capacity is scarce; off if left out.
+    #[serde(default)]
+    pub admission: Option<AdmissionSettings>,
     /// Log level: `error`, `warn`, `info` or `debug`.
     #[serde(default = "default_log_level")]
     pub log_level: CompactString,
@@ -83,6 +86,40 @@
     }
 }
 
+/// Limits on requests for which no backend server has a free slot.
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct AdmissionSettings {
+    /// Longest time for which a request waits, in milliseconds.
+    pub max_wait_ms: u64,
+    /// Maximum number of waiting requests.
+    pub max_waiting: usize,
+    /// Share of the slots of the servers at which a service counts as full.
+    pub full_share: f64,
+}
+
+impl Default for AdmissionSettings {
+    fn default() -> Self {
+        Self { max_wait_ms: 1_000, max_waiting: 256, full_share: 1.0 }
+    }
+}
+
+impl AdmissionSettings {
+    fn check(&self) -> Result<()> {
+        let Self { max_wait_ms, max_waiting, full_share } = self;
+        ensure!(*max_wait_ms <= 60_000, "could not use admission.max_wait_ms {max_wait_ms}: at most 60000 is allowed");
+        ensure!(
+            (1..=65_536).contains(max_waiting),
+            "could not use admission.max_waiting {max_waiting}: it must be from 1 to 65536"
+        );
+        ensure!(
+            *full_share > 0.0 && *full_share <= 4.0,
+            "could not use admission.full_share {full_share}: it must be above 0 and at most 4"
+        );
+        Ok(())
+    }
+}
+
 fn default_log_level() -> CompactString {
     "info".into()
 }
@@ -105,7 +142,7 @@
         for (name, value) in values {
             ensure!(value.is_finite() && value >= 0.0, "could not use bounds.{name} {value}: it must not be negative");
         }
-        Ok(())
+        self.admission.as_ref().map_or(Ok(()), AdmissionSettings::check)
     }
 
     /// Memory limit of the process.
