--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -1,6 +1,7 @@
 //! The gateway: a router that sends requests directly to backend servers. The platform stores its configuration and
 //! the list of backend servers.
 
+mod admission;
 mod announcements;
 mod attempt;
 mod callers;
@@ -88,6 +89,8 @@
     mirror: Mirror,
     fleet: Mutex<Fleet>,
     peer_reports: Mutex<exchange::PeerReports>,
+    /// None if the settings have no section for it.
+    admission: Option<admission::Admission>,
     crash_evidence: Mutex<CrashEvidence>,
     connections: IdleConnections,
     duties: Duties,
@@ -120,6 +123,7 @@
     readiness::spawn_metrics((settings.address, settings.metrics_port).into(), metrics);
     exchange::spawn(gateway.clone(), inner);
     sync::spawn(&gateway);
+    admission::spawn(gateway.clone());
     orders::spawn(gateway.clone());
     connections::spawn_purge(gateway.clone());
     duties::spawn(&gateway);
@@ -135,6 +139,7 @@
         let incarnation = clock::random_incarnation();
         Self(Arc::new(State {
             duties: Duties::open(&settings, incarnation, BootClock),
+            admission: settings.admission.as_ref().map(admission::Admission::open),
             reloaded: RwLock::new(Arc::new(settings.clone())),
             settings,
             incarnation,
