Test crowds of clients that do not behave, and read their bounds

memory_mb bounds nothing, and a gateway takes any number of connections. The tests fix crowds and bounds before the gateway changes: 88 MB of peak resident memory (VmHWM) and 256 open files, as in the settings of the rig, the process alive, and an ordinary request answered. The settings max_fds and clients are read and checked, but not used yet. RigPlan takes memory_mb and further lines of settings.

--- a/crates/manifest/src/gateway.rs
+++ b/crates/manifest/src/gateway.rs
@@ -11,6 +11,11 @@
 use eyre::{Result, ensure};
 use serde::Deserialize;
 
+use crate::clients::ClientBounds;
+
+/// Smallest usable number of file descriptors. A gateway needs some for itself, its peers and the backend servers.
+const MIN_FDS: u64 = 64;
+
 /// Settings of a gateway.
 #[derive(Clone, Debug, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -38,6 +43,12 @@
     pub cores: usize,
     /// Memory limit of the process in MB (2^20 bytes).
     pub memory_mb: u64,
+    /// Maximum number of open file descriptors of the process; none for the limit that the system sets.
+    #[serde(default)]
+    pub max_fds: Option<u64>,
+    /// Bounds on clients.
+    #[serde(default)]
+    pub clients: ClientBounds,
     /// Limits on the gateway's behaviour.
     pub bounds: Bounds,
     /// Log level: `error`, `warn`, `info` or `debug`.
@@ -92,6 +103,8 @@
     pub fn check(&self) -> Result<()> {
         ensure!(self.cores > 0, "could not use cores 0: at least one is needed");
         ensure!(self.memory_mb > 0, "could not use memory_mb 0: it must be positive");
+        ensure!(self.max_fds.is_none_or(|fds| fds >= MIN_FDS), "could not use max_fds: it must be at least {MIN_FDS}");
+        self.clients.check()?;
         let bounds = &self.bounds;
         let values = [
             ("grace_s", bounds.grace_s),
--- a/crates/manifest/src/lib.rs
+++ b/crates/manifest/src/lib.rs
@@ -1,6 +1,7 @@
 //! The manifest that operators submit, the configuration in force, and the settings of a process.
 
 pub mod check;
+pub mod clients;
 pub mod config;
 pub mod delta;
 pub mod gateway;
--- a/crates/testbed/src/process.rs
+++ b/crates/testbed/src/process.rs
@@ -113,8 +113,23 @@
 
     /// Resident memory, in megabytes.
     pub fn memory_mb(&self) -> Result<f64> {
+        self.status_mb("VmRSS:")
+    }
+
+    /// Largest resident memory so far, in megabytes.
+    pub fn peak_memory_mb(&self) -> Result<f64> {
+        self.status_mb("VmHWM:")
+    }
+
+    /// Number of open file descriptors.
+    pub fn open_files(&self) -> Result<usize> {
+        let path = format!("/proc/{}/fd", self.child.id());
+        Ok(fs::read_dir(&path).wrap_err_with(|| format!("could not read {path}"))?.count())
+    }
+
+    fn status_mb(&self, field: &str) -> Result<f64> {
         let status = self.read_proc("status")?;
-        let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:")).unwrap_or_default();
+        let line = status.lines().find_map(|line| line.strip_prefix(field)).unwrap_or_default();
         let kilobytes = line.split_whitespace().next().and_then(|kb| kb.parse::<f64>().ok()).unwrap_or(0.0);
         Ok(kilobytes / 1024.0)
     }
--- a/crates/testbed/src/site/rig.rs
+++ b/crates/testbed/src/site/rig.rs
@@ -35,11 +35,15 @@
     pub desks: usize,
     /// Delay of each 16 KiB between the store and a gateway, which makes their link narrow; none for a direct connection.
     pub store_delay: Option<Duration>,
+    /// Memory limit in the settings of the gateways, in MB.
+    pub memory_mb: u64,
+    /// Further lines of the gateways' settings, each with a line break at its end.
+    pub settings: &'static str,
 }
 
 impl Default for RigPlan {
     fn default() -> Self {
-        Self { gateways: 1, engines: 2, desks: 2, store_delay: None }
+        Self { gateways: 1, engines: 2, desks: 2, store_delay: None, memory_mb: 200, settings: "" }
     }
 }
 
@@ -68,6 +72,10 @@
     pub callers: SocketAddr,
     /// Address of the readiness check.
     pub readiness: SocketAddr,
+    /// Address for other gateways.
+    pub exchange: SocketAddr,
+    /// Address of the metrics.
+    pub metrics: SocketAddr,
     /// Path of the settings file.
     pub settings: PathBuf,
     log: PathBuf,
@@ -115,14 +123,16 @@
             let settings = dir.join(format!("{name}.yaml"));
             let text = format!(
                 "id: {name}\ndomain: north\naddress: {ip}\ncallers: {ip}:{}\nreadiness: {ip}:{}\n\
-                 exchange: {ip}:{}\nmetrics_port: {}\nseeds: [{}]\nstore: {}\ncores: 1\nmemory_mb: 200\n\
+                 exchange: {ip}:{}\nmetrics_port: {}\nseeds: [{}]\nstore: {}\ncores: 1\nmemory_mb: {}\n{}\
                  log_level: debug\nbounds:\n  grace_s: 5\n  repeat_ratio: 2.0\n  repeat_slack: 100\n  session_s: 1\n",
                 ports[0],
                 ports[1],
                 ports[2],
                 ports[3],
                 seeds.join(", "),
-                store_links.get(n).map_or_else(|| store.address(n), FaultLink::address)
+                store_links.get(n).map_or_else(|| store.address(n), FaultLink::address),
+                plan.memory_mb,
+                plan.settings
             );
             fs::write(&settings, text).wrap_err_with(|| format!("could not write {}", settings.display()))?;
             let log = dir.join(format!("{name}.log"));
@@ -135,6 +145,8 @@
                 ip: (*ip).into(),
                 callers: (*ip, ports[0]).into(),
                 readiness: (*ip, ports[1]).into(),
+                exchange: (*ip, ports[2]).into(),
+                metrics: (*ip, ports[3]).into(),
                 settings,
                 log,
                 command,
