Add the budget of bytes that are held for clients

Pure accounting: holders grow as bytes come, small holders may use a reserve, and when the budget is used up the holder with the most bytes for the longest time without progress gives way.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod attempt;
 pub mod backend;
 pub mod budget;
+pub mod byte_budget;
 pub mod caller_status;
 pub mod canary;
 pub mod cascade;
--- a/crates/core/src/refusal.rs
+++ b/crates/core/src/refusal.rs
@@ -132,7 +132,7 @@
     Overloaded = "overloaded", 503;
     /// The backend server is in its cold start and at its limit.
     Cold = "cold", 503;
-    /// The backend server's memory for tokens is used up.
+    /// The backend server's memory for tokens, or the gateway's memory for requests, is used up.
     MemoryFull = "memory_full", 503;
     /// The customer or the whole process has too many unread answer bytes in memory.
     SlowReader = "slow_reader", 503;
