Bound the memory and connections that clients hold of a gateway

A gateway held as many bodies, unread answers, heads and connections as clients sent, so that a few dozen clients brought it over memory_mb or took all its files.

Bodies are collected into one buffer that grows as bytes come, and draw on a budget together with buffered answers; a body without room is refused with 503, Retry-After and a closed connection before it is read. Clients without progress are disconnected when the budget is used up. All four listeners have a table of connections with a share of max_fds; a new connection replaces the one without progress for the longest time. Connections are closed whose clients do not read, send too many requests ahead, or are silent at the readiness, metrics and exchange listeners. The buffers of connections to servers are bounded, too: for each unread answer of a fast server they held up to 400 KB.

New tests: header_fields, body_without_room_is_refused. The stand-in of a server takes more than 100 header fields (its library's default), since the gateway now passes up to 256 on.

--- a/crates/daemon/src/callers/endpoint.rs
+++ b/crates/daemon/src/callers/endpoint.rs
@@ -3,10 +3,11 @@
 
 use std::{convert::Infallible, net::SocketAddr, pin::pin, sync::Arc, time::Duration};
 
+use bytes::Bytes;
 use eyre::{Result, WrapErr};
 use futures::future::BoxFuture;
 use hyper::{
-    Request, Response, Version,
+    Request, Response, StatusCode, Version,
     body::Incoming,
     header::{CONNECTION, HeaderValue},
     service::service_fn,
@@ -16,12 +17,17 @@
     server::conn::auto::Builder,
 };
 use tokio::{
+    io::{AsyncRead, AsyncWrite},
     net::{TcpListener, TcpSocket, TcpStream},
     sync::{Notify, Semaphore, watch},
     time::{Instant, sleep, timeout},
 };
 
-use super::Body;
+use super::{
+    Body,
+    body::full,
+    clients::{Activity, ConnectionTable},
+};
 use crate::event;
 
 /// Pause after a failed accept. Without it, the loop would spin while the process is out of file descriptors.
@@ -47,6 +53,8 @@
 pub struct Endpoint {
     /// Maximum number of connections that are served at the same time; further ones wait.
     pub max_connections: usize,
+    /// Bounds on connections and their clients; none for `max_connections` alone.
+    pub table: Option<Arc<ConnectionTable>>,
     /// Returns the limits for a new connection.
     pub limits: Box<dyn Fn() -> ConnectionLimits + Send + Sync>,
     /// Handles the requests.
@@ -64,6 +72,8 @@
     pub head_timeout: Duration,
     /// Maximum size of a request's head, in bytes.
     pub max_head: usize,
+    /// Maximum number of header fields of a request; none for the default of the HTTP library.
+    pub max_fields: Option<usize>,
 }
 
 /// Times of a graceful shutdown, measured from its start.
@@ -159,10 +169,26 @@
                         handler: Arc::clone(&self.handler),
                         stage: stage.clone(),
                     };
-                    tokio::spawn(async move {
-                        connection.serve(stream).await;
-                        drop(slot);
-                    });
+                    match &self.table {
+                        Some(table) => {
+                            let stream = table.admit(stream).await;
+                            let activity = stream.activity();
+                            if let Err(err) = stream.set_nodelay() {
+                                event!(Debug, "caller_connection_failed", error = err);
+                                continue;
+                            }
+                            tokio::spawn(async move {
+                                connection.serve(stream, Some(activity)).await;
+                                drop(slot);
+                            });
+                        }
+                        None => {
+                            tokio::spawn(async move {
+                                connection.serve_unbounded(stream).await;
+                                drop(slot);
+                            });
+                        }
+                    }
                 }
                 Err(err) => {
                     event!(Warn, "accept_failed", error = err);
@@ -181,19 +207,32 @@
 }
 
 impl Connection {
-    async fn serve(mut self, stream: TcpStream) {
+    async fn serve_unbounded(self, stream: TcpStream) {
         // Events are small writes, and Nagle's algorithm would delay each of them by up to 40 ms.
         if let Err(err) = stream.set_nodelay(true) {
             event!(Debug, "caller_connection_failed", error = err);
             return;
         }
+        self.serve(stream, None).await;
+    }
+
+    async fn serve(
+        mut self,
+        stream: impl AsyncRead + AsyncWrite + Unpin + Send + 'static,
+        activity: Option<Arc<Activity>>,
+    ) {
         let abort = ConnectionAbort::default();
         let builder = self.limits.builder();
         let (handler, stage, abort_handle) = (Arc::clone(&self.handler), self.stage.clone(), abort.clone());
         let service = service_fn(move |req: Request<Incoming>| {
             // Boxed because an idle connection, too, reserves space for the future of a request.
-            let response: BoxFuture<_> =
-                Box::pin(handle_request(Arc::clone(&handler), stage.clone(), abort_handle.clone(), req));
+            let response: BoxFuture<_> = Box::pin(handle_request(
+                Arc::clone(&handler),
+                stage.clone(),
+                abort_handle.clone(),
+                activity.clone(),
+                req,
+            ));
             response
         });
         let mut connection = pin!(builder.serve_connection(TokioIo::new(stream), service));
@@ -229,6 +268,9 @@
             .timer(TokioTimer::new())
             .header_read_timeout(self.head_timeout)
             .max_buf_size(self.max_head.max(MIN_HEADER_BUFFER));
+        if let Some(max) = self.max_fields {
+            builder.http1().max_headers(max);
+        }
         builder
             .http2()
             .timer(TokioTimer::new())
@@ -243,15 +285,35 @@
     handler: Handler,
     stage: watch::Receiver<Stage>,
     abort: ConnectionAbort,
+    activity: Option<Arc<Activity>>,
     mut req: Request<Incoming>,
 ) -> Result<Response<Body>, Infallible> {
     let http1 = req.version() < Version::HTTP_2;
     if http1 {
         req.extensions_mut().insert(abort);
     }
+    let request = match activity {
+        Some(activity) => {
+            let Some(request) = activity.begin_request() else { return Ok(sent_ahead()) };
+            req.extensions_mut().insert(activity);
+            Some(request)
+        }
+        None => None,
+    };
     let mut response = handler(req).await;
+    if let Some(request) = request {
+        response = response.map(|body| request.track(body));
+    }
     if http1 && *stage.borrow() != Stage::Serving {
         response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
     Ok(response)
 }
+
+/// Response to a request that was sent ahead of too many unread responses. Its connection is closed.
+fn sent_ahead() -> Response<Body> {
+    let mut response = Response::new(full(Bytes::new()));
+    *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+    response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+    response
+}
--- a/crates/daemon/src/filter/mod.rs
+++ b/crates/daemon/src/filter/mod.rs
@@ -67,11 +67,16 @@
 /// for the drain time in the settings.
 pub async fn serve_chain(chain: Chain, listener: TcpListener, stop: impl Future<Output = ()>) {
     let settings = Arc::clone(&chain.router.settings);
-    let limits =
-        ConnectionLimits { http2: true, head_timeout: HEAD_TIMEOUT, max_head: settings.limits.max_headers.0 as usize };
+    let limits = ConnectionLimits {
+        http2: true,
+        head_timeout: HEAD_TIMEOUT,
+        max_head: settings.limits.max_headers.0 as usize,
+        max_fields: None,
+    };
     let handler_chain = chain.clone();
     let endpoint = Endpoint {
         max_connections: settings.limits.max_connections as usize,
+        table: None,
         limits: Box::new(move || limits),
         handler: Arc::new(move |req| {
             let chain = handler_chain.clone();
--- a/crates/daemon/src/gateway/callers.rs
+++ b/crates/daemon/src/gateway/callers.rs
@@ -2,12 +2,16 @@
 
 use std::{sync::Arc, time::Duration};
 
-use eelgrasswell_core::unit::Millis;
+use eelgrasswell_core::{refusal::Reason, unit::Millis};
 use eelgrasswell_platform::response;
-use hyper::{Request, Response, body::Incoming};
+use hyper::{
+    Request, Response,
+    body::Incoming,
+    header::{CONNECTION, HeaderValue},
+};
 use tokio::{net::TcpListener, sync::Semaphore, time::Instant};
 
-use super::{Gateway, execute::Execution, request};
+use super::{Gateway, execute::Execution, memory, request};
 use crate::callers::{
     Body,
     endpoint::{ConnectionLimits, Endpoint, ShutdownTimes},
@@ -29,9 +33,13 @@
     let grace: Duration = gateway.settings().bounds.grace_period().saturating_sub(KILL_MARGIN).into();
     let linger = LINGER.min(grace.mul_f64(MAX_LINGER_SHARE));
     let mut shutdown = gateway.shutdown.clone();
+    let settings = &gateway.settings;
+    let (share, max) = (settings.clients.callers_share, gateway.memory.max_connections());
+    let table = memory::open_table(settings, memory::CALLERS, &listener, share, max);
     let (limited, served) = (gateway.clone(), gateway);
     let endpoint = Endpoint {
         max_connections: Semaphore::MAX_PERMITS,
+        table: Some(table),
         limits: Box::new(move || connection_limits(&limited)),
         handler: Arc::new(move |req| Box::pin(handle(served.clone(), req))),
         shutdown: ShutdownTimes { linger, grace },
@@ -45,6 +53,7 @@
         http2: false,
         head_timeout: Duration::from(limits.idle_timeout + limits.head_timeout) + IDLE_MARGIN,
         max_head: limits.head.0 as usize,
+        max_fields: Some(gateway.settings().clients.max_header_fields),
     }
 }
 
@@ -62,9 +71,13 @@
         Err(refused) => refused,
     };
     let retry_after = failure.refusal.retry_after;
+    let closes = failure.refusal.reason == Reason::MemoryFull;
     let mut response = failure.into_response(&id);
     if let Some(wait) = retry_after {
         response::set_retry_after(response.headers_mut(), wait);
     }
+    if closes {
+        response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+    }
     response
 }
--- a/crates/daemon/src/gateway/exchange.rs
+++ b/crates/daemon/src/gateway/exchange.rs
@@ -1,7 +1,7 @@
 //! Gossip between gateways: which gateways are alive, their load at each backend server, counters by version, and the
 //! progress of rollout orders.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{io, net::SocketAddr, time::Duration};
 
 use eelgrasswell_core::{
     answer_counters::Counters,
@@ -17,15 +17,15 @@
     fleet_client::FleetClient,
     fleet_server::{Fleet, FleetServer},
 };
+use futures::stream;
 use rand::seq::IndexedRandom;
 use tokio::{net::TcpListener, time::sleep};
-use tokio_stream::wrappers::TcpListenerStream;
 use tonic::{
     Request, Response, Status,
     transport::{Channel, Endpoint, Server},
 };
 
-use super::{Gateway, State, follow, response_stats::Report};
+use super::{Gateway, State, follow, memory, response_stats::Report};
 use crate::{event, sync::lock, telemetry};
 
 /// Interval between two rounds of exchanges with peers.
@@ -38,6 +38,12 @@
 const FANOUT: usize = 5;
 /// Maximum number of members reported in one exchange.
 const MAX_MEMBERS_SENT: usize = 4;
+/// Maximum size of a message that a peer sends, in bytes. The state of a large fleet needs less than a tenth of it.
+const MAX_MESSAGE: usize = 1 << 20;
+/// Maximum number of calls at the same time on one connection. A peer makes an exchange and a follow call.
+const MAX_CALLS: u32 = 16;
+/// Maximum size of a frame, in bytes: the smallest that the protocol allows.
+const MAX_FRAME: u32 = 16 << 10;
 /// Timeout of one exchange.
 const TIMEOUT: Duration = Duration::from_millis(700);
 /// Age at which a peer's report of its loads and orders is no longer used.
@@ -69,8 +75,16 @@
 
 /// Serves exchanges on `listener`, and starts to exchange with peers and to follow watchers.
 pub fn spawn(gateway: Gateway, listener: TcpListener) {
-    let server = FleetServer::new(FleetService(gateway.clone()));
-    tokio::spawn(Server::builder().add_service(server).serve_with_incoming(TcpListenerStream::new(listener)));
+    let service = FleetService(gateway.clone());
+    let server = FleetServer::new(service).max_decoding_message_size(MAX_MESSAGE);
+    let share = gateway.settings.clients.exchange_share;
+    let table = memory::open_table(&gateway.settings, "exchange", &listener, share, usize::MAX);
+    let incoming = stream::unfold((listener, table), |(listener, table)| async move {
+        let stream = table.accept(&listener).await;
+        Some((Ok::<_, io::Error>(stream), (listener, table)))
+    });
+    let mut builder = Server::builder().max_concurrent_streams(MAX_CALLS).max_frame_size(MAX_FRAME).tcp_nodelay(true);
+    tokio::spawn(builder.add_service(server).serve_with_incoming(incoming));
     follow::spawn(gateway.clone());
     tokio::spawn(exchange_with_peers(gateway));
 }
--- a/crates/daemon/src/gateway/execute.rs
+++ b/crates/daemon/src/gateway/execute.rs
@@ -2,10 +2,10 @@
 
 use std::{sync::Arc, time::Duration};
 
-use bytes::BytesMut;
 use eelgrasswell_core::{
     attempt::{AttemptLimits, Attempts},
     backend::Backend,
+    byte_budget::Use,
     caller_status::CallerStatus,
     canary::VersionRule,
     crash_evidence::Block,
@@ -25,15 +25,12 @@
 use super::{
     Gateway,
     attempt::{Answer, Attempt, SendFailure},
+    memory::{BufferedAnswer, Share},
     relay::{Relay, StreamHead},
     request::Call,
 };
 use crate::{
-    callers::{
-        body::{Body, full},
-        failure::Failure,
-        headers,
-    },
+    callers::{Body, failure::Failure, headers},
     event,
     sync::lock,
     telemetry,
@@ -394,7 +391,11 @@
             if self.call.route.kind.is_stream() && StreamHead::begins_stream(&answer) {
                 return Ok(response(status, headers, Relay::new(self, answer).into_body()));
             }
-            let buffered = timeout_at(self.call.deadline, buffer_answer(answer, self.call.deadline)).await;
+            let buffered = {
+                let share = self.gateway.memory.share(Use::Answer, Arc::clone(&self.call.connection));
+                share.set_waiting(false);
+                timeout_at(self.call.deadline, buffer_answer(answer, self.call.deadline, share)).await
+            };
             let why = match buffered {
                 Ok(Ok(body)) => return Ok(response(status, headers, body)),
                 Ok(Err(why)) => why,
@@ -448,18 +449,20 @@
 }
 
 /// Buffers an answer whole. If it exceeds `MAX_BUFFERED_BYTES`, what was read so far is passed on and the rest is
-/// relayed as it arrives.
-async fn buffer_answer(mut answer: Answer, deadline: Instant) -> Result<Body, String> {
-    let mut buf = BytesMut::new();
+/// relayed as it arrives. The same applies if `share` has no room for more.
+async fn buffer_answer(mut answer: Answer, deadline: Instant, share: Share) -> Result<Body, String> {
+    let mut buf = Vec::new();
     while let Some(frame) = answer.body.frame().await {
         let frame = frame.map_err(|err| super::net::error_chain(&err))?;
+        let mut is_counted = true;
         if let Ok(data) = frame.into_data() {
+            is_counted = share.reserve(&mut buf, data.len(), MAX_BUFFERED_BYTES).await.is_ok();
             buf.extend_from_slice(&data);
         }
-        if buf.len() > MAX_BUFFERED_BYTES {
-            return Ok(Relay::plain(buf.freeze(), answer, deadline).into_body());
+        if buf.len() > MAX_BUFFERED_BYTES || !is_counted {
+            return Ok(Relay::plain(BufferedAnswer::new(buf, share), answer, deadline).into_body());
         }
     }
     answer.finish();
-    Ok(full(buf))
+    Ok(BufferedAnswer::new(buf, share).into_body())
 }
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -10,6 +10,7 @@
 mod exchange;
 mod execute;
 mod follow;
+mod memory;
 mod mirror;
 pub mod net;
 mod orders;
@@ -43,7 +44,7 @@
 use metrics_exporter_prometheus::PrometheusHandle;
 use tokio::sync::Notify;
 
-use self::{connections::IdleConnections, mirror::Mirror, response_stats::ResponseStats};
+use self::{connections::IdleConnections, memory::Memory, mirror::Mirror, response_stats::ResponseStats};
 use crate::{
     callers::endpoint,
     clock::{self, BootClock},
@@ -82,6 +83,7 @@
     peer_reports: Mutex<exchange::PeerReports>,
     crash_evidence: Mutex<CrashEvidence>,
     connections: IdleConnections,
+    memory: Memory,
     /// Notified when a version on trial has failed a request, which the other gateways must learn at once.
     trial_failures: Notify,
 }
@@ -108,7 +110,7 @@
     let ready = bind(settings.readiness, "readiness endpoint").await?;
     let inner = bind(settings.exchange, "exchange endpoint").await?;
     readiness::spawn(gateway.clone(), ready);
-    readiness::spawn_metrics((settings.address, settings.metrics_port).into(), metrics);
+    readiness::spawn_metrics(gateway.clone(), metrics);
     exchange::spawn(gateway.clone(), inner);
     sync::spawn(&gateway);
     orders::spawn(gateway.clone());
@@ -123,7 +125,6 @@
     fn new(settings: GatewaySettings, shutdown: Shutdown) -> Self {
         Self(Arc::new(State {
             reloaded: RwLock::new(Arc::new(settings.clone())),
-            settings,
             incarnation: clock::random_incarnation(),
             clock: BootClock,
             shutdown,
@@ -138,6 +139,8 @@
             peer_reports: Mutex::default(),
             crash_evidence: Mutex::default(),
             connections: IdleConnections::default(),
+            memory: Memory::open(&settings),
+            settings,
             trial_failures: Notify::new(),
         }))
     }
--- a/crates/daemon/src/gateway/net.rs
+++ b/crates/daemon/src/gateway/net.rs
@@ -25,6 +25,10 @@
 /// Number of unanswered keep-alive probes after which the kernel closes a connection.
 const KEEPALIVE_RETRIES: u32 = 2;
 
+/// Maximum size of the buffers of a connection, and of the head of a response, in bytes. By default the read buffer grows to
+/// 400 KB for a fast server, for each answer that its caller does not read.
+const READ_BUFFER: usize = 32 << 10;
+
 /// An open connection. Dropping it closes the socket at once, so that the other end stops work on the request.
 pub struct Conn {
     sender: SendRequest<Full<Bytes>>,
@@ -55,7 +59,9 @@
     /// Connects to `address` within `limit`.
     pub async fn open(address: SocketAddr, limit: Duration) -> io::Result<Self> {
         let stream = timeout(limit, connect(address)).await.map_err(|_| io::ErrorKind::TimedOut)??;
-        let (sender, connection) = http1::handshake(TokioIo::new(stream)).await.map_err(io::Error::other)?;
+        let mut handshake = http1::Builder::new();
+        let (sender, connection) =
+            handshake.max_buf_size(READ_BUFFER).handshake(TokioIo::new(stream)).await.map_err(io::Error::other)?;
         // The request in progress gets the error, too. Between requests, an error only means that the other end has
         // closed the connection.
         let task = tokio::spawn(async move {
--- a/crates/daemon/src/gateway/relay.rs
+++ b/crates/daemon/src/gateway/relay.rs
@@ -20,7 +20,7 @@
 };
 use tokio::time::{Instant, timeout_at};
 
-use super::{attempt::Answer, execute::Execution, net::error_chain};
+use super::{attempt::Answer, execute::Execution, memory::BufferedAnswer, net::error_chain};
 use crate::{callers::Body, event};
 
 /// Time without data after which a stream is resumed at another server, if its route sets no longest pause.
@@ -51,7 +51,7 @@
     /// Any other answer that is too large to be buffered whole.
     Plain {
         /// The part that was read before.
-        first: Option<Bytes>,
+        first: Option<BufferedAnswer>,
         /// The answer whose body holds the rest.
         answer: Option<Box<Answer>>,
         /// Time at which the answer is cut if it has not ended.
@@ -131,7 +131,7 @@
     }
 
     /// Relays an answer whose first part, `first`, has been read already, until `deadline`.
-    pub fn plain(first: Bytes, answer: Answer, deadline: Instant) -> Self {
+    pub fn plain(first: BufferedAnswer, answer: Answer, deadline: Instant) -> Self {
         Self::Plain { first: Some(first), answer: Some(Box::new(answer)), deadline }
     }
 
@@ -152,12 +152,15 @@
     async fn next_chunk(&mut self) -> Result<Option<Bytes>, Report> {
         match self {
             Self::Events(events) => events.next_chunk().await,
-            Self::Plain { first, answer, deadline } => match first.take() {
-                Some(first) => Ok(Some(first)),
-                None => match timeout_at(*deadline, next_plain_chunk(answer)).await {
-                    Ok(chunk) => chunk,
-                    Err(_) => Err(eyre!("the answer was cut: the deadline passed")),
-                },
+            Self::Plain { first, answer, deadline } => match first.as_mut().and_then(BufferedAnswer::next_slice) {
+                Some(slice) => Ok(Some(slice)),
+                None => {
+                    *first = None;
+                    match timeout_at(*deadline, next_plain_chunk(answer)).await {
+                        Ok(chunk) => chunk,
+                        Err(_) => Err(eyre!("the answer was cut: the deadline passed")),
+                    }
+                }
             },
         }
     }
--- a/crates/daemon/src/gateway/request.rs
+++ b/crates/daemon/src/gateway/request.rs
@@ -5,6 +5,7 @@
 
 use bytes::Bytes;
 use eelgrasswell_core::{
+    byte_budget::Use,
     crash_evidence::PartId,
     hash::stable_hash,
     id::{CustomerId, ModelName, RequestId, ServiceName},
@@ -20,8 +21,11 @@
 use tokio::time::{Instant, sleep};
 use uuid::Uuid;
 
-use super::State;
-use crate::callers::{body, failure::Failure, headers};
+use super::{
+    State,
+    memory::{self, BodyLimits, Share},
+};
+use crate::callers::{clients::Activity, failure::Failure, headers};
 
 /// Limit on the age of the configuration's last confirmation, below which requests with a key are served. It is a share
 /// of the time within which a revoked key must stop working (`revoke_ms`). The rest covers the clock's granularity.
@@ -52,6 +56,10 @@
     pub uri: Uri,
     /// Body as the caller sent it.
     pub body: Bytes,
+    /// Memory that the body holds.
+    pub _body_share: Share,
+    /// Connection of the caller.
+    pub connection: Arc<Activity>,
     /// Configuration that was in force when the request was authorised; it applies until the request ends.
     pub config: Arc<RoutingConfig>,
     /// Route that the host and path match.
@@ -94,7 +102,8 @@
 
 /// Reads `req`, which was received at `arrived`. A failure comes with the request's id, which belongs in its response.
 pub async fn read(state: &State, req: Request<Incoming>, arrived: Instant) -> Result<Call, (RequestId, Failure)> {
-    let (head, body) = req.into_parts();
+    let (mut head, body) = req.into_parts();
+    let connection = head.extensions.remove::<Arc<Activity>>().expect("the callers' endpoint has a table");
     let meta = request::parse(&head.headers);
     let id = meta.id.clone().unwrap_or_else(|| RequestId::from(Uuid::now_v7().to_string().as_str()));
     let refuse = |failure| (id.clone(), failure);
@@ -112,7 +121,10 @@
     };
     let wait = meta.deadline.map_or(route.timeout, |deadline| deadline.min(route.timeout));
     let deadline = arrived + Duration::from(wait);
-    let body = body::read(body, config.limits.body, deadline, Reason::Expired).await.map_err(refuse)?;
+    let body_share = state.memory.share(Use::Body, Arc::clone(&connection));
+    let idle = state.settings().clients.body_idle().into();
+    let limits = BodyLimits { size: config.limits.body, deadline, idle };
+    let body = memory::read_body(body, &limits, &body_share).await.map_err(refuse)?;
     let session = meta.session.as_deref().unwrap_or(id.as_str());
     let session = stable_hash(&[session]);
     let service = route.target(session).clone();
@@ -129,6 +141,8 @@
         method: head.method,
         uri: origin_form(&head.uri),
         body,
+        _body_share: body_share,
+        connection,
         config,
         route,
         service,
--- a/crates/daemon/src/telemetry.rs
+++ b/crates/daemon/src/telemetry.rs
@@ -48,6 +48,15 @@
 /// Budget warnings, by `customer` and `percent` of the cap.
 pub const BUDGET_WARNINGS: &str = "eelgrasswell_budget_warnings_total";
 
+/// Open connections of clients, by `listener`.
+pub const CONNECTIONS: &str = "eelgrasswell_client_connections";
+/// Connections of clients that the process closed, by `listener` and `reason`.
+pub const CLIENTS_CLOSED: &str = "eelgrasswell_clients_closed_total";
+/// Bytes that are held for clients, by `use`.
+pub const MEMORY_HELD: &str = "eelgrasswell_memory_held_bytes";
+/// Bytes for clients that were denied because the memory budget was used up, by `use`.
+pub const MEMORY_DENIED: &str = "eelgrasswell_memory_denied_total";
+
 /// Installs the metrics recorder of the process.
 pub fn install() -> Result<PrometheusHandle> {
     PrometheusBuilder::new().install_recorder().wrap_err("could not install the metrics recorder")
--- a/crates/manifest/src/clients.rs
+++ b/crates/manifest/src/clients.rs
@@ -29,9 +29,9 @@
         Self {
             max_header_fields: 256,
             max_pipelined: 32,
-            callers_share: 0.5,
-            readiness_share: 0.05,
-            exchange_share: 0.15,
+            callers_share: 0.35,
+            readiness_share: 0.04,
+            exchange_share: 0.1,
             body_idle_ms: 10_000,
             response_idle_ms: 10_000,
         }
--- a/crates/testbed/src/site/backend.rs
+++ b/crates/testbed/src/site/backend.rs
@@ -29,6 +29,9 @@
     time::{Instant, sleep},
 };
 
+/// Maximum number of header fields of a request: more than a gateway lets through.
+const MAX_FIELDS: usize = 1_000;
+
 type Body = UnsyncBoxBody<Bytes, Report>;
 
 /// How the stand-in handles requests.
@@ -213,7 +216,10 @@
         let service = service_fn(move |req| handle_request(Arc::clone(&state), req));
         tokio::spawn(async move {
             // An error is expected if the behaviour cuts off a response.
-            let _ = hyper::server::conn::http1::Builder::new().serve_connection(TokioIo::new(stream), service).await;
+            let _ = hyper::server::conn::http1::Builder::new()
+                .max_headers(MAX_FIELDS)
+                .serve_connection(TokioIo::new(stream), service)
+                .await;
         });
     }
 }
--- a/crates/testbed/tests/bad_clients.rs
+++ b/crates/testbed/tests/bad_clients.rs
@@ -322,3 +322,54 @@
     check_process(&mut rig)?;
     Ok(())
 }
+
+/// Guards against a bound on header fields that refuses requests within the limits, and against none.
+#[test_case(240, StatusCode::OK; "within the bound")]
+#[test_case(300, StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE; "above the bound")]
+#[tokio::test]
+async fn header_fields(count: usize, status: StatusCode) -> Result<()> {
+    let rig = start().await?;
+    let client = (0..count)
+        .fold(rig.customer("key-a").with("x-attempt-id", "fields"), |client, n| client.with(&format!("x-{n}"), "v"));
+    let reply = client.get(rig.gateways[0].callers, "/read/1").await?;
+    ensure!(reply.status == status, "{}: {}", reply.status, reply.text());
+    Ok(())
+}
+
+/// Guards against large bodies that are held beside each other until the memory is used up, and against a refusal for a
+/// request that runs.
+#[tokio::test]
+async fn body_without_room_is_refused() -> Result<()> {
+    const BOOKINGS: usize = 24;
+    let mut rig = start().await?;
+    rig.desks[0].set_behaviour(|behaviour| behaviour.delay = Duration::from_secs(2));
+    let mut bookings = JoinSet::new();
+    for n in 0..BOOKINGS {
+        let (client, address) = (rig.customer("key-a").with("x-attempt-id", &format!("b{n}")), rig.gateways[0].callers);
+        bookings.spawn(async move {
+            let reply = client.call(Method::POST, address, "/book/1", vec![b'x'; MAX_BODY]).await;
+            (n, reply)
+        });
+    }
+    let (mut served, mut refused) = (0, 0);
+    for (n, reply) in bookings.join_all().await {
+        let runs = rig.desks[0].runs().iter().filter(|run| run.id == format!("b{n}")).count();
+        match reply {
+            Ok(reply) if reply.status == StatusCode::SERVICE_UNAVAILABLE => {
+                refused += 1;
+                ensure!(runs == 0, "b{n} ran and was refused");
+                ensure!(!reply.header("retry-after").is_empty(), "b{n}: {}", reply.text());
+            }
+            Ok(reply) => {
+                served += 1;
+                ensure!((reply.status, runs) == (StatusCode::OK, 1), "b{n}: {} after {runs} runs", reply.status);
+            }
+            // The refusal may be lost when the gateway closes a connection with unread bytes.
+            Err(_) => ensure!(runs == 0, "b{n} ran and its connection was closed"),
+        }
+    }
+    println!("{served} served, {refused} refused of {BOOKINGS}, {} MB", peak_memory(&rig)?);
+    ensure!(served > 0 && served < BOOKINGS, "{served} served");
+    check_process(&mut rig)?;
+    Ok(())
+}
