--- a/crates/core/src/byte_budget.rs
+++ b/crates/core/src/byte_budget.rs
@@ -1,4 +1,4 @@
-//! Budget of the bytes that a process holds for its clients: bodies of requests, buffered answers and connections.
+//! Budget of the bytes that a process holds for its clients: requests and buffered answers.
 //!
 //! The load that this addresses: many clients that each stay within the limits of one request, but together send more than the
 //! memory holds, and mostly stop just short of the end. Bytes are counted as they come, since a client that announces much and
@@ -14,30 +14,27 @@
 /// the narrowest links.
 pub const MIN_STALL: Millis = Millis(250);
 /// Size up to which a holder may use the whole budget.
-pub const SMALL: Bytes = Bytes(64 << 10);
+pub const SMALL: Bytes = Bytes(128 << 10);
 /// Part of the budget, as its divisor, that is only open to small holders.
 const SMALL_RESERVE_DIVISOR: u64 = 8;
 
 /// What bytes are held for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Use {
-    /// An open connection, with the head of a request.
-    Connection,
-    /// The body of a request.
-    Body,
+    /// The head and body of a request, and the buffers of its connections.
+    Request,
     /// An answer that is buffered, or that the caller has not read.
     Answer,
 }
 
 impl Use {
     /// All uses.
-    pub const ALL: [Self; 3] = [Self::Connection, Self::Body, Self::Answer];
+    pub const ALL: [Self; 2] = [Self::Request, Self::Answer];
 
     /// Label of the use in metrics and logs.
     pub fn as_str(self) -> &'static str {
         match self {
-            Self::Connection => "connection",
-            Self::Body => "body",
+            Self::Request => "request",
             Self::Answer => "answer",
         }
     }
--- a/crates/daemon/src/callers/clients.rs
+++ b/crates/daemon/src/callers/clients.rs
@@ -77,6 +77,7 @@
     pipelined: AtomicU32,
     /// Whether a request was answered.
     has_served: AtomicBool,
+    listener: &'static str,
     max_pipelined: u32,
     closed: Arc<Notify>,
 }
@@ -138,6 +139,7 @@
             requests: AtomicU32::new(0),
             pipelined: AtomicU32::new(0),
             has_served: AtomicBool::new(false),
+            listener: self.bounds.listener,
             max_pipelined: self.bounds.max_pipelined,
             closed: Arc::default(),
         });
@@ -166,7 +168,7 @@
 
     fn close(&self, activity: &Activity, reason: &'static str, now: u64) {
         let (listener, idle) = (self.bounds.listener, Millis(now).saturating_sub(activity.last_progress()));
-        metrics::counter!(telemetry::CLIENTS_CLOSED, "listener" => listener, "reason" => reason).increment(1);
+        count_closed(listener, reason);
         event!(
             Debug,
             "client_closed",
@@ -213,6 +215,8 @@
         if !self.write_blocked.load(Ordering::Relaxed) {
             self.pipelined.store(0, Ordering::Relaxed);
         } else if self.pipelined.fetch_add(1, Ordering::Relaxed) >= self.max_pipelined {
+            count_closed(self.listener, "sent_ahead");
+            event!(Debug, "client_closed", listener = self.listener, reason = "sent_ahead", max = self.max_pipelined);
             self.close();
             return None;
         }
@@ -362,6 +366,11 @@
     fn connect_info(&self) {}
 }
 
+/// Counts a connection that the process closes.
+pub fn count_closed(listener: &'static str, reason: &'static str) {
+    metrics::counter!(telemetry::CLIENTS_CLOSED, "listener" => listener, "reason" => reason).increment(1);
+}
+
 /// Present time in milliseconds.
 fn now() -> u64 {
     BootClock.now().0
--- a/crates/daemon/src/gateway/memory.rs
+++ b/crates/daemon/src/gateway/memory.rs
@@ -1,4 +1,4 @@
-//! The memory that clients hold: bodies of requests and answers draw on one budget, and clients without progress are
+//! The memory that clients hold: requests and answers draw on one budget, and clients without progress are
 //! disconnected when it is used up.
 
 use std::{
@@ -19,7 +19,10 @@
 use eelgrasswell_manifest::gateway::GatewaySettings;
 use eyre::Report;
 use http_body_util::BodyExt;
-use hyper::body::{Body as HttpBody, Frame, Incoming, SizeHint};
+use hyper::{
+    HeaderMap, Uri,
+    body::{Body as HttpBody, Frame, Incoming, SizeHint},
+};
 use tokio::{
     net::TcpListener,
     sync::Notify,
@@ -29,7 +32,7 @@
 use crate::{
     callers::{
         Body,
-        clients::{Activity, Bounds, CONNECTION_SIZE, ConnectionTable, max_connections},
+        clients::{Activity, Bounds, CONNECTION_SIZE, ConnectionTable, count_closed, max_connections},
         failure::Failure,
     },
     clock::BootClock,
@@ -47,11 +50,16 @@
 const RELEASE_TIMEOUT: Duration = Duration::from_millis(300);
 /// `Retry-After` of a request for which there is no memory.
 pub const RETRY_AFTER: Millis = Millis(400);
+/// Memory that a request needs besides its head and body, in bytes: its state and the read buffer of the connection to a server.
+const REQUEST_SIZE: usize = 40 << 10;
+/// Memory that a header field needs besides its text, in bytes.
+const FIELD_SIZE: usize = 80;
 /// Steps in which the buffer of a body grows, in bytes. Large buffers grow by a quarter of their size.
 const GROWTH_STEP: usize = 16 << 10;
 /// Bytes of a buffered answer that are handed to the connection at a time. What it has taken is no longer seen as unread.
 const SLICE: usize = 16 << 10;
-/// Share of the budget, as its divisor, that all connections of callers may need for themselves.
+/// Part of the budget's size, as its divisor, that bounds the number of idle connections of callers. Their memory is not
+/// counted; it comes out of what `CLIENT_SHARE` leaves.
 const CONNECTIONS_DIVISOR: u64 = 4;
 /// Number of file descriptors if neither the settings nor the system say.
 const DEFAULT_FDS: u64 = 1_024;
@@ -115,8 +123,7 @@
             Grant::Evict(holders) => {
                 let connections = lock(&self.0.connections);
                 for connection in holders.iter().filter_map(|id| connections.get(id)) {
-                    metrics::counter!(telemetry::CLIENTS_CLOSED, "listener" => "callers", "reason" => "memory")
-                        .increment(1);
+                    count_closed(CALLERS, "memory");
                     connection.close();
                 }
                 if !holders.is_empty() {
@@ -193,8 +200,16 @@
     }
 }
 
+/// Memory that the head of a request needs.
+pub fn head_size(uri: &Uri, headers: &HeaderMap) -> usize {
+    let fields: usize = headers.iter().map(|(name, value)| name.as_str().len() + value.len() + FIELD_SIZE).sum();
+    uri.path().len() + uri.query().map_or(0, str::len) + fields
+}
+
 /// Limits on the body of a request.
 pub struct BodyLimits {
+    /// Size of the request's head, in bytes.
+    pub head: usize,
     /// Largest body.
     pub size: Size,
     /// Time by which the body must be complete. The failure then has the reason `Expired`.
@@ -203,9 +218,12 @@
     pub idle: Duration,
 }
 
-/// Reads the body of a request into one buffer that is counted for `share`.
-pub async fn read_body(mut body: Incoming, limits: &BodyLimits, share: &Share) -> Result<Bytes, Failure> {
+/// Reads the body of a request into one buffer that is counted for `share`, with the request itself.
+pub async fn read_body(mut body: Incoming, limits: BodyLimits, share: &Share) -> Result<Bytes, Failure> {
+    let request = share.grow(REQUEST_SIZE + limits.head).await;
+    request.map_err(|Full| full("the gateway's memory has no room for the request"))?;
     if body.is_end_stream() {
+        share.set_waiting(false);
         return Ok(Bytes::new());
     }
     let limit = limits.size.0 as usize;
--- a/crates/daemon/src/gateway/request.rs
+++ b/crates/daemon/src/gateway/request.rs
@@ -56,8 +56,8 @@
     pub uri: Uri,
     /// Body as the caller sent it.
     pub body: Bytes,
-    /// Memory that the body holds.
-    pub _body_share: Share,
+    /// Memory that the request holds.
+    pub _share: Share,
     /// Connection of the caller.
     pub connection: Arc<Activity>,
     /// Configuration that was in force when the request was authorised; it applies until the request ends.
@@ -121,10 +121,11 @@
     };
     let wait = meta.deadline.map_or(route.timeout, |deadline| deadline.min(route.timeout));
     let deadline = arrived + Duration::from(wait);
-    let body_share = state.memory.share(Use::Body, Arc::clone(&connection));
+    let share = state.memory.share(Use::Request, Arc::clone(&connection));
     let idle = state.settings().clients.body_idle().into();
-    let limits = BodyLimits { size: config.limits.body, deadline, idle };
-    let body = memory::read_body(body, &limits, &body_share).await.map_err(refuse)?;
+    let head_size = memory::head_size(&head.uri, &head.headers);
+    let limits = BodyLimits { head: head_size, size: config.limits.body, deadline, idle };
+    let body = memory::read_body(body, limits, &share).await.map_err(refuse)?;
     let session = meta.session.as_deref().unwrap_or(id.as_str());
     let session = stable_hash(&[session]);
     let service = route.target(session).clone();
@@ -141,7 +142,7 @@
         method: head.method,
         uri: origin_form(&head.uri),
         body,
-        _body_share: body_share,
+        _share: share,
         connection,
         config,
         route,
