--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -12,6 +12,7 @@
 mod exchange;
 mod execute;
 mod follow;
+mod memory;
 mod mirror;
 pub mod net;
 mod orders;
@@ -49,7 +50,7 @@
 use tokio::sync::Notify;
 
 use self::{
-    connections::IdleConnections, duties::Duties, mirror::Mirror, response_stats::ResponseStats,
+    connections::IdleConnections, duties::Duties, memory::Memory, mirror::Mirror, response_stats::ResponseStats,
     second_send::SecondSends,
 };
 use crate::{
@@ -94,6 +95,7 @@
     crash_evidence: Mutex<CrashEvidence>,
     connections: IdleConnections,
     duties: Duties,
+    memory: Memory,
     /// Notified when a version on trial has failed a request, which the other gateways must learn at once.
     trial_failures: Notify,
 }
@@ -120,7 +122,7 @@
     let ready = bind(settings.readiness, "readiness endpoint").await?;
     let inner = bind(settings.exchange, "exchange endpoint").await?;
     readiness::spawn(gateway.clone(), ready);
-    readiness::spawn_metrics((settings.address, settings.metrics_port).into(), metrics);
+    readiness::spawn_metrics(gateway.clone(), metrics);
     exchange::spawn(gateway.clone(), inner);
     sync::spawn(&gateway);
     admission::spawn(gateway.clone());
@@ -141,7 +143,6 @@
             duties: Duties::open(&settings, incarnation, BootClock),
             admission: settings.admission.as_ref().map(admission::Admission::open),
             reloaded: RwLock::new(Arc::new(settings.clone())),
-            settings,
             incarnation,
             clock: BootClock,
             shutdown,
@@ -157,6 +158,8 @@
             peer_reports: Mutex::default(),
             crash_evidence: Mutex::default(),
             connections: IdleConnections::default(),
+            memory: Memory::open(&settings),
+            settings,
             trial_failures: Notify::new(),
         }))
     }
--- a/crates/daemon/src/telemetry.rs
+++ b/crates/daemon/src/telemetry.rs
@@ -76,6 +76,14 @@
 pub const ADMISSIONS: &str = "eelgrasswell_admissions_total";
 /// Time for which requests waited for a free slot in seconds, by `priority`.
 pub const ADMISSION_WAIT: &str = "eelgrasswell_admission_wait_seconds";
+/// Open connections of clients, by `listener`.
+pub const CONNECTIONS: &str = "eelgrasswell_client_connections";
+/// Connections of clients that the process closed, by `listener` and `reason`.
+pub const CLIENTS_CLOSED: &str = "eelgrasswell_clients_closed_total";
+/// Bytes that are held for clients, by `use`.
+pub const MEMORY_HELD: &str = "eelgrasswell_memory_held_bytes";
+/// Bytes for clients that were denied because the memory budget was used up, by `use`.
+pub const MEMORY_DENIED: &str = "eelgrasswell_memory_denied_total";
 
 /// Installs the metrics recorder of the process.
 pub fn install() -> Result<PrometheusHandle> {
