Give a renewal that is heard of again no later time

Cause: the age of a renewal grows by less than the delay of the messages that carry it, so a dead holder seemed to live for longer with each hop between gateways, without bound when messages are slow.

Change: messages carry the number of the renewal, and only a larger number changes what is known.

Tests: core duty_lease (5 passed, with the new renewal_heard_again); testbed duties, gateway and withdrawn_servers (71 passed).

--- a/crates/core/src/duty_lease.rs
+++ b/crates/core/src/duty_lease.rs
@@ -81,6 +81,8 @@
     pub holder: Holder,
     /// Its fence.
     pub fence: Fence,
+    /// Number of its last renewal.
+    pub renewals: u64,
     /// Time before its last confirmed renewal was sent, on the clock of this router.
     pub renewed: Millis,
     /// Last window that was settled or abandoned.
@@ -329,9 +331,10 @@
         }
     }
 
-    /// Records what another router says; false if something newer is known.
+    /// Records what another router says; false if it is nothing new. A renewal that is heard of again has no later time, or the
+    /// delays of messages that go round would keep a dead holder alive.
     pub fn record_heard(&mut self, heard: Heard) -> bool {
-        let order = |heard: &Heard| (heard.fence, heard.renewed, heard.settled_through);
+        let order = |heard: &Heard| (heard.fence, heard.renewals);
         if heard.holder == self.own || self.heard.as_ref().is_some_and(|known| order(known) >= order(&heard)) {
             return false;
         }
@@ -353,12 +356,13 @@
             Phase::Holding(Held { stored, valid_from: Some(renewed), .. }) => Some(Heard {
                 holder: stored.lease.holder.clone(),
                 fence: stored.lease.fence,
+                renewals: stored.lease.renewals,
                 renewed: *renewed,
                 settled_through: stored.lease.settled_through,
             }),
             Phase::Holding(_) | Phase::Listening { .. } | Phase::Observing { .. } => None,
         };
-        [own, self.heard.clone()].into_iter().flatten().max_by_key(|heard| (heard.fence, heard.renewed))
+        [own, self.heard.clone()].into_iter().flatten().max_by_key(|heard| (heard.fence, heard.renewals))
     }
 
     /// The lease that this router holds, as last confirmed by the store.
--- a/crates/core/tests/duty_lease.rs
+++ b/crates/core/tests/duty_lease.rs
@@ -5,7 +5,7 @@
 use std::collections::{BTreeMap, HashMap};
 
 use eelgrasswell_core::{
-    duty_lease::{Action, DutyLease, Holder, Lease, Stored, WriteOutcome},
+    duty_lease::{Action, DutyLease, Heard, Holder, Lease, Stored, WriteOutcome},
     id::{Fence, Incarnation},
     unit::Millis,
     usage::{Report, WindowId},
@@ -304,6 +304,24 @@
     assert_eq!(run(3, &[]), 0);
 }
 
+/// Guards against a dead holder that seems to live because messages about its last renewal are late or go round.
+#[test]
+fn renewal_heard_again() {
+    let mut lease = DutyLease::new(holder(1, 2), LEASE, at(0), WindowId(0));
+    let heard = |renewals: u64, step: u64| Heard {
+        holder: holder(0, 1),
+        fence: Fence(3),
+        renewals,
+        renewed: at(step),
+        settled_through: WindowId(0),
+    };
+    assert!(lease.record_heard(heard(7, 10)));
+    assert!(!lease.record_heard(heard(7, 12)) && !lease.record_heard(heard(6, 13)));
+    assert_eq!(lease.next(at(10) + LEASE, Some(0)), Action::Read);
+    assert!(lease.record_heard(heard(8, 14)));
+    assert_eq!(lease.next(at(14), Some(0)), Action::Wait(at(14) + LEASE));
+}
+
 /// An operator may delete the object while a router holds the lease, and the holder or another router creates it again. Reports
 /// that were settled and not sent are lost with it, but no window is settled again.
 #[test]
--- a/crates/daemon/src/gateway/duties/mod.rs
+++ b/crates/daemon/src/gateway/duties/mod.rs
@@ -102,6 +102,7 @@
             fence: known.fence.0,
             renewed_ago_ms: active.clock.now().saturating_sub(known.renewed).0,
             settled_through: known.settled_through.0,
+            renewals: known.renewals,
         })
     }
 
@@ -117,6 +118,7 @@
         let heard = Heard {
             holder,
             fence: Fence(message.fence),
+            renewals: message.renewals,
             renewed: active.clock.now().saturating_sub(Millis(message.renewed_ago_ms)),
             settled_through: WindowId(message.settled_through),
         };
