--- a/crates/core/src/pool.rs
+++ b/crates/core/src/pool.rs
@@ -17,8 +17,11 @@
     departure::{Departure, Departures},
     hash::{HashMap, HashSet, stable_hash},
     id::{BackendId, DomainId, ServiceName, VersionName},
+    not_run::NotRun,
     pause::Pauses,
     rate::{self, RecentSends},
+    room::ServerSlots,
+    server_pace::{Baseline, RecentPace},
     stage,
     unit::{Millis, Tokens},
 };
@@ -44,8 +47,13 @@
 const MIN_PREFIX_TO_CROSS: Tokens = Tokens(2_000);
 /// Load added to servers of other failure domains, because traffic between domains has a cost.
 const REMOTE_DOMAIN_LOAD: Cost = 0.25;
+/// Time for which a server is left out after another server has responded at its address. The list usually shows within
+/// this time where the server is now. A longer one would leave a server out that is there after all.
+const REPLACED_TIME: Millis = Millis(5_000);
 /// Share of the limit on requests to a cold server that the routers use.
 const COLD_LIMIT_USAGE: f64 = 0.8;
+/// Difference from the mean up to which a load counts as equal to it. Loads are sums of fractions, which are inexact.
+const LOAD_TOLERANCE: Cost = 1e-6;
 
 /// Load that a request puts on a backend server, in units of one small request.
 pub type Cost = f64;
@@ -70,16 +78,23 @@
     cold_until: Millis,
     /// End of the grace period if the server is missing from the list.
     missing_until: Option<Millis>,
+    /// Time until which the server is left out because another server responds at its address.
+    replaced_until: Millis,
     /// Number of this router's requests outstanding at the server.
     outstanding: u32,
     /// Load of these requests.
     load: Cost,
     /// Load that the other routers have outstanding at the server.
     peer_load: Cost,
+    /// Number of requests that the other routers have outstanding at the server.
+    peer_outstanding: u32,
     sends: RecentSends,
     /// Sends whose response has not started, with the time from which the response is overdue.
     unanswered: Vec<(SendId, Millis)>,
     health: Health,
+    pace: RecentPace,
+    /// Whether the last sample of `pace` showed that the server is slow at the moment.
+    is_slow: bool,
 }
 
 /// Identifies a send, which is one transmission of a request to a backend server, among the sends of one router.
@@ -126,6 +141,8 @@
     pub excluded_version: Option<&'a VersionName>,
     /// Whether the servers are filled one after the other, for the trial of `version` under load.
     pub fills_servers: bool,
+    /// Whether servers whose slots are all in use are avoided while another one has a free slot.
+    pub avoids_full: bool,
     /// Servers that the request has already been sent to.
     pub tried: &'a [BackendId],
     /// Failure domain of this router.
@@ -164,6 +181,11 @@
     Failed,
     /// The server rejected the request without running it.
     Refused,
+    /// The server has not responded for this multiple of the expected time, and the request was given up.
+    Slow {
+        /// Time waited, as a multiple of the expected time for the request.
+        slowness: f64,
+    },
     /// The server could not be reached, or broke off the connection.
     Unreachable,
 }
@@ -191,6 +213,7 @@
             self.insert(now, backend, &mut changes);
         }
         for (id, entry) in &mut self.entries {
+            entry.replaced_until = Millis::ZERO;
             if !listed.contains(id) && entry.missing_until.is_none() {
                 entry.missing_until = Some(now + grace);
                 changes.missing.push(id.clone());
@@ -247,14 +270,35 @@
         }
     }
 
-    /// Load that this router has outstanding at each server; servers without load are left out.
-    pub fn own_loads(&self) -> impl Iterator<Item = (&BackendId, Cost)> {
-        self.entries.iter().filter(|(_, entry)| entry.load > 0.0).map(|(id, entry)| (id, entry.load))
+    /// Replaces the numbers of requests that the other routers have outstanding at each server.
+    pub fn set_peer_outstanding(&mut self, counts: &HashMap<BackendId, u32>) {
+        for (id, entry) in &mut self.entries {
+            entry.peer_outstanding = counts.get(id).copied().unwrap_or_default();
+        }
+    }
+
+    /// Load and number of requests that this router has outstanding at each server; servers without load are left out.
+    pub fn own_loads(&self) -> impl Iterator<Item = (&BackendId, Cost, u32)> {
+        let loaded = self.entries.iter().filter(|(_, entry)| entry.load > 0.0);
+        loaded.map(|(id, entry)| (id, entry.load, entry.outstanding))
+    }
+
+    /// Slots of all servers.
+    pub fn slots(&self, now: Millis) -> Vec<ServerSlots> {
+        let slots = |entry: &Entry| ServerSlots {
+            id: entry.backend.id.clone(),
+            service: entry.backend.service.clone(),
+            slots: entry.backend.slots,
+            in_service: self.is_in_service(now, entry),
+            usable: entry.health.is_sound(now) && self.pauses.end(now, entry.server).is_none(),
+            own: entry.outstanding,
+        };
+        self.entries.values().map(slots).collect()
     }
 
     /// Whether any server of `service` accepts new requests.
-    pub fn has_available(&self, service: &ServiceName) -> bool {
-        self.in_service(service).next().is_some()
+    pub fn has_available(&self, now: Millis, service: &ServiceName) -> bool {
+        self.in_service(now, service).next().is_some()
     }
 
     /// Whether the pool has no servers.
@@ -263,8 +307,8 @@
     }
 
     /// Number of servers of `service` that run `version` and accept new requests.
-    pub fn available_with_version(&self, service: &ServiceName, version: &VersionName) -> usize {
-        self.in_service(service).filter(|entry| entry.backend.version == *version).count()
+    pub fn available_with_version(&self, now: Millis, service: &ServiceName, version: &VersionName) -> usize {
+        self.in_service(now, service).filter(|entry| entry.backend.version == *version).count()
     }
 
     /// Number of this router's requests outstanding at servers of `service` that run other versions than `version`.
@@ -276,7 +320,7 @@
     /// Whether the server still accepts new requests. Callers check this again right before a send.
     pub fn is_available(&self, now: Millis, backend: &Backend) -> bool {
         let entry = self.entries.get(&backend.id).filter(|entry| entry.backend.started_at == backend.started_at);
-        entry.is_some_and(|entry| self.is_in_service(entry) && self.pauses.end(now, entry.server).is_none())
+        entry.is_some_and(|entry| self.is_in_service(now, entry) && self.pauses.end(now, entry.server).is_none())
     }
 
     /// Records that `server` announced at `since` that it is shutting down. Returns whether that was not known.
@@ -311,13 +355,14 @@
         requirements: &Requirements<'_>,
         rng: &mut impl Rng,
     ) -> Result<(Arc<Backend>, SendId), Unavailable> {
-        if !self.has_available(requirements.service) {
+        if !self.has_available(now, requirements.service) {
             return Err(Unavailable::NoneInService);
         }
         let mut first_end: Option<Millis> = None;
         let mut has_unpaused = false;
         let mut eligible: Vec<BackendId> = Vec::new();
-        for entry in self.in_service(requirements.service).filter(|entry| requirements.allows_version(&entry.backend)) {
+        let in_service = self.in_service(now, requirements.service);
+        for entry in in_service.filter(|entry| requirements.allows_version(&entry.backend)) {
             if let Some(end) = self.pauses.end(now, entry.server) {
                 first_end = Some(first_end.map_or(end, |first| first.min(end)));
                 continue;
@@ -342,7 +387,10 @@
         if requirements.fills_servers {
             self.keep_loaded(&mut candidates);
         }
-        let id = self.best_candidate(&candidates, requirements, rng);
+        if requirements.avoids_full && candidates.iter().any(|id| self.entries[id].has_free_slot()) {
+            candidates.retain(|id| self.entries[id].has_free_slot());
+        }
+        let id = self.best_candidate(now, &candidates, requirements, rng);
         let entry = self.entries.get_mut(&id).expect("the selected server is in the pool");
         entry.sends.record(now);
         entry.health.record_probe(now);
@@ -354,6 +402,25 @@
         Ok((Arc::clone(&entry.backend), send))
     }
 
+    /// Like `choose`, but only among the healthy warm servers whose load is not above the mean of the service's servers.
+    pub fn choose_spare(
+        &mut self,
+        now: Millis,
+        requirements: &Requirements<'_>,
+        rng: &mut impl Rng,
+    ) -> Result<(Arc<Backend>, SendId), Unavailable> {
+        let load = |entry: &Entry| entry.load + entry.peer_load;
+        let (sum, count) = self
+            .in_service(now, requirements.service)
+            .fold((0.0, 0), |(sum, count), entry| (sum + load(entry), count + 1));
+        let limit = sum / f64::from(count.max(1)) + LOAD_TOLERANCE;
+        let is_spare = |entry: &&Entry| load(entry) <= limit && entry.is_healthy(now) && entry.cold_until <= now;
+        let others = self.in_service(now, requirements.service).filter(|entry| !is_spare(entry));
+        let mut excluded: Vec<BackendId> = others.map(|entry| entry.backend.id.clone()).collect();
+        excluded.extend_from_slice(requirements.tried);
+        self.choose(now, &Requirements { tried: &excluded, ..*requirements }, rng)
+    }
+
     /// Records that the response to a send has started.
     pub fn record_response(&mut self, backend: &Backend, send: SendId) {
         if let Some(entry) = self.entry_mut(backend) {
@@ -377,11 +444,24 @@
         }
     }
 
-    /// Removes a server after another server has responded at its address.
-    pub fn remove_replaced(&mut self, backend: &Backend) {
-        if self.entry_mut(backend).is_some() {
-            self.entries.remove(&backend.id);
-        }
+    /// Records that something took a server `ratio` times the usual time. Returns the factor on its load if this shows that
+    /// the server has become slow. A cold server is slow for another reason.
+    pub fn record_pace(&mut self, now: Millis, backend: &Backend, ratio: f64) -> Option<f64> {
+        let entry = self.entry_mut(backend).filter(|entry| entry.cold_until <= now)?;
+        entry.pace.record(now, ratio);
+        let (pace, was_slow) = (entry.pace, entry.is_slow);
+        let factor = if pace.may_be_slow() { self.baseline(now, &backend.service).factor(&pace) } else { 1.0 };
+        self.entry_mut(backend)?.is_slow = factor > 1.0;
+        (factor > 1.0 && !was_slow).then_some(factor)
+    }
+
+    /// Leaves an incarnation of a server out after another server has refused a request at its address, which `_proof` shows.
+    /// It is left out for `REPLACED_TIME`, or until the next update of the list if that comes first. Returns the time at which
+    /// this ends; none if the list names another incarnation or address by now.
+    pub fn remove_replaced(&mut self, now: Millis, backend: &Backend, _proof: &NotRun) -> Option<Millis> {
+        let entry = self.entry_mut(backend).filter(|entry| entry.backend.address == backend.address)?;
+        entry.replaced_until = now + REPLACED_TIME;
+        Some(entry.replaced_until)
     }
 
     /// Records that a server has reported that it stays cold for `remaining`.
@@ -395,13 +475,14 @@
         self.entries.get_mut(&backend.id).filter(|entry| entry.backend.started_at == backend.started_at)
     }
 
-    fn in_service(&self, service: &ServiceName) -> impl Iterator<Item = &Entry> {
-        let is_in_service = |entry: &&Entry| entry.backend.service == *service && self.is_in_service(entry);
+    fn in_service(&self, now: Millis, service: &ServiceName) -> impl Iterator<Item = &Entry> {
+        let is_in_service = move |entry: &&Entry| entry.backend.service == *service && self.is_in_service(now, entry);
         self.entries.values().filter(is_in_service)
     }
 
-    fn is_in_service(&self, entry: &Entry) -> bool {
+    fn is_in_service(&self, now: Millis, entry: &Entry) -> bool {
         !entry.backend.draining
+            && now >= entry.replaced_until
             && !self.evacuated.contains(&entry.backend.domain)
             && !self.departures.contains(entry.server)
     }
@@ -430,13 +511,15 @@
 
     fn best_candidate(
         &self,
+        now: Millis,
         candidates: &[BackendId],
         requirements: &Requirements<'_>,
         rng: &mut impl Rng,
     ) -> BackendId {
         let median = self.median_slowness(candidates);
+        let baseline = self.baseline(now, requirements.service);
         let mut loads: Vec<(f64, &BackendId)> =
-            candidates.iter().map(|id| (self.entries[id].load(requirements, median), id)).collect();
+            candidates.iter().map(|id| (self.entries[id].load(requirements, median, &baseline), id)).collect();
         let mean = loads.iter().map(|(load, _)| load).sum::<f64>() / loads.len() as f64;
         let limit = mean * AFFINITY_LOAD_FACTOR + AFFINITY_SLACK.max(requirements.cost);
         if let Some(prefix) = requirements.shared_prefix {
@@ -458,6 +541,10 @@
         least_loaded.expect("there are candidates").1.clone()
     }
 
+    fn baseline(&self, now: Millis, service: &ServiceName) -> Baseline {
+        Baseline::new(now, self.in_service(now, service).map(|entry| &entry.pace))
+    }
+
     fn median_slowness(&self, candidates: &[BackendId]) -> f64 {
         let mut values: Vec<f64> = candidates.iter().filter_map(|id| self.entries[id].health.slowness).collect();
         if values.is_empty() {
@@ -482,12 +569,16 @@
             backend: Arc::new(backend),
             cold_until,
             missing_until: None,
+            replaced_until: Millis::ZERO,
             outstanding: 0,
             load: 0.0,
             peer_load: 0.0,
+            peer_outstanding: 0,
             sends: RecentSends::default(),
             unanswered: Vec::new(),
             health: Health::default(),
+            pace: RecentPace::default(),
+            is_slow: false,
         }
     }
 
@@ -502,9 +593,14 @@
         self.health.is_usable(now) && self.unanswered.iter().all(|(_, overdue)| now < *overdue)
     }
 
-    fn load(&self, requirements: &Requirements<'_>, median_slowness: f64) -> f64 {
+    fn has_free_slot(&self) -> bool {
+        self.outstanding.saturating_add(self.peer_outstanding) < self.backend.slots
+    }
+
+    fn load(&self, requirements: &Requirements<'_>, median_slowness: f64, baseline: &Baseline) -> f64 {
         let factor = self.health.slowness.map_or(1.0, |slowness| slowness / median_slowness);
         let factor = if factor > SLOW_FACTOR { factor } else { 1.0 };
+        let factor = factor.max(baseline.factor(&self.pace));
         let remote = if self.backend.domain == *requirements.domain { 0.0 } else { REMOTE_DOMAIN_LOAD };
         (self.load + self.peer_load + requirements.cost) * factor + remote
     }
@@ -516,6 +612,11 @@
         now >= self.down_until && (!is_suspect || now >= self.last_probe + PROBE_INTERVAL)
     }
 
+    /// Whether the server gets more than probes.
+    fn is_sound(&self, now: Millis) -> bool {
+        now >= self.down_until && self.failure_rate <= SUSPECT_FAILURE_RATE
+    }
+
     fn record_probe(&mut self, now: Millis) {
         if self.failure_rate > SUSPECT_FAILURE_RATE {
             self.last_probe = now;
@@ -527,10 +628,13 @@
             Outcome::Answered { slowness } => {
                 self.consecutive_failures = 0;
                 self.down_until = Millis::ZERO;
-                let average = self.slowness.unwrap_or(slowness);
-                self.slowness = Some(average + AVERAGE_WEIGHT * (slowness - average));
+                self.record_slowness(slowness);
                 0.0
             }
+            Outcome::Slow { slowness } => {
+                self.slowness.get_or_insert(1.0);
+                return self.record_slowness(slowness);
+            }
             Outcome::Refused => return,
             Outcome::Failed => 1.0,
             Outcome::Unreachable => {
@@ -542,4 +646,9 @@
         };
         self.failure_rate += AVERAGE_WEIGHT * (failure - self.failure_rate);
     }
+
+    fn record_slowness(&mut self, slowness: f64) {
+        let average = self.slowness.unwrap_or(slowness);
+        self.slowness = Some(average + AVERAGE_WEIGHT * (slowness - average));
+    }
 }
--- a/crates/core/tests/pool.rs
+++ b/crates/core/tests/pool.rs
@@ -1,10 +1,13 @@
 //! Guards against requests to servers that must not get any, against overloaded cold servers, and against prompts that
 //! are sent to a server without their cached prefix.
 
+use std::sync::LazyLock;
+
 use eelgrasswell_core::{
     backend::Backend,
     hash::{HashMap, HashSet},
     id::{BackendId, DomainId, ServiceName, VersionName},
+    not_run::Unsent,
     pool::{Outcome, Pool, Requirements, SharedPrefix, Unavailable},
     unit::{Millis, Tokens},
 };
@@ -13,6 +16,8 @@
 use test_case::test_case;
 
 const NOW: Millis = Millis(10_000);
+/// Version on trial.
+static V2: LazyLock<VersionName> = LazyLock::new(|| "v2".into());
 
 fn backend(n: u8) -> Backend {
     Backend {
@@ -28,6 +33,11 @@
     }
 }
 
+/// Every fourth server is in the domain of the rig's router.
+fn in_two_domains(n: u8) -> Backend {
+    Backend { domain: if n.is_multiple_of(4) { "a" } else { "b" }.into(), ..backend(n) }
+}
+
 fn prefix(hash: u64, tokens: u64) -> SharedPrefix {
     SharedPrefix { hash, tokens: Tokens(tokens) }
 }
@@ -51,22 +61,49 @@
         now: Millis,
         change: impl FnOnce(&mut Requirements<'a>),
     ) -> Result<BackendId, Unavailable> {
-        let mut requirements = Requirements {
-            service: &self.service,
-            shared_prefix: None,
-            cost: 1.0,
-            overdue_after: Millis(300),
-            version: None,
-            excluded_version: None,
-            fills_servers: false,
-            tried: &[],
-            domain: &self.domain,
-            cold_per_second: 0.0,
-            routers: 1,
-        };
+        let mut requirements = requirements(&self.service, &self.domain);
         change(&mut requirements);
         self.pool.choose(now, &requirements, &mut self.rng).map(|(backend, _)| backend.id.clone())
     }
+
+    fn choose_and_release(&mut self) -> BackendId {
+        let requirements = requirements(&self.service, &self.domain);
+        let (chosen, send) = self.pool.choose(NOW, &requirements, &mut self.rng).unwrap();
+        self.pool.release(&chosen, send, requirements.cost);
+        chosen.id.clone()
+    }
+
+    fn choose_spare(&mut self, tried: &[BackendId]) -> Result<BackendId, Unavailable> {
+        self.choose_spare_with(|req| req.tried = tried)
+    }
+
+    fn choose_spare_with<'a>(
+        &'a mut self,
+        change: impl FnOnce(&mut Requirements<'a>),
+    ) -> Result<BackendId, Unavailable> {
+        let mut requirements = requirements(&self.service, &self.domain);
+        change(&mut requirements);
+        let (chosen, send) = self.pool.choose_spare(NOW, &requirements, &mut self.rng)?;
+        self.pool.release(&chosen, send, requirements.cost);
+        Ok(chosen.id.clone())
+    }
+}
+
+fn requirements<'a>(service: &'a ServiceName, domain: &'a DomainId) -> Requirements<'a> {
+    Requirements {
+        service,
+        shared_prefix: None,
+        cost: 1.0,
+        overdue_after: Millis(300),
+        version: None,
+        excluded_version: None,
+        fills_servers: false,
+        avoids_full: false,
+        tried: &[],
+        domain,
+        cold_per_second: 0.0,
+        routers: 1,
+    }
 }
 
 #[test]
@@ -101,13 +138,12 @@
 /// against a domain that keeps its requests although its servers are more loaded than the others.
 #[test]
 fn choose_keeps_short_prefix_in_own_domain_until_it_is_loaded() {
-    let in_domain = |n: u8| Backend { domain: if n % 4 == 0 { "a" } else { "b" }.into(), ..backend(n) };
-    let is_own = |id: &BackendId| (1..=16).any(|n| n % 4 == 0 && in_domain(n).id == *id);
-    let mut rig = Rig::with((1..=16).map(in_domain).collect());
+    let is_own = |id: &BackendId| (1..=4).any(|n| backend(n * 4).id == *id);
+    let mut rig = Rig::with((1..=16).map(in_two_domains).collect());
     for hash in 0..8 {
         assert!(is_own(&rig.choose(NOW, |req| req.shared_prefix = Some(prefix(hash, 500))).unwrap()));
     }
-    let own: HashMap<BackendId, f64> = (1..=4).map(|n| (in_domain(n * 4).id, 20.0)).collect();
+    let own: HashMap<BackendId, f64> = (1..=4).map(|n| (backend(n * 4).id, 20.0)).collect();
     rig.pool.set_peer_loads(&own);
     assert!(!is_own(&rig.choose(NOW, |req| req.shared_prefix = Some(prefix(1, 500))).unwrap()));
 }
@@ -115,9 +151,8 @@
 /// Guards against a long prefix that each failure domain processes again.
 #[test]
 fn choose_finds_long_prefix_in_any_domain() {
-    let in_domain = |n: u8| Backend { domain: if n % 4 == 0 { "a" } else { "b" }.into(), ..backend(n) };
     let chosen = ["a", "b"].map(|domain| {
-        let mut rig = Rig { domain: domain.into(), ..Rig::with((1..=16).map(in_domain).collect()) };
+        let mut rig = Rig { domain: domain.into(), ..Rig::with((1..=16).map(in_two_domains).collect()) };
         (0..8)
             .map(|hash| rig.choose(NOW, |req| req.shared_prefix = Some(prefix(hash, 5_000))).unwrap())
             .collect::<Vec<_>>()
@@ -246,8 +281,35 @@
 #[test]
 fn remove_replaced_drops_server() {
     let mut rig = Rig::with(vec![backend(1)]);
-    rig.pool.remove_replaced(&backend(1));
+    assert!(rig.pool.remove_replaced(NOW, &backend(1), &Unsent::begin().give_up()).is_some());
+    assert!(!rig.pool.is_available(NOW, &backend(1)), "a request that waited for a connection must not be sent now");
     assert_eq!(rig.choose(NOW, |_| {}), Err(Unavailable::NoneInService));
+    assert_eq!(rig.choose(NOW + Millis(4_999), |_| {}), Err(Unavailable::NoneInService));
+}
+
+/// Guards against a sound server that stays out for good after a 421 because the list does not change.
+#[test]
+fn remove_replaced_ends_after_a_time() {
+    let mut rig = Rig::with(vec![backend(1)]);
+    rig.pool.remove_replaced(NOW, &backend(1), &Unsent::begin().give_up());
+    assert_eq!(rig.choose(NOW + Millis(5_000), |_| {}), Ok("b1".into()));
+}
+
+#[test]
+fn remove_replaced_ends_with_the_next_list() {
+    let mut rig = Rig::with(vec![backend(1)]);
+    rig.pool.remove_replaced(NOW, &backend(1), &Unsent::begin().give_up());
+    rig.pool.update(NOW, vec![backend(1)], Millis::ZERO);
+    assert_eq!(rig.choose(NOW, |_| {}), Ok("b1".into()));
+}
+
+/// Guards against a 421 to an earlier send that takes out a server which has moved or started anew since.
+#[test_case(Backend { started_at: 2, ..backend(1) }; "next incarnation")]
+#[test_case(Backend { address: ([10, 0, 0, 9], 80).into(), ..backend(1) }; "another address")]
+fn remove_replaced_concerns_one_incarnation_and_address(listed: Backend) {
+    let mut rig = Rig::with(vec![listed]);
+    assert_eq!(rig.pool.remove_replaced(NOW, &backend(1), &Unsent::begin().give_up()), None);
+    assert_eq!(rig.choose(NOW, |_| {}), Ok("b1".into()));
 }
 
 #[test]
@@ -376,3 +438,70 @@
     let expected = if refusing == 4 { 0 } else { 1_950 };
     assert!(served >= expected, "{served} requests were served");
 }
+
+/// Guards against second sends to servers that are loaded above the mean, cold or unhealthy.
+#[test]
+fn choose_spare_excludes_loaded_servers() {
+    let cold = Backend { cold_remaining: Millis(5_000), ..backend(4) };
+    let mut rig = Rig::with(vec![backend(1), backend(2), backend(3), cold]);
+    rig.pool.set_peer_loads(&HashMap::from_iter([("b2".into(), 6.0), ("b1".into(), 1.0)]));
+    rig.pool.record_outcome(NOW, &backend(3), Outcome::Unreachable);
+    for _ in 0..20 {
+        assert_eq!(rig.choose_spare(&[]), Ok("b1".into()));
+    }
+    assert_eq!(rig.choose_spare(&["b1".into()]), Err(Unavailable::AllTried));
+}
+
+/// Guards against a second send that runs on another version than the first one while a version is on trial.
+#[test_case(|req| req.version = Some(&V2), &["b3"]; "on the new version")]
+#[test_case(|req| req.excluded_version = Some(&V2), &["b1", "b2"]; "on the others")]
+fn choose_spare_keeps_version(rule: fn(&mut Requirements<'_>), allowed: &[&str]) {
+    let mut rig = Rig::with(vec![backend(1), backend(2), Backend { version: V2.clone(), ..backend(3) }]);
+    for _ in 0..20 {
+        let chosen = rig.choose_spare_with(rule).unwrap();
+        assert!(allowed.contains(&chosen.as_str()), "{chosen}");
+    }
+    let tried: Vec<BackendId> = allowed.iter().map(|id| (*id).into()).collect();
+    let chosen = rig.choose_spare_with(|req| {
+        rule(req);
+        req.tried = &tried;
+    });
+    assert_eq!(chosen, Err(Unavailable::AllTried));
+}
+
+/// Guards against servers that are taken for loaded although all have the same load.
+#[test]
+fn choose_spare_equal_loads() {
+    let mut rig = Rig::with((1..=7).map(backend).collect());
+    rig.pool.set_peer_loads(&(1..=7).map(|n| (backend(n).id, 0.1)).collect());
+    assert!(rig.choose_spare(&[]).is_ok());
+}
+
+/// Guards against a server whose requests are given up again and again and which still gets as many, and against one late
+/// answer that has this effect.
+#[test]
+fn record_outcome_slow_server_gets_fewer() {
+    let mut rig = Rig::with(vec![backend(1), backend(2), backend(3)]);
+    let sends_to_slow = |rig: &mut Rig| (0..100).filter(|_| rig.choose_and_release() == "b1".into()).count();
+    for n in [2, 3] {
+        rig.pool.record_outcome(NOW, &backend(n), Outcome::Answered { slowness: 1.0 });
+    }
+    rig.pool.record_outcome(NOW, &backend(1), Outcome::Slow { slowness: 4.0 });
+    assert!(sends_to_slow(&mut rig) > 20);
+    (0..3).for_each(|_| rig.pool.record_outcome(NOW, &backend(1), Outcome::Slow { slowness: 4.0 }));
+    assert_eq!(sends_to_slow(&mut rig), 0);
+}
+
+/// Guards against requests that queue at a full server while another one has a free slot. Here the loads say
+/// otherwise.
+#[test_case(true, "b2"; "avoided")]
+#[test_case(false, "b1"; "not asked for")]
+fn choose_avoids_full_servers(avoids_full: bool, expected: &str) {
+    let small = Backend { slots: 1, ..backend(1) };
+    let mut rig = Rig::with(vec![small, backend(2)]);
+    rig.pool.set_peer_loads(&HashMap::from_iter([("b2".into(), 5.0)]));
+    rig.pool.set_peer_outstanding(&HashMap::from_iter([("b1".into(), 1), ("b2".into(), 5)]));
+    assert_eq!(rig.choose(NOW, |r| r.avoids_full = avoids_full), Ok(expected.into()));
+    rig.pool.set_peer_outstanding(&HashMap::from_iter([("b1".into(), 1), ("b2".into(), 8)]));
+    assert_eq!(rig.choose(NOW, |r| r.avoids_full = true), Ok("b1".into()), "all are full");
+}
--- a/crates/daemon/src/gateway/exchange.rs
+++ b/crates/daemon/src/gateway/exchange.rs
@@ -1,7 +1,7 @@
 //! Gossip between gateways: which gateways are alive, their load at each backend server, counters by version, and the
 //! progress of rollout orders.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{io, net::SocketAddr, time::Duration};
 
 use eelgrasswell_core::{
     answer_counters::Counters,
@@ -14,18 +14,19 @@
 };
 use eelgrasswell_proto::v1::{
     BackendLoad, FleetCounters, FleetMember, FleetState, FollowReply, FollowRequest, OrderProgress, ReporterCounters,
+    UsageReply, UsageReport,
     fleet_client::FleetClient,
     fleet_server::{Fleet, FleetServer},
 };
+use futures::stream;
 use rand::seq::IndexedRandom;
 use tokio::{net::TcpListener, time::sleep};
-use tokio_stream::wrappers::TcpListenerStream;
 use tonic::{
     Request, Response, Status,
     transport::{Channel, Endpoint, Server},
 };
 
-use super::{Gateway, State, follow, response_stats::Report};
+use super::{Gateway, State, follow, memory, response_stats::Report};
 use crate::{event, sync::lock, telemetry};
 
 /// Interval between two rounds of exchanges with peers.
@@ -35,13 +36,19 @@
 const FAILURE_NOTICE: Duration = Duration::from_millis(60);
 /// Maximum number of members reported in one exchange.
 const MAX_MEMBERS_SENT: usize = 4;
+/// Maximum size of a message that a peer sends, in bytes. The state of a large fleet needs less than a tenth of it.
+const MAX_MESSAGE: usize = 1 << 20;
+/// Maximum number of calls at the same time on one connection. A peer makes an exchange and a follow call.
+const MAX_CALLS: u32 = 16;
+/// Maximum size of a frame, in bytes: the smallest that the protocol allows.
+const MAX_FRAME: u32 = 16 << 10;
 /// Timeout of one exchange.
 const TIMEOUT: Duration = Duration::from_millis(700);
 /// Age at which a peer's report of its loads and orders is no longer used. Peers of other failure domains are heard of
 /// less often than those of the own one.
 const MAX_REPORT_AGE: Millis = Millis(2_500);
 /// Factor by which loads are multiplied on the wire: they are sent in hundredths of a small request.
-const LOAD_SCALE: f64 = 100.0;
+pub const LOAD_SCALE: f64 = 100.0;
 
 /// The other gateways' last reports, each with the time at which it was received.
 #[derive(Default)]
@@ -63,12 +70,24 @@
     async fn follow(&self, request: Request<FollowRequest>) -> Result<Response<FollowReply>, Status> {
         Ok(Response::new(follow::handle_request(&self.0, &request.into_inner()).await))
     }
+
+    async fn report_usage(&self, request: Request<UsageReport>) -> Result<Response<UsageReply>, Status> {
+        Ok(Response::new(self.0.duties.handle_usage(request.get_ref())))
+    }
 }
 
 /// Serves exchanges on `listener`, and starts to exchange with peers and to follow watchers.
 pub fn spawn(gateway: Gateway, listener: TcpListener) {
-    let server = FleetServer::new(FleetService(gateway.clone()));
-    tokio::spawn(Server::builder().add_service(server).serve_with_incoming(TcpListenerStream::new(listener)));
+    let service = FleetService(gateway.clone());
+    let server = FleetServer::new(service).max_decoding_message_size(MAX_MESSAGE);
+    let share = gateway.settings.clients.exchange_share;
+    let table = memory::open_table(&gateway.settings, "exchange", &listener, share, usize::MAX);
+    let incoming = stream::unfold((listener, table), |(listener, table)| async move {
+        let stream = table.accept(&listener).await;
+        Some((Ok::<_, io::Error>(stream), (listener, table)))
+    });
+    let mut builder = Server::builder().max_concurrent_streams(MAX_CALLS).max_frame_size(MAX_FRAME).tcp_nodelay(true);
+    tokio::spawn(builder.add_service(server).serve_with_incoming(incoming));
     follow::spawn(gateway.clone());
     tokio::spawn(exchange_with_peers(gateway));
 }
@@ -140,8 +159,11 @@
             domain: member.domain.to_string(),
             reaches_store: member.reaches_store,
         };
-        let load =
-            |(id, load): (&BackendId, f64)| BackendLoad { backend: id.to_string(), load: (load * LOAD_SCALE) as u64 };
+        let load = |(id, load, outstanding): (&BackendId, f64, u32)| BackendLoad {
+            backend: id.to_string(),
+            load: (load * LOAD_SCALE) as u64,
+            outstanding,
+        };
         let members = {
             let fleet = lock(&self.fleet);
             let alive = fleet.alive(now);
@@ -159,6 +181,7 @@
             loads,
             counters: self.counters(),
             orders: self.order_progress(now),
+            duty_lease: self.duties.lease_message(),
             ..FleetState::default()
         };
         self.add_crash_evidence(&mut state);
@@ -227,6 +250,7 @@
         self.record_loads(state, now);
         self.record_crash_evidence(state);
         self.record_departures(state);
+        self.duties.record_lease(state.duty_lease.as_ref());
     }
 
     fn record_counters(&self, received: &FleetCounters) {
@@ -314,6 +338,9 @@
     }
 
     fn record_loads(&self, state: &FleetState, now: Millis) {
+        if let Some(admission) = &self.admission {
+            admission.record_peer(now, state);
+        }
         let mut reports = lock(&self.peer_reports);
         reports.loads.insert(state.id.as_str().into(), (now, state.loads.clone()));
         reports.loads.retain(|_, (at, _)| now.saturating_sub(*at) < MAX_REPORT_AGE);
--- a/crates/daemon/src/gateway/execute.rs
+++ b/crates/daemon/src/gateway/execute.rs
@@ -2,10 +2,10 @@
 
 use std::{sync::Arc, time::Duration};
 
-use bytes::BytesMut;
 use eelgrasswell_core::{
     attempt::{AttemptLimits, Attempts},
     backend::Backend,
+    byte_budget::Use,
     caller_status::CallerStatus,
     canary::VersionRule,
     crash_evidence::Block,
@@ -24,16 +24,15 @@
 
 use super::{
     Gateway,
+    admission::Permit,
     attempt::{Answer, Attempt, SendFailure},
+    memory::{BufferedAnswer, Share},
     relay::{Relay, StreamHead},
     request::Call,
+    second_send::{self, Other},
 };
 use crate::{
-    callers::{
-        body::{Body, full},
-        failure::Failure,
-        headers,
-    },
+    callers::{Body, failure::Failure, headers},
     event,
     sync::lock,
     telemetry,
@@ -70,6 +69,12 @@
     attempts: Attempts,
     /// Whether a send has failed.
     has_failed: bool,
+    /// Whether the request has got a second send because of a slow answer.
+    second_sent: bool,
+    /// Whether the request was counted for its customer.
+    is_counted: bool,
+    /// Admission of the request; none if requests are not held back.
+    permit: Option<Permit>,
 }
 
 impl Execution {
@@ -87,11 +92,17 @@
             tried: Vec::new(),
             attempts: Attempts::default(),
             has_failed: false,
+            second_sent: false,
+            is_counted: false,
+            permit: None,
         }
     }
 
     /// Runs the request until the answer for the caller begins.
     pub async fn start(mut self) -> Result<Response<Body>, Failure> {
+        if let Some(admission) = &self.gateway.admission {
+            self.permit = Some(admission.admit(&self.call, self.expected_latency()).await?);
+        }
         let answer = loop {
             match self.attempt(None).await {
                 Ok(answer) if answer.status.is_server_error() && self.try_acquire_repeat(Purpose::Failure) => {
@@ -233,9 +244,39 @@
             head_deadline: self.head_deadline(),
             overdue_after: self.overdue_after(),
             has_failed: self.has_failed,
+            spare_only: false,
         };
-        let result = attempt.run(&self.gateway).await;
-        match &result {
+        let sends = second_send::run(self, attempt).await;
+        if let Some(other) = sends.other {
+            self.record_other(other);
+        }
+        self.record_send(&sends.result);
+        sends.result
+    }
+
+    /// Records the send of a pair that did not give the result.
+    fn record_other(&mut self, other: Other) {
+        self.second_sent = true;
+        match other {
+            Other::Cancelled(backend) => {
+                self.attempts.record_run();
+                self.tried.push(backend.id.clone());
+            }
+            Other::Ended(result) => {
+                self.record_send(&result);
+                match *result {
+                    Ok(answer) => drop(tokio::spawn(answer.drain())),
+                    Err(failure) => event!(Info, "send_ended", request = self.call.id, error = failure),
+                }
+            }
+        }
+    }
+
+    fn record_send(&mut self, result: &Result<Answer, SendFailure>) {
+        if matches!(result, Ok(_) | Err(SendFailure::Failed { .. })) {
+            self.record_usage();
+        }
+        match result {
             Ok(answer) => {
                 self.attempts.record_run();
                 self.has_failed |= answer.status.is_server_error();
@@ -246,16 +287,51 @@
                 self.has_failed = true;
                 self.tried.push(backend.id.clone());
             }
-            Err(SendFailure::NotRun { backend, .. }) => {
-                self.attempts.record_not_run();
+            Err(SendFailure::NotRun { backend, proof, .. }) => {
+                self.attempts.record_not_run(proof);
                 self.tried.push(backend.id.clone());
             }
             Err(SendFailure::Unavailable(_) | SendFailure::Blocked(_)) => {}
         }
-        result
     }
 
-    fn model(&self) -> Option<ModelName> {
+    /// Whether the request may be sent to another server while a send waits for its answer.
+    pub fn allows_second_send(&self) -> bool {
+        !self.second_sent && self.after_another_run().allows_another(self.limits())
+    }
+
+    /// Acquires the repeat for a second send from the budget.
+    pub fn try_acquire_second_send(&self) -> bool {
+        self.call.remaining() > MIN_REPEAT_TIME
+            && self.gateway.try_acquire_repeat(&self.call.service, Purpose::SlowAnswer)
+    }
+
+    /// Deadline for the head of an answer to a second send.
+    pub fn second_head_deadline(&self) -> Instant {
+        self.head_deadline_after(self.after_another_run())
+    }
+
+    /// Whether no send of the request has ended yet.
+    pub fn is_first_send(&self) -> bool {
+        self.attempts.sends() == 0
+    }
+
+    fn after_another_run(&self) -> Attempts {
+        let mut attempts = self.attempts;
+        attempts.record_run();
+        attempts
+    }
+
+    /// Counts the request for its customer, once, when a server has begun to answer it.
+    fn record_usage(&mut self) {
+        if let Some(customer) = self.call.customer().filter(|_| !self.is_counted) {
+            self.gateway.duties.record_request(customer);
+            self.is_counted = true;
+        }
+    }
+
+    /// Model in use; none for a plain service.
+    pub fn model(&self) -> Option<ModelName> {
         match &self.call.meta.model {
             ModelSelection::Any => self.escalation_steps.model(self.step).cloned(),
             ModelSelection::Named(model) => Some(model.clone()),
@@ -266,7 +342,11 @@
     /// Deadline for the head of an answer: the request's own deadline if the request could not be repeated after the
     /// loss of this send, otherwise an earlier time that leaves time for another server.
     fn head_deadline(&self) -> Instant {
-        let mut after_loss = self.attempts;
+        self.head_deadline_after(self.attempts)
+    }
+
+    fn head_deadline_after(&self, attempts: Attempts) -> Instant {
+        let mut after_loss = attempts;
         after_loss.record_run();
         let may_repeat = after_loss.allows_another(self.limits());
         if !may_repeat {
@@ -278,7 +358,7 @@
     }
 
     /// Expected time to the first byte of an answer of the model in use.
-    fn expected_latency(&self) -> Option<Millis> {
+    pub fn expected_latency(&self) -> Option<Millis> {
         self.expected_latency_of(&self.model().unwrap_or_default())
     }
 
@@ -322,7 +402,7 @@
                 } else {
                     return Ok(());
                 };
-                Err(self.no_backend_failure(why, NO_BACKEND_RETRY_AFTER))
+                Err(self.no_backend_failure(why, self.no_backend_retry_after()))
             }
             SendFailure::Failed { .. } | SendFailure::Lost { .. } if self.try_acquire_repeat(Purpose::Failure) => {
                 Ok(())
@@ -348,12 +428,13 @@
             Unavailable::Cold | Unavailable::AllTried | Unavailable::NoneInService | Unavailable::Paused { .. } => {}
         }
         let (why, wait) = match why {
-            Unavailable::NoneInService => ("none in service", NO_BACKEND_RETRY_AFTER),
-            Unavailable::Cold => ("all are cold", NO_BACKEND_RETRY_AFTER),
-            Unavailable::AllTried => ("all have refused", NO_BACKEND_RETRY_AFTER),
+            // Without servers, there is no rate from which a time could be derived.
+            Unavailable::NoneInService => ("none in service", Some(NO_BACKEND_RETRY_AFTER)),
+            Unavailable::Cold => ("all are cold", self.no_backend_retry_after()),
+            Unavailable::AllTried => ("all have refused", self.no_backend_retry_after()),
             Unavailable::Paused { until } => {
                 let wait = pause::retry_after(self.gateway.clock.now(), until, &mut rand::rng());
-                ("all have asked for a pause", wait)
+                ("all have asked for a pause", Some(wait))
             }
         };
         Err(self.no_backend_failure(why, wait))
@@ -373,9 +454,16 @@
     }
 
     /// Failure for a request that no backend server can take.
-    fn no_backend_failure(&self, why: &str, wait: Millis) -> Failure {
+    fn no_backend_failure(&self, why: &str, wait: Option<Millis>) -> Failure {
         let message = format!("no backend server can take the request: {why}");
-        self.failure(Reason::NoBackend, Reason::ConnectionLost, message, Some(wait))
+        self.failure(Reason::NoBackend, Reason::ConnectionLost, message, wait)
+    }
+
+    fn no_backend_retry_after(&self) -> Option<Millis> {
+        match &self.gateway.admission {
+            Some(admission) => admission.return_time(&self.call),
+            None => Some(NO_BACKEND_RETRY_AFTER),
+        }
     }
 
     /// Failure for a request that is not sent because a part of its prompt crashes servers.
@@ -388,13 +476,20 @@
     /// can be repeated.
     async fn respond(mut self, answer: Answer) -> Result<Response<Body>, Failure> {
         self.log_answer(&answer);
+        if let Some(permit) = &mut self.permit {
+            permit.record_answer();
+        }
         let mut answer = answer;
         loop {
             let (status, headers) = (answer.status, headers::end_to_end(&answer.headers));
             if self.call.route.kind.is_stream() && StreamHead::begins_stream(&answer) {
                 return Ok(response(status, headers, Relay::new(self, answer).into_body()));
             }
-            let buffered = timeout_at(self.call.deadline, buffer_answer(answer, self.call.deadline)).await;
+            let buffered = {
+                let share = self.gateway.memory.share(Use::Answer, Arc::clone(&self.call.connection));
+                share.set_waiting(false);
+                timeout_at(self.call.deadline, buffer_answer(answer, self.call.deadline, share)).await
+            };
             let why = match buffered {
                 Ok(Ok(body)) => return Ok(response(status, headers, body)),
                 Ok(Err(why)) => why,
@@ -448,18 +543,20 @@
 }
 
 /// Buffers an answer whole. If it exceeds `MAX_BUFFERED_BYTES`, what was read so far is passed on and the rest is
-/// relayed as it arrives.
-async fn buffer_answer(mut answer: Answer, deadline: Instant) -> Result<Body, String> {
-    let mut buf = BytesMut::new();
+/// relayed as it arrives. The same applies if `share` has no room for more.
+async fn buffer_answer(mut answer: Answer, deadline: Instant, share: Share) -> Result<Body, String> {
+    let mut buf = Vec::new();
     while let Some(frame) = answer.body.frame().await {
         let frame = frame.map_err(|err| super::net::error_chain(&err))?;
+        let mut is_counted = true;
         if let Ok(data) = frame.into_data() {
+            is_counted = share.reserve(&mut buf, data.len(), MAX_BUFFERED_BYTES).await.is_ok();
             buf.extend_from_slice(&data);
         }
-        if buf.len() > MAX_BUFFERED_BYTES {
-            return Ok(Relay::plain(buf.freeze(), answer, deadline).into_body());
+        if buf.len() > MAX_BUFFERED_BYTES || !is_counted {
+            return Ok(Relay::plain(BufferedAnswer::new(buf, share), answer, deadline).into_body());
         }
     }
     answer.finish();
-    Ok(full(buf))
+    Ok(BufferedAnswer::new(buf, share).into_body())
 }
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -1,15 +1,18 @@
 //! The gateway: a router that sends requests directly to backend servers. The platform stores its configuration and
 //! the list of backend servers.
 
+mod admission;
 mod announcements;
 mod attempt;
 mod callers;
 mod connections;
 mod crashes;
 mod derived;
+mod duties;
 mod exchange;
 mod execute;
 mod follow;
+mod memory;
 mod mirror;
 pub mod net;
 mod orders;
@@ -18,6 +21,9 @@
 mod reload;
 mod request;
 mod response_stats;
+mod second_send;
+mod server_pace;
+mod socket;
 pub mod store;
 mod sync;
 
@@ -43,7 +49,10 @@
 use metrics_exporter_prometheus::PrometheusHandle;
 use tokio::sync::Notify;
 
-use self::{connections::IdleConnections, mirror::Mirror, response_stats::ResponseStats};
+use self::{
+    connections::IdleConnections, duties::Duties, memory::Memory, mirror::Mirror, response_stats::ResponseStats,
+    second_send::SecondSends,
+};
 use crate::{
     callers::endpoint,
     clock::{self, BootClock},
@@ -77,11 +86,16 @@
     sessions: Mutex<SessionMap<Millis>>,
     repeat_budgets: Mutex<HashMap<ServiceName, RepeatBudget>>,
     response_stats: ResponseStats,
+    second_sends: SecondSends,
     mirror: Mirror,
     fleet: Mutex<Fleet>,
     peer_reports: Mutex<exchange::PeerReports>,
+    /// None if the settings have no section for it.
+    admission: Option<admission::Admission>,
     crash_evidence: Mutex<CrashEvidence>,
     connections: IdleConnections,
+    duties: Duties,
+    memory: Memory,
     /// Notified when a version on trial has failed a request, which the other gateways must learn at once.
     trial_failures: Notify,
 }
@@ -108,23 +122,28 @@
     let ready = bind(settings.readiness, "readiness endpoint").await?;
     let inner = bind(settings.exchange, "exchange endpoint").await?;
     readiness::spawn(gateway.clone(), ready);
-    readiness::spawn_metrics((settings.address, settings.metrics_port).into(), metrics);
+    readiness::spawn_metrics(gateway.clone(), metrics);
     exchange::spawn(gateway.clone(), inner);
     sync::spawn(&gateway);
+    admission::spawn(gateway.clone());
     orders::spawn(gateway.clone());
     connections::spawn_purge(gateway.clone());
+    duties::spawn(&gateway);
     event!(Info, "gateway_started", id = settings.id, incarnation = gateway.incarnation, callers = settings.callers);
     callers::serve(gateway.clone(), callers).await;
+    gateway.duties.flush(&gateway).await;
     event!(Info, "gateway_stopped", id = settings.id);
     Ok(())
 }
 
 impl Gateway {
     fn new(settings: GatewaySettings, shutdown: Shutdown) -> Self {
+        let incarnation = clock::random_incarnation();
         Self(Arc::new(State {
+            duties: Duties::open(&settings, incarnation, BootClock),
+            admission: settings.admission.as_ref().map(admission::Admission::open),
             reloaded: RwLock::new(Arc::new(settings.clone())),
-            settings,
-            incarnation: clock::random_incarnation(),
+            incarnation,
             clock: BootClock,
             shutdown,
             config: RwLock::default(),
@@ -133,11 +152,14 @@
             sessions: Mutex::default(),
             repeat_budgets: Mutex::default(),
             response_stats: ResponseStats::default(),
+            second_sends: SecondSends::open(),
             mirror: Mirror::default(),
             fleet: Mutex::default(),
             peer_reports: Mutex::default(),
             crash_evidence: Mutex::default(),
             connections: IdleConnections::default(),
+            memory: Memory::open(&settings),
+            settings,
             trial_failures: Notify::new(),
         }))
     }
@@ -179,6 +201,7 @@
         let acquired = self.with_repeat_budget(service, |budget| budget.try_acquire(now, purpose, routers));
         let purpose = match (acquired, purpose) {
             (false, _) => "denied",
+            (true, Purpose::SlowAnswer) => "slow_answer",
             (true, Purpose::Escalation) => "escalation",
             (true, Purpose::Failure) => "failure",
         };
--- a/crates/daemon/src/gateway/relay.rs
+++ b/crates/daemon/src/gateway/relay.rs
@@ -10,6 +10,7 @@
     pace::PaceSampler,
     pool::Outcome,
     repeat::Purpose,
+    server_pace::StreamSampler,
 };
 use eyre::{Report, eyre};
 use futures::stream;
@@ -20,7 +21,7 @@
 };
 use tokio::time::{Instant, timeout_at};
 
-use super::{attempt::Answer, execute::Execution, net::error_chain};
+use super::{attempt::Answer, execute::Execution, memory::BufferedAnswer, net::error_chain};
 use crate::{callers::Body, event};
 
 /// Time without data after which a stream is resumed at another server, if its route sets no longest pause.
@@ -51,7 +52,7 @@
     /// Any other answer that is too large to be buffered whole.
     Plain {
         /// The part that was read before.
-        first: Option<Bytes>,
+        first: Option<BufferedAnswer>,
         /// The answer whose body holds the rest.
         answer: Option<Box<Answer>>,
         /// Time at which the answer is cut if it has not ended.
@@ -96,6 +97,8 @@
     splitter: EventSplitter,
     /// Sampler of the answer in progress.
     pace: PaceSampler,
+    /// Sampler of the same answer for the pace of its server.
+    server_pace: StreamSampler,
     order: EventOrder,
     /// Fault behind the last events that were passed on.
     fault: Option<EventFault>,
@@ -123,6 +126,7 @@
             answer: Some(answer),
             splitter: EventSplitter::default(),
             pace: PaceSampler::default(),
+            server_pace: StreamSampler::default(),
             order,
             fault: None,
             owes_event: false,
@@ -131,7 +135,7 @@
     }
 
     /// Relays an answer whose first part, `first`, has been read already, until `deadline`.
-    pub fn plain(first: Bytes, answer: Answer, deadline: Instant) -> Self {
+    pub fn plain(first: BufferedAnswer, answer: Answer, deadline: Instant) -> Self {
         Self::Plain { first: Some(first), answer: Some(Box::new(answer)), deadline }
     }
 
@@ -152,12 +156,15 @@
     async fn next_chunk(&mut self) -> Result<Option<Bytes>, Report> {
         match self {
             Self::Events(events) => events.next_chunk().await,
-            Self::Plain { first, answer, deadline } => match first.take() {
-                Some(first) => Ok(Some(first)),
-                None => match timeout_at(*deadline, next_plain_chunk(answer)).await {
-                    Ok(chunk) => chunk,
-                    Err(_) => Err(eyre!("the answer was cut: the deadline passed")),
-                },
+            Self::Plain { first, answer, deadline } => match first.as_mut().and_then(BufferedAnswer::next_slice) {
+                Some(slice) => Ok(Some(slice)),
+                None => {
+                    *first = None;
+                    match timeout_at(*deadline, next_plain_chunk(answer)).await {
+                        Ok(chunk) => chunk,
+                        Err(_) => Err(eyre!("the answer was cut: the deadline passed")),
+                    }
+                }
             },
         }
     }
@@ -230,6 +237,7 @@
             self.owes_event |= self.splitter.is_inside_known_field();
             self.splitter.reset();
             self.pace = PaceSampler::default();
+            self.server_pace = StreamSampler::default();
             event!(Info, "stream_broken", request = self.execution.call.id, error = why);
             if !self.resumable || !self.order.is_resumable() {
                 return Err(self.cut_error(&why));
@@ -245,8 +253,13 @@
     /// returned first, and the fault with the next read.
     fn push(&mut self, data: &Bytes) -> Result<Option<Bytes>, String> {
         let now = self.execution.gateway.clock.now();
-        let pace = self.pace.record(now, eelgrasswell_core::unit::Bytes(data.len() as u64));
+        let bytes = eelgrasswell_core::unit::Bytes(data.len() as u64);
+        let pace = self.pace.record(now, bytes);
         self.record_pace(pace);
+        if let Some(answer) = &self.answer {
+            let model = || self.execution.model().unwrap_or_default();
+            self.execution.gateway.record_stream_pace(&mut self.server_pace, now, answer, model, bytes);
+        }
         let Some(mut events) = self.splitter.push(data) else {
             return if self.splitter.is_overlong() { Err("an event is too long".into()) } else { Ok(None) };
         };
--- a/crates/daemon/src/gateway/request.rs
+++ b/crates/daemon/src/gateway/request.rs
@@ -5,6 +5,7 @@
 
 use bytes::Bytes;
 use eelgrasswell_core::{
+    byte_budget::Use,
     crash_evidence::PartId,
     hash::stable_hash,
     id::{CustomerId, ModelName, RequestId, ServiceName},
@@ -21,8 +22,11 @@
 use tokio::time::{Instant, sleep};
 use uuid::Uuid;
 
-use super::State;
-use crate::callers::{body, failure::Failure, headers};
+use super::{
+    State,
+    memory::{self, BodyLimits, Share},
+};
+use crate::callers::{clients::Activity, failure::Failure, headers};
 
 /// Limit on the age of the configuration's last confirmation, below which requests with a key are served. It is a share
 /// of the time within which a revoked key must stop working (`revoke_ms`). The rest covers the clock's granularity.
@@ -39,6 +43,9 @@
 /// `Retry-After` while the configuration is not confirmed to be current.
 const STALE_RETRY_AFTER: Millis = Millis(250);
 
+/// Urgency of the least urgent requests; 0 is the most urgent.
+const MAX_URGENCY: u32 = 9;
+
 /// A request that has been read and authorised.
 pub struct Call {
     /// Id of the caller's attempt, or a new one if the caller sent none.
@@ -53,6 +60,10 @@
     pub uri: Uri,
     /// Body as the caller sent it.
     pub body: Bytes,
+    /// Memory that the request holds.
+    pub _share: Share,
+    /// Connection of the caller.
+    pub connection: Arc<Activity>,
     /// Configuration that was in force when the request was authorised; it applies until the request ends.
     pub config: Arc<RoutingConfig>,
     /// Route that the host and path match.
@@ -84,6 +95,12 @@
         self.customer.as_ref().map(|customer| &customer.id)
     }
 
+    /// Urgency among the requests of a service: the customer's priority, or the route's if the customer has none.
+    pub fn urgency(&self) -> u8 {
+        let customer = self.customer.as_ref().and_then(|customer| customer.priority);
+        customer.unwrap_or(self.route.priority).min(MAX_URGENCY) as u8
+    }
+
     /// Models among which the router chooses; empty if the caller names the model or the service has no models.
     pub fn models(&self) -> &[ModelName] {
         match &self.meta.model {
@@ -95,7 +112,8 @@
 
 /// Reads `req`, which was received at `arrived`. A failure comes with the request's id, which belongs in its response.
 pub async fn read(state: &State, req: Request<Incoming>, arrived: Instant) -> Result<Call, (RequestId, Failure)> {
-    let (head, body) = req.into_parts();
+    let (mut head, body) = req.into_parts();
+    let connection = head.extensions.remove::<Arc<Activity>>().expect("the callers' endpoint has a table");
     let meta = request::parse(&head.headers);
     let id = meta.id.clone().unwrap_or_else(|| RequestId::from(Uuid::now_v7().to_string().as_str()));
     let refuse = |failure| (id.clone(), failure);
@@ -113,7 +131,11 @@
     };
     let wait = meta.deadline.map_or(route.timeout, |deadline| deadline.min(route.timeout));
     let deadline = arrived + Duration::from(wait);
-    let body = body::read(body, config.limits.body, deadline, Reason::Expired).await.map_err(refuse)?;
+    let share = state.memory.share(Use::Request, Arc::clone(&connection));
+    let idle = state.settings().clients.body_idle().into();
+    let head_size = memory::head_size(&head.uri, &head.headers);
+    let limits = BodyLimits { head: head_size, size: config.limits.body, deadline, idle };
+    let body = memory::read_body(body, limits, &share).await.map_err(refuse)?;
     let session = meta.session.as_deref().unwrap_or(id.as_str());
     let session = stable_hash(&[session]);
     let service = route.target(session).clone();
@@ -130,6 +152,8 @@
         method: head.method,
         uri: origin_form(&head.uri),
         body,
+        _share: share,
+        connection,
         config,
         route,
         service,
--- a/crates/testbed/src/site/backend.rs
+++ b/crates/testbed/src/site/backend.rs
@@ -29,6 +29,9 @@
     time::{Instant, sleep},
 };
 
+/// Maximum number of header fields of a request: more than a gateway lets through.
+const MAX_FIELDS: usize = 1_000;
+
 type Body = UnsyncBoxBody<Bytes, Report>;
 
 /// How the stand-in handles requests.
@@ -132,6 +135,23 @@
     runs: Mutex<Vec<Run>>,
     arrivals: Mutex<Vec<Instant>>,
     streams: AtomicUsize,
+    waiting: AtomicUsize,
+}
+
+/// A request that runs and whose response has not begun.
+struct WaitingRequest(Arc<State>);
+
+impl WaitingRequest {
+    fn new(state: Arc<State>) -> Self {
+        state.waiting.fetch_add(1, Ordering::SeqCst);
+        Self(state)
+    }
+}
+
+impl Drop for WaitingRequest {
+    fn drop(&mut self) {
+        self.0.waiting.fetch_sub(1, Ordering::SeqCst);
+    }
 }
 
 /// A stream that is being sent.
@@ -161,6 +181,7 @@
             runs: Mutex::default(),
             arrivals: Mutex::default(),
             streams: AtomicUsize::new(0),
+            waiting: AtomicUsize::new(0),
         });
         let accept_task = tokio::spawn(accept_connections(listener, Arc::clone(&state)));
         Ok(Self { id: id.into(), address, state, accept_task })
@@ -191,6 +212,11 @@
         self.state.streams.load(Ordering::SeqCst)
     }
 
+    /// Number of requests that run and whose response has not begun. A closed connection ends its request.
+    pub fn waiting(&self) -> usize {
+        self.state.waiting.load(Ordering::SeqCst)
+    }
+
     /// The server's entry in the store.
     pub fn store_entry(&self, service: &str, version: &str, state: &str) -> Value {
         json!({
@@ -213,7 +239,10 @@
         let service = service_fn(move |req| handle_request(Arc::clone(&state), req));
         tokio::spawn(async move {
             // An error is expected if the behaviour cuts off a response.
-            let _ = hyper::server::conn::http1::Builder::new().serve_connection(TokioIo::new(stream), service).await;
+            let _ = hyper::server::conn::http1::Builder::new()
+                .max_headers(MAX_FIELDS)
+                .serve_connection(TokioIo::new(stream), service)
+                .await;
         });
     }
 }
@@ -246,10 +275,12 @@
         return Ok(response(StatusCode::SERVICE_UNAVAILABLE, &fields, "full"));
     }
     state.runs.lock().unwrap_or_else(PoisonError::into_inner).push(run.clone());
+    let waiting = WaitingRequest::new(Arc::clone(&state));
     sleep(behaviour.delay).await;
     if behaviour.unresponsive {
         std::future::pending::<()>().await;
     }
+    drop(waiting);
     if behaviour.drops_response {
         return Err(eyre!("the answer is lost"));
     }
