Name the refused request in the test of usage counts

The test was written before a refusal needed proof: its read had no id, so the refusal named nothing, and on a used connection that proves nothing (502, not 503). The check is unchanged; the read now has an id, by which the server names it.

--- a/crates/testbed/tests/duties.rs
+++ b/crates/testbed/tests/duties.rs
@@ -78,7 +78,9 @@
     let stream = rig.chat("s1").post_json(rig.gateways[2].callers, "/chat/1", &json!({"ask": 1})).await?;
     ensure!(stream.status == StatusCode::OK, "the stream failed: {}", stream.text());
     rig.desks.iter().for_each(|desk| desk.set_behaviour(|behaviour| behaviour.refuses = true));
-    let refused = rig.customer("key-b").get(rig.gateways[0].callers, "/read/1").await?;
+    // Servers name the request in a refusal by the caller's id; without it, the refusal proves nothing.
+    let caller = rig.customer("key-b").with("x-attempt-id", "refused");
+    let refused = caller.get(rig.gateways[0].callers, "/read/1").await?;
     ensure!(refused.status == StatusCode::SERVICE_UNAVAILABLE, "the read was not refused: {}", refused.status);
     wait_for_totals(&api, 9 + 2 + 1 + 1, 9).await?;
     api.check()
