--- a/crates/core/tests/not_run.rs
+++ b/crates/core/tests/not_run.rs
@@ -40,8 +40,7 @@
     assert_eq!(Received::default().record_refusal(&id(1), Named::OtherRequest), None);
 }
 
-/// The first response on a connection can't be an earlier one. Any later one can, also the first refusal after answers
-/// (review/2, TWICE).
+/// The first response on a connection can't be an earlier one. Any later one can, also the first refusal after answers.
 #[test]
 fn refusals_without_a_name() {
     let mut received = Received::default();
--- a/crates/testbed/tests/late_refusals.rs
+++ b/crates/testbed/tests/late_refusals.rs
@@ -61,7 +61,7 @@
 }
 
 /// Guards against a booking that runs twice: a server runs it, but writes a refusal that names no request, and the gateway
-/// sends it to a second server (review/2, TWICE). The server must stay in use without a change of the list.
+/// sends it to a second server. The server must stay in use without a change of the list.
 #[test_case(FULL; "refusal")]
 #[test_case(OTHER; "another server")]
 #[tokio::test]
