--- a/review/probes/src/main.rs
+++ b/review/probes/src/main.rs
@@ -8,6 +8,7 @@
 mod revoked_key;
 mod store;
 mod withdrawn;
+mod wrong_model;
 
 use std::{path::PathBuf, process::ExitCode};
 
@@ -35,6 +36,7 @@
     let verdict = match case.as_str() {
         "leaving" => leaving::play(trouble, &work, &mut record),
         "withdrawn" => withdrawn::play(trouble, &work, &mut record),
+        "wrong-model" => wrong_model::play(trouble, &work, &mut record),
         "revoked-key" => revoked_key::play(trouble, &work, &mut record),
         _ => {
             eprintln!("unknown case {case:?}");
