--- a/review/probes/src/gateway.rs
+++ b/review/probes/src/gateway.rs
@@ -101,6 +101,29 @@
         false
     }
 
+    /// Sends SIGTERM to the process.
+    pub fn terminate(&self) {
+        use std::ffi::c_int;
+        unsafe extern "C" {
+            fn kill(pid: c_int, signal: c_int) -> c_int;
+        }
+        const SIGTERM: c_int = 15;
+        // SAFETY: the call takes two integers; the process is this one's child and has not been waited for.
+        unsafe { kill(self.child.id() as c_int, SIGTERM) };
+    }
+
+    /// Waits until the process has exited, and returns the time; none if it has not within `limit`.
+    pub fn wait_exit(&mut self, limit: Duration) -> Option<Instant> {
+        let until = Instant::now() + limit;
+        while Instant::now() < until {
+            if self.child.try_wait().ok()?.is_some() {
+                return Some(Instant::now());
+            }
+            thread::sleep(Duration::from_millis(10));
+        }
+        None
+    }
+
     /// Lines of the log that contain `text`.
     pub fn log_lines(&self, text: &str) -> Vec<String> {
         let log = fs::read_to_string(&self.log).unwrap_or_default();
--- a/review/probes/src/main.rs
+++ b/review/probes/src/main.rs
@@ -6,6 +6,7 @@
 mod leaving;
 mod record;
 mod revoked_key;
+mod silence;
 mod store;
 mod withdrawn;
 mod wrong_model;
@@ -37,6 +38,7 @@
         "leaving" => leaving::play(trouble, &work, &mut record),
         "withdrawn" => withdrawn::play(trouble, &work, &mut record),
         "wrong-model" => wrong_model::play(trouble, &work, &mut record),
+        "silence" => silence::play(trouble, &work, &mut record),
         "revoked-key" => revoked_key::play(trouble, &work, &mut record),
         _ => {
             eprintln!("unknown case {case:?}");
