--- a/review/probes/src/withdrawn.rs
+++ b/review/probes/src/withdrawn.rs
@@ -225,7 +225,7 @@
             return;
         }
         let (at, id) = (Instant::now(), head.get("x-attempt-id").to_owned());
-        let fails = fails && count.fetch_add(1, Ordering::SeqCst) % 2 == 0;
+        let fails = fails && count.fetch_add(1, Ordering::SeqCst).is_multiple_of(2);
         thread::sleep(Duration::from_millis(100));
         let (status, kind, body) =
             if fails { ("500 Failed", "text/plain", "failed") } else { ("200 OK", "text/event-stream", EVENTS) };
