review: case 8, a crowd of clients brings a gateway past its memory

40 clients with bodies of legal size and 200 clients that send requests ahead, all within the limits of the configuration.

--- a/review/probes/src/gateway.rs
+++ b/review/probes/src/gateway.rs
@@ -101,6 +101,16 @@
         false
     }
 
+    /// Id of the process.
+    pub fn pid(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// Ends the process at once.
+    pub fn kill(&mut self) {
+        let _ = self.child.kill();
+    }
+
     /// Sends SIGTERM to the process.
     pub fn terminate(&self) {
         use std::ffi::c_int;
--- a/review/probes/src/main.rs
+++ b/review/probes/src/main.rs
@@ -1,6 +1,7 @@
 //! Checks of the second review. `probes CASE FOLDER` plays one case, writes `record.txt` into FOLDER, and exits with 1 if the
 //! rule was broken, 0 if it held, and 2 if the case couldn't run. `TROUBLE=0` leaves out the disruption.
 
+mod crowd;
 mod gateway;
 mod http;
 mod leaving;
@@ -38,6 +39,7 @@
         "leaving" => leaving::play(trouble, &work, &mut record),
         "withdrawn" => withdrawn::play(trouble, &work, &mut record),
         "wrong-model" => wrong_model::play(trouble, &work, &mut record),
+        "crowd" => crowd::play(trouble, &work, &mut record),
         "silence" => silence::play(trouble, &work, &mut record),
         "revoked-key" => revoked_key::play(trouble, &work, &mut record),
         _ => {
