--- a/review/probes/src/revoked_key.rs
+++ b/review/probes/src/revoked_key.rs
@@ -24,17 +24,19 @@
 
 /// `revoke_ms`, from the settings.
 const REVOKE: Duration = Duration::from_millis(5_000);
-/// Time for which the gateway is cut off: that of `node_cut` with `reset revoke` in the site files.
-const CUT: Duration = Duration::from_millis(8_000);
+/// Time for which the gateway is cut off: less than the 8 s of `node_cut` with `reset revoke` in the site files.
+const CUT: Duration = Duration::from_millis(6_000);
 /// Number of times that this happens, each time with another key.
-const ROUNDS: usize = 9;
+const ROUNDS: usize = 12;
+/// Time before and after each cut.
+const CALM: Duration = Duration::from_millis(1_000);
 /// Clients, and their shortest and longest pauses after an answer. Together they send up to 90 requests a second.
 const CLIENTS: usize = 60;
 const PAUSE_MS: std::ops::Range<u64> = 450..850;
 /// Cores of the gateway's machine.
 const CORES: usize = 2;
-/// Routes of the configuration: those of a small deployment, and five growths by 420, the largest `big_config` of lamplight-fj.
-const ROUTES: usize = 8 + 5 * 420;
+/// Routes of the configuration: those of a small deployment, and seven growths by 420, the largest `big_config` of lamplight-fj.
+const ROUTES: usize = 8 + 7 * 420;
 
 type Runs = Arc<Mutex<Vec<(Instant, String)>>>;
 
@@ -77,7 +79,7 @@
                 thread::spawn(move || client_loop(callers, &format!("r{round}c{client}"), &key, &stop))
             })
             .collect();
-        thread::sleep(Duration::from_millis(1_500));
+        thread::sleep(CALM);
         if trouble {
             record.say("the gateway is cut off from the store");
             store.set_cut(true);
@@ -92,7 +94,7 @@
         if trouble {
             record.say("the cut has healed");
         }
-        thread::sleep(Duration::from_millis(1_500));
+        thread::sleep(CALM);
         stop.store(true, Ordering::SeqCst);
         let mut sent: HashMap<String, Sent> = HashMap::new();
         for client in clients {
