gateway: the log names the session where a version is chosen for it

A session that changes versions during a rollout could not be traced: no line named a session. `answered` now shows its hash, `version_chosen` what was known of it and what was decided, and `session_reported` what another gateway said of it and whether that changed anything. The lines of a rollout are bounded by its requests, and by the sessions in the canary share.

--- a/crates/core/src/canary.rs
+++ b/crates/core/src/canary.rs
@@ -9,6 +9,8 @@
 //! Therefore a rise is announced before it takes effect, all routers let the share rise at the same time, and it never
 //! falls unless the version is withdrawn.
 
+use std::fmt;
+
 use crate::{
     id::{ServiceName, VersionName},
     request_kind::{CountersByKind, RequestKind},
@@ -129,6 +131,30 @@
     }
 }
 
+/// What a router knows of the version of a session during a rollout.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Pin {
+    /// The session is not known.
+    None,
+    /// The session has expired.
+    Expired,
+    /// The session uses the new version.
+    New,
+    /// The session uses an old version.
+    Old,
+}
+
+impl fmt::Display for Pin {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::None => "none",
+            Self::Expired => "expired",
+            Self::New => "new",
+            Self::Old => "old",
+        })
+    }
+}
+
 /// A session that stays on the old version.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct KeptSession {
@@ -281,6 +307,16 @@
         (self.order.state == OrderState::New).then_some(OrderState::Running)
     }
 
+    /// What is known of the version of a session.
+    pub fn pin(&self, now: Millis, session: u64, session_time: Millis) -> Pin {
+        match self.sessions.get(session) {
+            None => Pin::None,
+            Some(pin) if now.saturating_sub(pin.last_used) >= session_time => Pin::Expired,
+            Some(pin) if pin.on_target => Pin::New,
+            Some(_) => Pin::Old,
+        }
+    }
+
     /// Versions for a request of the session with hash `session`. `session_time` is the idle time after which a session
     /// expires.
     pub fn version_rule(&mut self, now: Millis, session: u64, session_time: Millis) -> VersionRule {
@@ -331,8 +367,11 @@
     /// Pins a session to the old version that it has used, before the order or at another router. A session that is
     /// pinned to the new version stays there until its pin expires. An expired pin gives way: while this router had no
     /// request of the session, others may have had some.
-    pub fn pin_to_old(&mut self, now: Millis, kept: KeptSession, session_time: Millis) {
+    ///
+    /// Returns what was known of the session before.
+    pub fn pin_to_old(&mut self, now: Millis, kept: KeptSession, session_time: Millis) -> Pin {
         let KeptSession { session, last_used } = kept;
+        let before = self.pin(now, session, session_time);
         let gives_way = |pin: &PinnedSession| {
             let has_expired = now.saturating_sub(pin.last_used) >= session_time;
             pin.last_used + MIN_NEWER <= last_used && (has_expired || !pin.on_target)
@@ -341,6 +380,7 @@
         if self.sessions.get(session).is_none_or(gives_way) {
             self.sessions.insert(now, session_time, session, pin);
         }
+        before
     }
 
     /// Share of sessions for the new version.
--- a/crates/daemon/src/gateway/exchange.rs
+++ b/crates/daemon/src/gateway/exchange.rs
@@ -5,7 +5,7 @@
 
 use eelgrasswell_core::{
     answer_counters::Counters,
-    canary::{Canary, KeptSession, OrderState, Rises},
+    canary::{Canary, KeptSession, OrderState, Pin, Rises},
     fleet::Member,
     hash::HashMap,
     id::{BackendId, HostId, Incarnation, ServiceName, VersionName},
@@ -26,7 +26,7 @@
     transport::{Channel, Endpoint, Server},
 };
 
-use super::{Gateway, State, follow, memory, response_stats::Report};
+use super::{Gateway, State, follow, memory, request::SessionDigest, response_stats::Report};
 use crate::{event, sync::lock, telemetry};
 
 /// Interval between two rounds of exchanges with peers.
@@ -328,7 +328,18 @@
                 let ages = progress.kept_ages_ms.iter().copied().chain(std::iter::repeat(0));
                 for (&session, age) in progress.kept_sessions.iter().zip(ages) {
                     let last_used = now.saturating_sub(Millis(age.into()));
-                    canary.pin_to_old(now, KeptSession { session, last_used }, session_time);
+                    let before = canary.pin_to_old(now, KeptSession { session, last_used }, session_time);
+                    if before != Pin::Old {
+                        event!(
+                            Info,
+                            "session_reported",
+                            session = SessionDigest(session),
+                            peer = state.id,
+                            age = Millis(age.into()),
+                            before = before,
+                            after = canary.pin(now, session, session_time)
+                        );
+                    }
                 }
             }
         }
--- a/crates/daemon/src/gateway/execute.rs
+++ b/crates/daemon/src/gateway/execute.rs
@@ -7,10 +7,10 @@
     backend::Backend,
     byte_budget::Use,
     caller_status::CallerStatus,
-    canary::VersionRule,
+    canary::{OrderState, VersionRule},
     crash_evidence::Block,
     escalation::EscalationSteps,
-    id::{BackendId, ModelName},
+    id::{BackendId, ModelName, VersionName},
     latency, pause,
     pool::Unavailable,
     refusal::{Reason, Refusal},
@@ -28,7 +28,7 @@
     attempt::{Answer, Attempt, SendFailure},
     memory::{BufferedAnswer, Share},
     relay::{Relay, StreamHead},
-    request::Call,
+    request::{Call, SessionDigest},
     second_send::{self, Other},
 };
 use crate::{
@@ -219,6 +219,7 @@
             Info,
             "answered",
             request = call.id,
+            session = SessionDigest(call.session),
             route = call.route.name,
             status = answer.status.as_u16(),
             after = elapsed,
@@ -518,10 +519,26 @@
         let now = self.clock.now();
         let session_time = self.settings().bounds.session_timeout();
         self.record_session(call.session, now, session_time);
-        match lock(&self.canaries).get_mut(&call.service) {
-            Some(canary) => canary.version_rule(now, call.session, session_time),
-            None => VersionRule::default(),
+        let mut canaries = lock(&self.canaries);
+        let Some(canary) = canaries.get_mut(&call.service) else { return VersionRule::default() };
+        let (pin, elapsed) = (canary.pin(now, call.session, session_time), canary.elapsed(now));
+        let rule = canary.version_rule(now, call.session, session_time);
+        let in_progress = matches!(canary.order().state, OrderState::New | OrderState::Running) && !canary.is_bad();
+        drop(canaries);
+        if in_progress {
+            event!(
+                Info,
+                "version_chosen",
+                request = call.id,
+                session = SessionDigest(call.session),
+                service = call.service,
+                pin = pin,
+                elapsed = elapsed,
+                only = rule.only.as_ref().map_or("none", VersionName::as_str),
+                excluded = rule.excluded.as_ref().map_or("none", VersionName::as_str)
+            );
         }
+        rule
     }
 
     fn record_session(&self, session: u64, now: Millis, session_time: Millis) {
--- a/crates/daemon/src/gateway/request.rs
+++ b/crates/daemon/src/gateway/request.rs
@@ -1,7 +1,7 @@
 //! Reads a caller's request: finds its route and customer, checks that the configuration is recent enough, and reads
 //! the body.
 
-use std::{sync::Arc, time::Duration};
+use std::{fmt, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use eelgrasswell_core::{
@@ -46,6 +46,16 @@
 /// Urgency of the least urgent requests; 0 is the most urgent.
 const MAX_URGENCY: u32 = 9;
 
+/// Hash of a session, as logs show it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct SessionDigest(pub u64);
+
+impl fmt::Display for SessionDigest {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}", self.0)
+    }
+}
+
 /// A request that has been read and authorised.
 pub struct Call {
     /// Id of the caller's attempt, or a new one if the caller sent none.
