core: a version that was found bad stays out of use when its order is replaced or removed

Cause: the finding lived in the Canary of one order. apply_orders drops it with the order, and the next one excluded only its own target.

Change: core::withdrawn keeps the verdicts until a later order for the same version, and Pool::is_in_service asks it, so that first sends, repeats, escalations, resumed streams, second sends, the check before a send and admission's slots all do. Gateways exchange the verdicts with the revision of the order that failed.

--- a/crates/core/src/canary.rs
+++ b/crates/core/src/canary.rs
@@ -18,6 +18,7 @@
     session_map::SessionMap,
     stage::{Stage, StageEvidence},
     unit::Millis,
+    withdrawn::Withdrawal,
 };
 
 /// Share of new sessions that use the new version during the first half.
@@ -66,6 +67,8 @@
     pub duration: Millis,
     /// Last reported state.
     pub state: OrderState,
+    /// Revision of the store at which this router received the order.
+    pub revision: u64,
 }
 
 /// State of an order, as reported to the operators.
@@ -215,6 +218,12 @@
         self.bad
     }
 
+    /// The verdict on the new version if it was found bad.
+    pub fn withdrawal(&self) -> Option<Withdrawal> {
+        let Order { service, target, revision, .. } = &self.order;
+        self.bad.then(|| Withdrawal { service: service.clone(), version: target.clone(), revision: *revision })
+    }
+
     /// Records that another router has found the new version bad.
     pub fn mark_bad(&mut self) {
         self.bad = true;
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -52,3 +52,4 @@
 pub mod unit;
 pub mod usage;
 pub mod waiting;
+pub mod withdrawn;
--- a/crates/core/src/pool.rs
+++ b/crates/core/src/pool.rs
@@ -7,6 +7,7 @@
 //! - Servers fail, slow down or stop responding: they get fewer requests and are tried again after a pause.
 //! - A server is cold: it gets at most a limited rate of requests.
 //! - A server shuts down, or asks for a pause: it gets none, whatever the list says.
+//! - A version was withdrawn: its servers get none, whatever becomes of the order for it.
 
 use std::{cmp::Reverse, sync::Arc};
 
@@ -24,6 +25,7 @@
     server_pace::{Baseline, RecentPace},
     stage,
     unit::{Millis, Tokens},
+    withdrawn::{Withdrawal, WithdrawnVersions},
 };
 
 /// Multiple of the mean load up to which a server keeps receiving the requests of its prompt prefixes.
@@ -68,6 +70,7 @@
     departures: Departures,
     /// Kept apart for the same reason.
     pauses: Pauses,
+    withdrawn: WithdrawnVersions,
 }
 
 #[derive(Debug)]
@@ -338,6 +341,26 @@
         departures
     }
 
+    /// Records that a version was found bad. Returns whether its servers were in use until now.
+    pub fn withdraw(&mut self, withdrawal: Withdrawal) -> bool {
+        self.withdrawn.withdraw(withdrawal)
+    }
+
+    /// Records that the operators ordered `version` at `revision` of the store, which ends an earlier verdict on it.
+    pub fn record_order(&mut self, service: &ServiceName, version: &VersionName, revision: u64) {
+        self.withdrawn.record_order(service, version, revision);
+    }
+
+    /// Withdrawn versions of which servers are listed, for the other routers.
+    pub fn withdrawals(&self) -> Vec<Withdrawal> {
+        let is_listed = |withdrawal: &Withdrawal| {
+            self.entries
+                .values()
+                .any(|entry| entry.backend.version == withdrawal.version && entry.backend.service == withdrawal.service)
+        };
+        self.withdrawn.iter().filter(is_listed).collect()
+    }
+
     /// Id of an incarnation; none if it is not in the pool.
     pub fn id_of(&self, server: ServerId) -> Option<&BackendId> {
         self.entries.values().find(|entry| entry.server == server).map(|entry| &entry.backend.id)
@@ -485,6 +508,7 @@
             && now >= entry.replaced_until
             && !self.evacuated.contains(&entry.backend.domain)
             && !self.departures.contains(entry.server)
+            && !self.withdrawn.contains(&entry.backend.service, &entry.backend.version)
     }
 
     fn is_within_cold_limit(&mut self, now: Millis, id: &BackendId, requirements: &Requirements<'_>) -> bool {
--- a/crates/core/tests/canary.rs
+++ b/crates/core/tests/canary.rs
@@ -17,7 +17,7 @@
 const SESSION_TIMEOUT: Millis = Millis(5_000);
 
 fn order(state: OrderState) -> Order {
-    Order { service: "chat".into(), target: "v2".into(), duration: DURATION, state }
+    Order { service: "chat".into(), target: "v2".into(), duration: DURATION, state, revision: 7 }
 }
 
 fn counters(answers: u64, errors: u64) -> Counters {
--- a/crates/daemon/src/gateway/derived.rs
+++ b/crates/daemon/src/gateway/derived.rs
@@ -86,8 +86,10 @@
                 }
             }
         }
+        self.withdraw_bad_versions();
         let session_time = self.settings().bounds.session_timeout();
         let recent_sessions = lock(&self.sessions).clone();
+        let mut received: Vec<Order> = Vec::new();
         let mut canaries = lock(&self.canaries);
         canaries.retain(|service, canary| {
             let order = orders.get(service);
@@ -97,6 +99,7 @@
             let state = order.state;
             let canary = canaries.entry(service).or_insert_with(|| {
                 event!(Info, "order_received", service = order.service, target = order.target);
+                received.push(order.clone());
                 let mut canary = Canary::new(order, now);
                 for (session, used) in recent_sessions.iter() {
                     canary.pin_to_old(now, KeptSession { session, last_used: *used }, session_time);
@@ -105,6 +108,13 @@
             });
             canary.set_state(state);
         }
+        drop(canaries);
+        let mut pool = lock(&self.pool);
+        for Order { service, target, revision, .. } in received {
+            pool.record_order(&service, &target, revision);
+        }
+        drop(pool);
+        self.withdraw_bad_versions();
     }
 
     fn apply_evacuations(&self) {
--- a/crates/daemon/src/gateway/exchange.rs
+++ b/crates/daemon/src/gateway/exchange.rs
@@ -186,6 +186,7 @@
         };
         self.add_crash_evidence(&mut state);
         self.add_departures(&mut state);
+        self.add_withdrawals(&mut state);
         state
     }
 
@@ -250,6 +251,7 @@
         self.record_loads(state, now);
         self.record_crash_evidence(state);
         self.record_departures(state);
+        self.record_withdrawals(state);
         self.duties.record_lease(state.duty_lease.as_ref());
     }
 
--- a/crates/daemon/src/gateway/orders.rs
+++ b/crates/daemon/src/gateway/orders.rs
@@ -7,21 +7,23 @@
 
 use eelgrasswell_core::{
     canary::{Canary, Order, OrderState},
-    id::{ServiceName, VersionName},
+    id::{HostId, ServiceName, VersionName},
     request_kind::{CountersByKind, RequestKind},
     unit::Millis,
+    withdrawn::Withdrawal,
 };
 use eelgrasswell_platform::{
     objects::{self, Kind},
     store::StoreError,
 };
+use eelgrasswell_proto::v1::{FleetState, VersionWithdrawal};
 use tokio::time::sleep;
 
 use super::{
     Gateway, State,
     store::{CallError, StoreClient},
 };
-use crate::{event, sync::lock};
+use crate::{event, sync::lock, telemetry};
 
 /// Interval at which orders are evaluated.
 const INTERVAL: Duration = Duration::from_millis(100);
@@ -62,6 +64,7 @@
     /// Evaluates all orders and returns the states that have to be written.
     fn pending_reports(&self) -> Vec<PendingReport> {
         let now = self.clock.now();
+        self.withdraw_bad_versions();
         let orders: Vec<Order> = lock(&self.canaries).values().map(|canary| canary.order().clone()).collect();
         orders.into_iter().filter_map(|order| self.pending_report(order, now)).collect()
     }
@@ -126,6 +129,43 @@
         Some(PendingReport { order: canary.order().clone(), state })
     }
 
+    /// Takes the servers of versions that were found bad out of use. The verdicts outlive the orders.
+    pub fn withdraw_bad_versions(&self) {
+        let withdrawals: Vec<Withdrawal> = lock(&self.canaries).values().filter_map(Canary::withdrawal).collect();
+        withdrawals.into_iter().for_each(|withdrawal| self.withdraw(withdrawal, &self.settings.id));
+    }
+
+    /// Records a verdict that this gateway learned from `source`.
+    fn withdraw(&self, withdrawal: Withdrawal, source: &HostId) {
+        if !lock(&self.pool).withdraw(withdrawal.clone()) {
+            return;
+        }
+        self.refresh_admission();
+        let Withdrawal { service, version, revision } = withdrawal;
+        event!(Info, "version_withdrawn", service = service, version = version, revision = revision, source = source);
+        metrics::counter!(telemetry::VERSIONS_WITHDRAWN).increment(1);
+    }
+
+    /// Adds the verdicts that this gateway knows of to `state`.
+    pub fn add_withdrawals(&self, state: &mut FleetState) {
+        let withdrawals = lock(&self.pool).withdrawals();
+        let withdrawal = |Withdrawal { service, version, revision }| VersionWithdrawal {
+            service: service.to_string(),
+            version: version.to_string(),
+            revision,
+        };
+        state.withdrawals = withdrawals.into_iter().map(withdrawal).collect();
+    }
+
+    /// Records the verdicts that another gateway knows of.
+    pub fn record_withdrawals(&self, state: &FleetState) {
+        let source = HostId::from(state.id.as_str());
+        for VersionWithdrawal { service, version, revision } in &state.withdrawals {
+            let (service, version) = (service.as_str().into(), version.as_str().into());
+            self.withdraw(Withdrawal { service, version, revision: *revision }, &source);
+        }
+    }
+
     /// Whether the service is known to have no models.
     fn is_plain(&self, service: &ServiceName) -> bool {
         let config = self.config();
--- a/crates/daemon/src/telemetry.rs
+++ b/crates/daemon/src/telemetry.rs
@@ -49,6 +49,8 @@
 pub const ANNOUNCEMENTS_DOUBTED: &str = "eelgrasswell_announcements_doubted_total";
 /// Backend servers that were left out because another server responded at their address.
 pub const BACKENDS_REPLACED: &str = "eelgrasswell_backends_replaced_total";
+/// Versions that were taken out of use because they were found bad.
+pub const VERSIONS_WITHDRAWN: &str = "eelgrasswell_versions_withdrawn_total";
 /// Answers with a status that would have promised callers that their request was not run.
 pub const PROMISES_NOT_PASSED_ON: &str = "eelgrasswell_promises_not_passed_on_total";
 /// Parts of prompts that were blocked because they crash backend servers.
