core: a confirmation counts only for the configuration that was derived from the confirmed copy

Cause: the copy of the store's objects was changed and confirmed, then decoded (some 7 ms for 700 KB) and put in force. Another thread found the old configuration and the fresh confirmation in between.

Change: core::confirmation::Confirmed holds the configuration in force with the confirmation that counts for it, and requests read both in one step. A confirmation names the revision at which its copy changed and doesn't count for an older value. State::update_copy is the only way to change a copy, for watches, lists and the copies of other gateways. A gateway that starts is complete only once the first copies are in use, not once they are read.

--- a/crates/core/src/confirmation.rs
+++ b/crates/core/src/confirmation.rs
@@ -21,6 +21,54 @@
     watch_wait + MAX_FOLLOW_WAIT + SOURCE_MARGIN
 }
 
+/// A value that was derived from a copy, with the last confirmation that counts for it.
+///
+/// The pattern: while one thread decodes a changed copy, which is already confirmed, another one reads the old value and
+/// takes the confirmation for its own. It would serve a key that the change has revoked. Therefore value and confirmation
+/// are read together, and a confirmation counts only once the value was derived from the confirmed state of the copy.
+#[derive(Clone, Debug)]
+pub struct Confirmed<T> {
+    value: T,
+    /// Revision at which the copy that the value was derived from last changed.
+    revision: u64,
+    confirmation: Confirmation,
+}
+
+impl<T> Confirmed<T> {
+    /// A value that was derived from a copy that last changed at `revision`, not confirmed yet.
+    pub fn new(value: T, revision: u64) -> Self {
+        Self { value, revision, confirmation: Confirmation::default() }
+    }
+
+    /// The value.
+    pub fn value(&self) -> &T {
+        &self.value
+    }
+
+    /// Replaces the value by a newer one. The last confirmation still counts: the newer value lacks nothing that it covers.
+    pub fn replace(&mut self, value: T, revision: u64) {
+        self.value = value;
+        self.keep(revision);
+    }
+
+    /// Records that the value stays as it is although the copy changed at `revision`.
+    pub fn keep(&mut self, revision: u64) {
+        self.revision = self.revision.max(revision);
+    }
+
+    /// Takes over the confirmation of a copy that last changed at `revision`, unless the value is older than that.
+    pub fn confirm(&mut self, revision: u64, confirmation: Confirmation) {
+        if let Some(at) = confirmation.at.filter(|_| self.revision >= revision) {
+            self.confirmation.confirm_at(at);
+        }
+    }
+
+    /// Time since the last confirmation that counts; none before the first.
+    pub fn age(&self, now: Millis) -> Option<Millis> {
+        self.confirmation.age(now)
+    }
+}
+
 /// Time at which the copy was last confirmed to be current.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Confirmation {
--- a/crates/core/tests/confirmation.rs
+++ b/crates/core/tests/confirmation.rs
@@ -1,6 +1,9 @@
 //! Guards against keyed requests that are served after the configuration was last confirmed too long ago.
 
-use eelgrasswell_core::{confirmation::Confirmation, unit::Millis};
+use eelgrasswell_core::{
+    confirmation::{Confirmation, Confirmed},
+    unit::Millis,
+};
 
 const NOW: Millis = Millis(50_000);
 
@@ -40,3 +43,30 @@
     confirmation.confirm_by_peer(Millis(49_500), Millis(9_000));
     assert_eq!(confirmation.age(NOW), Some(Millis(1_000)));
 }
+
+/// Guards against a confirmation of a changed copy that counts for what was derived from the copy before the change
+/// (review/6, CONFIG).
+#[test]
+fn confirmed_value_lags_behind_its_copy() {
+    let (old, new) = (7, 9);
+    let at = |ms| {
+        let mut confirmation = Confirmation::default();
+        confirmation.confirm_at(Millis(ms));
+        confirmation
+    };
+    let mut config = Confirmed::new("with the key", old);
+    assert_eq!(config.age(Millis(1_000)), None);
+    config.confirm(old, at(1_000));
+    assert_eq!(config.age(Millis(7_000)), Some(Millis(6_000)));
+    // The copy has changed and is confirmed; the value is not replaced yet.
+    config.confirm(new, at(7_000));
+    assert_eq!(config.age(Millis(7_010)), Some(Millis(6_010)));
+    config.replace("without the key", new);
+    assert_eq!(config.age(Millis(7_010)), Some(Millis(6_010)));
+    config.confirm(new, at(7_000));
+    assert_eq!(config.age(Millis(7_010)), Some(Millis(10)));
+    // A change that can't be used leaves the value in force, and confirmed.
+    config.keep(11);
+    config.confirm(11, at(8_000));
+    assert_eq!((config.age(Millis(8_000)), *config.value()), (Some(Millis::ZERO), "without the key"));
+}
--- a/crates/daemon/src/gateway/derived.rs
+++ b/crates/daemon/src/gateway/derived.rs
@@ -1,20 +1,44 @@
 //! Updates what a gateway derives from the copies of the store's objects: the configuration in force, the pool of backend
 //! servers, rollouts and evacuations.
 
+use std::sync::{Arc, PoisonError};
+
 use eelgrasswell_core::{
     canary::{Canary, KeptSession, Order},
+    confirmation::Confirmed,
     hash::{HashMap, HashSet},
     id::ServiceName,
+    routing_config::RoutingConfig,
 };
 use eelgrasswell_platform::objects::{self, CONFIG_NAME, Kind};
 
-use super::State;
+use super::{State, mirror::ObjectCopy};
 use crate::{event, sync::lock, telemetry};
 
 impl State {
-    /// Updates the state that is derived from the copy of `kind`, which changed by data from `source`: the store, or
-    /// another gateway.
-    pub fn apply(&self, kind: Kind, source: &str) {
+    /// Changes the copy of `kind` by data from `source`: the store, or another gateway. `change` returns whether objects
+    /// changed; if so, the state that is derived from the copy is updated. Only then does a confirmation count that `change`
+    /// recorded. Returns whether objects changed.
+    pub fn update_copy(&self, kind: Kind, source: &str, change: impl FnOnce(&mut ObjectCopy) -> bool) -> bool {
+        let copy = self.mirror.copy(kind);
+        let has_changed = change(&mut lock(copy));
+        if has_changed {
+            self.apply(kind, source);
+            lock(copy).set_applied();
+        }
+        if kind == Kind::Config {
+            let (revision, confirmation) = {
+                let copy = lock(copy);
+                (copy.changed_revision(), copy.confirmation())
+            };
+            if let Some(config) = &mut *self.config.write().unwrap_or_else(PoisonError::into_inner) {
+                config.confirm(revision, confirmation);
+            }
+        }
+        has_changed
+    }
+
+    fn apply(&self, kind: Kind, source: &str) {
         match kind {
             Kind::Config => self.apply_config(source),
             Kind::Backends => self.apply_backends(),
@@ -24,22 +48,48 @@
     }
 
     fn apply_config(&self, source: &str) {
-        let (object, age) = {
+        let (object, changed_revision, age) = {
             let copy = lock(self.mirror.copy(Kind::Config));
-            (copy.get(CONFIG_NAME).cloned(), copy.confirmation_age(self.clock.now()))
+            let age = copy.confirmation().age(self.clock.now());
+            (copy.get(CONFIG_NAME).cloned(), copy.changed_revision(), age)
         };
-        let Some(object) = object else { return };
+        let Some(object) = object else { return self.keep_config(changed_revision) };
         match objects::decode_routing_config(&object) {
             Ok(config) => {
                 let version = config.version;
-                if self.adopt_config(config) {
+                if self.adopt_config(config, changed_revision) {
                     let revision = object.metadata.revision;
                     let age = age.unwrap_or_default();
                     event!(Info, "config_adopted", config = version, revision = revision, source = source, age = age);
                     metrics::gauge!(telemetry::CONFIG_VERSION).set(version.0 as f64);
                 }
             }
-            Err(err) => self.mirror.report_malformed(Kind::Config, &err),
+            Err(err) => {
+                self.mirror.report_malformed(Kind::Config, &err);
+                self.keep_config(changed_revision);
+            }
+        }
+    }
+
+    /// Puts `config` in force if its version is newer than the current one, and returns whether it is. It comes from a copy
+    /// that last changed at `revision`.
+    fn adopt_config(&self, config: RoutingConfig, revision: u64) -> bool {
+        let mut current = self.config.write().unwrap_or_else(PoisonError::into_inner);
+        match &mut *current {
+            Some(current) if current.value().version >= config.version => {
+                current.keep(revision);
+                return false;
+            }
+            Some(current) => current.replace(Arc::new(config), revision),
+            None => *current = Some(Confirmed::new(Arc::new(config), revision)),
+        }
+        true
+    }
+
+    /// Records that the configuration in force stays although the copy changed at `revision`.
+    fn keep_config(&self, revision: u64) {
+        if let Some(current) = &mut *self.config.write().unwrap_or_else(PoisonError::into_inner) {
+            current.keep(revision);
         }
     }
 
--- a/crates/daemon/src/gateway/execute.rs
+++ b/crates/daemon/src/gateway/execute.rs
@@ -17,7 +17,7 @@
     repeat::Purpose,
     unit::Millis,
 };
-use eelgrasswell_platform::{objects::Kind, request::ModelSelection};
+use eelgrasswell_platform::request::ModelSelection;
 use http_body_util::BodyExt;
 use hyper::{HeaderMap, Response, StatusCode, header::CONTENT_LENGTH};
 use tokio::time::{Instant, sleep, timeout_at};
@@ -229,8 +229,7 @@
             confidence = answer.meta.confidence.map_or_else(|| "none".into(), |confidence| confidence.to_string()),
             sends = self.attempts.sends(),
             config = call.config.version,
-            config_age =
-                self.gateway.mirror.confirmation_age(Kind::Config, self.gateway.clock.now()).unwrap_or_default()
+            config_age = self.gateway.config_age().unwrap_or_default()
         );
     }
 
--- a/crates/daemon/src/gateway/follow.rs
+++ b/crates/daemon/src/gateway/follow.rs
@@ -187,7 +187,7 @@
             kind: kind.index() as u32,
             revision: copy.revision()?,
             changed: copy.changed_revision(),
-            proof_age_ms: copy.confirmation_age(now)?.0,
+            proof_age_ms: copy.confirmation().age(now)?.0,
             sound: reaches_store && copy.is_synced_from_store() && is_current,
             source_age_ms: source_age.0,
             ..Replica::default()
@@ -247,25 +247,29 @@
         responded_at: Millis,
     ) -> Result<(), serde_json::Error> {
         let age = Millis(replica.proof_age_ms);
-        {
-            let mut copy = lock(self.mirror.copy(kind));
+        let mut parsed = None;
+        if !replica.objects.is_empty() {
+            let objects = ParsedObjects::from_json(&replica.objects, replica.revision)?;
+            objects.malformed.iter().for_each(|err| self.mirror.report_malformed(kind, err));
+            parsed = Some(objects.objects);
+        }
+        self.update_copy(kind, watcher.as_str(), |copy| {
             copy.record_peer_confirmation(responded_at.saturating_sub(age));
-            if copy.revision().is_some_and(|known| known > replica.revision) {
-                // This gateway's copy is newer, so a confirmation of an older revision does not apply to it.
-                return Ok(());
-            }
-            if replica.objects.is_empty() {
-                if copy.changed_revision() >= replica.changed && copy.revision().is_some() {
+            // If this gateway's copy is newer, a confirmation of an older revision does not apply to it.
+            let is_older = copy.revision().is_some_and(|known| known > replica.revision);
+            match parsed {
+                Some(objects) if !is_older => {
+                    copy.merge(objects, &replica.names, replica.revision, replica.changed);
                     copy.confirm_from_peer(replica.revision, responded_at, age);
+                    true
                 }
-                return Ok(());
+                None if !is_older && copy.changed_revision() >= replica.changed && copy.revision().is_some() => {
+                    copy.confirm_from_peer(replica.revision, responded_at, age);
+                    false
+                }
+                Some(_) | None => false,
             }
-            let parsed = ParsedObjects::from_json(&replica.objects, replica.revision)?;
-            parsed.malformed.iter().for_each(|err| self.mirror.report_malformed(kind, err));
-            copy.merge(parsed.objects, &replica.names, replica.revision, replica.changed);
-            copy.confirm_from_peer(replica.revision, responded_at, age);
-        }
-        self.apply(kind, watcher.as_str());
+        });
         Ok(())
     }
 }
--- a/crates/daemon/src/gateway/mirror.rs
+++ b/crates/daemon/src/gateway/mirror.rs
@@ -53,6 +53,8 @@
     objects: BTreeMap<CompactString, Object>,
     /// Revision of the store that the copy corresponds to; none before the first read.
     revision: Option<u64>,
+    /// Whether what is derived from the copy has been derived at least once.
+    is_applied: bool,
     /// Revision of the store at which the copy last changed.
     changed_revision: u64,
     confirmation: Confirmation,
@@ -89,9 +91,9 @@
         &self.copies[kind.index()]
     }
 
-    /// Whether every copy has been read at least once.
+    /// Whether every copy has been read at least once, and what is derived from it is in use.
     pub fn is_complete(&self) -> bool {
-        Kind::ALL.iter().all(|&kind| lock(self.copy(kind)).revision.is_some())
+        Kind::ALL.iter().all(|&kind| lock(self.copy(kind)).is_applied)
     }
 
     /// Returns a receiver that is notified when calls to the store change a copy, fail, or succeed again.
@@ -201,11 +203,6 @@
     pub fn is_synced_by_watcher(&self, kind: Kind, now: Millis) -> bool {
         lock(&self.synced_until).values().any(|until| now < until[kind.index()])
     }
-
-    /// Time since the copy of `kind` was last confirmed to be current; none before the first confirmation.
-    pub fn confirmation_age(&self, kind: Kind, now: Millis) -> Option<Millis> {
-        lock(self.copy(kind)).confirmation.age(now)
-    }
 }
 
 /// Whether the calls for `kind` are made all the time, so that they show an outage of the store.
@@ -219,9 +216,14 @@
         self.revision
     }
 
-    /// Time since the copy was last confirmed to be current; none before the first confirmation.
-    pub fn confirmation_age(&self, now: Millis) -> Option<Millis> {
-        self.confirmation.age(now)
+    /// Last confirmation that the copy is current. It says nothing about what is derived from the copy, which may lag.
+    pub fn confirmation(&self) -> Confirmation {
+        self.confirmation
+    }
+
+    /// Records that what is derived from the copy is in use.
+    pub fn set_applied(&mut self) {
+        self.is_applied = true;
     }
 
     /// All objects, by name.
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -34,6 +34,7 @@
 
 use eelgrasswell_core::{
     canary::Canary,
+    confirmation::Confirmed,
     crash_evidence::CrashEvidence,
     fleet::Fleet,
     hash::HashMap,
@@ -79,7 +80,7 @@
     incarnation: Incarnation,
     clock: BootClock,
     shutdown: Shutdown,
-    config: RwLock<Option<Arc<RoutingConfig>>>,
+    config: RwLock<Option<Confirmed<Arc<RoutingConfig>>>>,
     pool: Mutex<Pool>,
     canaries: Mutex<HashMap<ServiceName, Canary>>,
     /// Time of the last request of each session, by the session's hash.
@@ -177,17 +178,17 @@
 
     /// Routing configuration in force; none until the first one has been read.
     fn config(&self) -> Option<Arc<RoutingConfig>> {
+        self.confirmed_config().map(|config| Arc::clone(config.value()))
+    }
+
+    /// The same, with its last confirmation.
+    fn confirmed_config(&self) -> Option<Confirmed<Arc<RoutingConfig>>> {
         self.config.read().unwrap_or_else(PoisonError::into_inner).clone()
     }
 
-    /// Puts `config` in force if its version is newer than the current one, and returns whether it is.
-    fn adopt_config(&self, config: RoutingConfig) -> bool {
-        let mut current = self.config.write().unwrap_or_else(PoisonError::into_inner);
-        if current.as_ref().is_some_and(|current| current.version >= config.version) {
-            return false;
-        }
-        *current = Some(Arc::new(config));
-        true
+    /// Time since the configuration in force was last confirmed to be current; none before the first confirmation.
+    fn config_age(&self) -> Option<Millis> {
+        self.confirmed_config()?.age(self.clock.now())
     }
 
     /// Number of routers among which limits are divided, including this one.
--- a/crates/daemon/src/gateway/readiness.rs
+++ b/crates/daemon/src/gateway/readiness.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use eelgrasswell_core::unit::Millis;
-use eelgrasswell_platform::{READINESS_PATH, objects::Kind};
+use eelgrasswell_platform::READINESS_PATH;
 use http_body_util::Full;
 use hyper::{Request, Response, StatusCode, body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
@@ -93,7 +93,7 @@
             return false;
         }
         let limit = Millis((self.settings().bounds.revoke_ms as f64 * MAX_CONFIG_AGE_SHARE) as u64);
-        let fresh = self.mirror.confirmation_age(Kind::Config, self.clock.now()).is_some_and(|age| age < limit);
+        let fresh = self.config_age().is_some_and(|age| age < limit);
         fresh && !lock(&self.pool).is_empty()
     }
 }
--- a/crates/daemon/src/gateway/request.rs
+++ b/crates/daemon/src/gateway/request.rs
@@ -14,10 +14,7 @@
     routing_config::{Caller, Customer, Route, RoutingConfig},
     unit::{Millis, Tokens},
 };
-use eelgrasswell_platform::{
-    objects::Kind,
-    request::{self, ModelSelection, RequestMeta},
-};
+use eelgrasswell_platform::request::{self, ModelSelection, RequestMeta};
 use hyper::{HeaderMap, Method, Request, Uri, body::Incoming, header::HOST};
 use tokio::time::{Instant, sleep};
 use uuid::Uuid;
@@ -184,8 +181,8 @@
     path: &str,
     meta: &RequestMeta,
 ) -> Result<(Arc<RoutingConfig>, Arc<Route>, Caller), Failure> {
-    let config = state.config().filter(|_| state.mirror.is_complete()).ok_or_else(not_ready)?;
-    let age = state.mirror.confirmation_age(Kind::Config, state.clock.now());
+    let confirmed = state.confirmed_config().filter(|_| state.mirror.is_complete()).ok_or_else(not_ready)?;
+    let (config, age) = (Arc::clone(confirmed.value()), confirmed.age(state.clock.now()));
     let limit = Millis((state.settings().bounds.revoke_ms as f64 * MAX_CONFIG_AGE_SHARE) as u64);
     let fresh = age.is_some_and(|age| age < limit);
     let unless_stale = |reason, message: &str| {
--- a/crates/daemon/src/gateway/sync.rs
+++ b/crates/daemon/src/gateway/sync.rs
@@ -129,14 +129,12 @@
     let (changes, began_at) = client.watch(kind, revision, wait).await?;
     changes.malformed.iter().for_each(|err| gateway.mirror.report_malformed(kind, err));
     let changed = !changes.events.is_empty();
-    let copy = gateway.mirror.copy(kind);
-    {
-        let mut copy = lock(copy);
+    gateway.update_copy(kind, STORE_SOURCE, |copy| {
         copy.apply_changes(changes.events, changes.revision);
         copy.confirm_by_watch(sent, if changed { Millis::ZERO } else { wait }, began_at);
-    }
+        changed
+    });
     if changed {
-        gateway.apply(kind, STORE_SOURCE);
         gateway.mirror.notify_followers();
         if kind == Kind::Backends {
             sleep(BACKENDS_WATCH_PAUSE).await;
@@ -159,10 +157,8 @@
 impl State {
     /// Replaces the copy of `kind` by a list that was requested at `sent`, unless the copy has a newer revision.
     fn apply_list(&self, kind: Kind, objects: Vec<Object>, revision: u64, sent: Millis) {
-        if !lock(self.mirror.copy(kind)).replace(objects, revision, sent) {
-            return;
+        if self.update_copy(kind, STORE_SOURCE, |copy| copy.replace(objects, revision, sent)) {
+            self.mirror.notify_followers();
         }
-        self.apply(kind, STORE_SOURCE);
-        self.mirror.notify_followers();
     }
 }
--- a/crates/testbed/src/site/rig.rs
+++ b/crates/testbed/src/site/rig.rs
@@ -37,13 +37,15 @@
     pub store_delay: Option<Duration>,
     /// Memory limit in the settings of the gateways, in MB.
     pub memory_mb: u64,
+    /// Number of cores in the settings of the gateways.
+    pub cores: usize,
     /// Further lines of the gateways' settings, each with a line break at its end.
     pub settings: &'static str,
 }
 
 impl Default for RigPlan {
     fn default() -> Self {
-        Self { gateways: 1, engines: 2, desks: 2, store_delay: None, memory_mb: 200, settings: "" }
+        Self { gateways: 1, engines: 2, desks: 2, store_delay: None, memory_mb: 200, cores: 1, settings: "" }
     }
 }
 
@@ -132,7 +134,7 @@
             let settings = dir.join(format!("{name}.yaml"));
             let text = format!(
                 "id: {name}\ndomain: north\naddress: {ip}\ncallers: {ip}:{}\nreadiness: {ip}:{}\n\
-                 exchange: {ip}:{}\nmetrics_port: {}\nseeds: [{}]\nstore: {}\ncores: 1\nmemory_mb: {}\n{}\
+                 exchange: {ip}:{}\nmetrics_port: {}\nseeds: [{}]\nstore: {}\ncores: {}\nmemory_mb: {}\n{}\
                  log_level: debug\nbounds:\n  grace_s: 5\n  repeat_ratio: 2.0\n  repeat_slack: 100\n  session_s: 1\n",
                 ports[0],
                 ports[1],
@@ -140,6 +142,7 @@
                 ports[3],
                 seeds.join(", "),
                 store_links.get(n).map_or_else(|| store.address(n), FaultLink::address),
+                plan.cores,
                 plan.memory_mb,
                 plan.settings
             );
