core: a session counts as active until its last request has ended

Cause: the last use of a session was the arrival of its last request, here and in what peers were told. A stream lasts seconds, so the session expired too early: the logs show sessions drawn anew 8.6 to 12.2 s after their answer began, session_s being 8.5 s.

Change: core::session_uses knows the requests in progress and when the last one ended. SessionUse ends when the body of the answer was sent or dropped. Pins are renewed at the begin, every half second and at the end, so that peers hear of sessions in use. 0.3 s cover the way to the caller and back.

--- a/crates/core/src/canary.rs
+++ b/crates/core/src/canary.rs
@@ -343,6 +343,15 @@
         }
     }
 
+    /// Records that a session is in use, or was until now. One that had expired by now stays so.
+    pub fn renew(&mut self, now: Millis, session: u64, session_time: Millis) {
+        let is_active = |pin: &&PinnedSession| now.saturating_sub(pin.last_used) < session_time;
+        if let Some(pin) = self.sessions.get(session).filter(is_active).copied() {
+            let pin = PinnedSession { last_used: now, learned_at: now, ..pin };
+            self.sessions.insert(now, session_time, session, pin);
+        }
+    }
+
     /// Pins the session to a version and returns whether this is the new one.
     fn assign_session(&mut self, now: Millis, session: u64, session_time: Millis) -> bool {
         let share = self.target_share(now);
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -46,6 +46,7 @@
 pub mod server_pace;
 pub mod session;
 pub mod session_map;
+pub mod session_uses;
 pub mod shard;
 pub mod stage;
 pub mod transfer;
--- a/crates/core/tests/canary.rs
+++ b/crates/core/tests/canary.rs
@@ -358,3 +358,20 @@
     let baseline = of_kind(RequestKind::Safe, counters(61, 12));
     assert_eq!(canary.evaluate(START + Millis(4_000), target, baseline), None);
 }
+
+/// Guards against a session that leaves its version in the first half although a request of it is in progress, or ended a
+/// moment ago, and against other routers that don't learn of that.
+#[test]
+fn renew_keeps_session_in_use() {
+    let mut canary = Canary::new(order(OrderState::Running), START);
+    let session = 10_000_000;
+    canary.pin_to_old(START, KeptSession { session, last_used: START }, SESSION_TIMEOUT);
+    let end = START + Millis(7_000);
+    for ms in (500..=7_000).step_by(500) {
+        canary.renew(START + Millis(ms), session, SESSION_TIMEOUT);
+    }
+    canary.renew(end, 20_000_000, SESSION_TIMEOUT);
+    let kept = KeptSession { session, last_used: end };
+    assert_eq!(canary.sessions_kept_on_old(end + Millis(500), SESSION_TIMEOUT), [kept]);
+    assert!(!on_target(&canary.version_rule(end + Millis(2_500), session, SESSION_TIMEOUT)));
+}
--- a/crates/daemon/src/gateway/derived.rs
+++ b/crates/daemon/src/gateway/derived.rs
@@ -9,6 +9,7 @@
     hash::{HashMap, HashSet},
     id::ServiceName,
     routing_config::RoutingConfig,
+    unit::Millis,
 };
 use eelgrasswell_platform::objects::{self, CONFIG_NAME, Kind};
 
@@ -137,8 +138,8 @@
             }
         }
         self.withdraw_bad_versions();
-        let session_time = self.settings().bounds.session_timeout();
-        let recent_sessions = lock(&self.sessions).clone();
+        let session_time = self.session_timeout();
+        let recent_sessions: Vec<(u64, Millis)> = lock(&self.sessions).last_used(now).collect();
         let mut received: Vec<Order> = Vec::new();
         let mut canaries = lock(&self.canaries);
         canaries.retain(|service, canary| {
@@ -151,8 +152,8 @@
                 event!(Info, "order_received", service = order.service, target = order.target);
                 received.push(order.clone());
                 let mut canary = Canary::new(order, now);
-                for (session, used) in recent_sessions.iter() {
-                    canary.pin_to_old(now, KeptSession { session, last_used: *used }, session_time);
+                for &(session, last_used) in &recent_sessions {
+                    canary.pin_to_old(now, KeptSession { session, last_used }, session_time);
                 }
                 canary
             });
--- a/crates/daemon/src/gateway/exchange.rs
+++ b/crates/daemon/src/gateway/exchange.rs
@@ -221,7 +221,7 @@
     }
 
     fn order_progress(&self, now: Millis) -> Vec<OrderProgress> {
-        let session_time = self.settings().bounds.session_timeout();
+        let session_time = self.session_timeout();
         let pool = lock(&self.pool);
         let canaries = lock(&self.canaries);
         let progress = canaries.values().map(|canary| {
@@ -312,7 +312,7 @@
     }
 
     fn record_orders(&self, state: &FleetState, now: Millis) {
-        let session_time = self.settings().bounds.session_timeout();
+        let session_time = self.session_timeout();
         let mut canaries = lock(&self.canaries);
         for progress in &state.orders {
             let canary = canaries.get_mut(progress.service.as_str());
--- a/crates/daemon/src/gateway/execute.rs
+++ b/crates/daemon/src/gateway/execute.rs
@@ -7,10 +7,10 @@
     backend::Backend,
     byte_budget::Use,
     caller_status::CallerStatus,
-    canary::{OrderState, VersionRule},
+    canary::VersionRule,
     crash_evidence::Block,
     escalation::EscalationSteps,
-    id::{BackendId, ModelName, VersionName},
+    id::{BackendId, ModelName},
     latency, pause,
     pool::Unavailable,
     refusal::{Reason, Refusal},
@@ -30,12 +30,11 @@
     relay::{Relay, StreamHead},
     request::{Call, SessionDigest},
     second_send::{self, Other},
+    session_use::SessionUse,
 };
 use crate::{
     callers::{Body, failure::Failure, headers},
-    event,
-    sync::lock,
-    telemetry,
+    event, telemetry,
 };
 
 /// Maximum number of sends of one request, including those that a backend server refused.
@@ -75,12 +74,15 @@
     is_counted: bool,
     /// Admission of the request; none if requests are not held back.
     permit: Option<Permit>,
+    /// Use of the session until the answer's body holds it.
+    session: Option<SessionUse>,
 }
 
 impl Execution {
     /// Prepares to run `call` and counts it in the repeat budget.
     pub fn new(gateway: Gateway, call: Call) -> Self {
         gateway.record_request(&call.service);
+        let session = SessionUse::begin(&gateway, &call);
         let version_rule = gateway.version_rule(&call);
         let escalation_steps = EscalationSteps::new(call.models());
         Self {
@@ -95,6 +97,7 @@
             second_sent: false,
             is_counted: false,
             permit: None,
+            session: Some(session),
         }
     }
 
@@ -483,7 +486,8 @@
         loop {
             let (status, headers) = (answer.status, headers::end_to_end(&answer.headers));
             if self.call.route.kind.is_stream() && StreamHead::begins_stream(&answer) {
-                return Ok(response(status, headers, Relay::new(self, answer).into_body()));
+                let session = self.session.take();
+                return Ok(response(status, headers, Relay::new(self, answer).into_body(), session));
             }
             let buffered = {
                 let share = self.gateway.memory.share(Use::Answer, Arc::clone(&self.call.connection));
@@ -491,7 +495,7 @@
                 timeout_at(self.call.deadline, buffer_answer(answer, self.call.deadline, share)).await
             };
             let why = match buffered {
-                Ok(Ok(body)) => return Ok(response(status, headers, body)),
+                Ok(Ok(body)) => return Ok(response(status, headers, body, self.session.take())),
                 Ok(Err(why)) => why,
                 Err(_) => return Err(self.deadline_failure()),
             };
@@ -512,45 +516,16 @@
     }
 }
 
-impl super::State {
-    /// Versions that a request may run on, according to the rollout of its service. Also records the session as active.
-    fn version_rule(&self, call: &Call) -> VersionRule {
-        let now = self.clock.now();
-        let session_time = self.settings().bounds.session_timeout();
-        self.record_session(call.session, now, session_time);
-        let mut canaries = lock(&self.canaries);
-        let Some(canary) = canaries.get_mut(&call.service) else { return VersionRule::default() };
-        let (pin, elapsed) = (canary.pin(now, call.session, session_time), canary.elapsed(now));
-        let rule = canary.version_rule(now, call.session, session_time);
-        let in_progress = matches!(canary.order().state, OrderState::New | OrderState::Running) && !canary.is_bad();
-        drop(canaries);
-        if in_progress {
-            event!(
-                Info,
-                "version_chosen",
-                request = call.id,
-                session = SessionDigest(call.session),
-                service = call.service,
-                pin = pin,
-                elapsed = elapsed,
-                only = rule.only.as_ref().map_or("none", VersionName::as_str),
-                excluded = rule.excluded.as_ref().map_or("none", VersionName::as_str)
-            );
-        }
-        rule
-    }
-
-    fn record_session(&self, session: u64, now: Millis, session_time: Millis) {
-        lock(&self.sessions).insert(now, session_time, session, now);
-    }
-}
-
 /// Failure for a request that may have run and got no answer.
 fn lost_failure(why: &str) -> Failure {
     Failure::unknown(Reason::ConnectionLost, format!("the backend server gave no answer: {why}"))
 }
 
-fn response(status: CallerStatus, headers: HeaderMap, body: Body) -> Response<Body> {
+fn response(status: CallerStatus, headers: HeaderMap, body: Body, session: Option<SessionUse>) -> Response<Body> {
+    let body = match session {
+        Some(session) => session.hold_by(body),
+        None => body,
+    };
     let mut response = Response::new(body);
     *response.status_mut() = StatusCode::from_u16(status.as_u16()).expect("the status came in an answer");
     *response.headers_mut() = headers;
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -23,6 +23,7 @@
 mod response_stats;
 mod second_send;
 mod server_pace;
+mod session_use;
 mod socket;
 pub mod store;
 mod sync;
@@ -42,7 +43,7 @@
     pool::Pool,
     repeat::{Purpose, RepeatBudget},
     routing_config::RoutingConfig,
-    session_map::SessionMap,
+    session_uses::SessionUses,
     unit::Millis,
 };
 use eelgrasswell_manifest::gateway::GatewaySettings;
@@ -83,8 +84,7 @@
     config: RwLock<Option<Confirmed<Arc<RoutingConfig>>>>,
     pool: Mutex<Pool>,
     canaries: Mutex<HashMap<ServiceName, Canary>>,
-    /// Time of the last request of each session, by the session's hash.
-    sessions: Mutex<SessionMap<Millis>>,
+    sessions: Mutex<SessionUses>,
     repeat_budgets: Mutex<HashMap<ServiceName, RepeatBudget>>,
     response_stats: ResponseStats,
     second_sends: SecondSends,
@@ -128,6 +128,7 @@
     sync::spawn(&gateway);
     admission::spawn(gateway.clone());
     orders::spawn(gateway.clone());
+    session_use::spawn_renewal(gateway.clone());
     connections::spawn_purge(gateway.clone());
     duties::spawn(&gateway);
     event!(Info, "gateway_started", id = settings.id, incarnation = gateway.incarnation, callers = settings.callers);
