gateway: each send asks anew which versions a request may run on

Cause: the rule was made once, when a request came. One that came before the order had none, and its repeat or escalation went to the idle servers of the new version.

Change: State::version_rule is asked at each send, and Canary::record_run records the version that a request really ran on, which may be another one than was preferred.

Evidence: request_from_before_the_order_is_not_sent_to_new_version failed before (12 of 20 requests) and passes.

--- a/crates/core/src/canary.rs
+++ b/crates/core/src/canary.rs
@@ -352,6 +352,12 @@
         }
     }
 
+    /// Records that a request of a session ran on `version`, which need not be the one that its rule preferred.
+    pub fn record_run(&mut self, now: Millis, session: u64, version: &VersionName, session_time: Millis) {
+        let pin = PinnedSession { on_target: *version == self.order.target, last_used: now, learned_at: now };
+        self.sessions.insert(now, session_time, session, pin);
+    }
+
     /// Pins the session to a version and returns whether this is the new one.
     fn assign_session(&mut self, now: Millis, session: u64, session_time: Millis) -> bool {
         let share = self.target_share(now);
--- a/crates/core/tests/canary.rs
+++ b/crates/core/tests/canary.rs
@@ -375,3 +375,16 @@
     assert_eq!(canary.sessions_kept_on_old(end + Millis(500), SESSION_TIMEOUT), [kept]);
     assert!(!on_target(&canary.version_rule(end + Millis(2_500), session, SESSION_TIMEOUT)));
 }
+
+/// Guards against a session that counts as one of the version that was preferred for it, and not of the one that it ran on.
+#[test_case("v1", "v2"; "preferred the new one, ran on an old one")]
+#[test_case("v2", "v1"; "preferred an old one, ran on the new one")]
+fn record_run_counts_actual_version(ran_on: &str, preferred: &str) {
+    let mut canary = Canary::new(order(OrderState::Running), START);
+    let session = if preferred == "v2" { 10_000_000 } else { 10_009_999 };
+    let at = START + Millis(3_000);
+    assert_eq!(on_target(&canary.version_rule(at, session, SESSION_TIMEOUT)), preferred == "v2");
+    canary.record_run(at, session, &ran_on.into(), SESSION_TIMEOUT);
+    let next = canary.version_rule(at + Millis(1_000), session, SESSION_TIMEOUT);
+    assert_eq!(on_target(&next), ran_on == "v2");
+}
--- a/crates/daemon/src/gateway/execute.rs
+++ b/crates/daemon/src/gateway/execute.rs
@@ -7,7 +7,6 @@
     backend::Backend,
     byte_budget::Use,
     caller_status::CallerStatus,
-    canary::VersionRule,
     crash_evidence::Block,
     escalation::EscalationSteps,
     id::{BackendId, ModelName},
@@ -25,7 +24,7 @@
 use super::{
     Gateway,
     admission::Permit,
-    attempt::{Answer, Attempt, SendFailure},
+    attempt::{Answer, Attempt, SendFailure, SendGuard},
     memory::{BufferedAnswer, Share},
     relay::{Relay, StreamHead},
     request::{Call, SessionDigest},
@@ -62,7 +61,6 @@
     escalation_steps: EscalationSteps,
     /// Index of the model in use among `escalation_steps`.
     step: usize,
-    version_rule: VersionRule,
     /// Servers that the request was sent to. Cleared on escalation and when all servers have been tried.
     tried: Vec<BackendId>,
     attempts: Attempts,
@@ -83,14 +81,12 @@
     pub fn new(gateway: Gateway, call: Call) -> Self {
         gateway.record_request(&call.service);
         let session = SessionUse::begin(&gateway, &call);
-        let version_rule = gateway.version_rule(&call);
         let escalation_steps = EscalationSteps::new(call.models());
         Self {
             gateway,
             call: Arc::new(call),
             escalation_steps,
             step: 0,
-            version_rule,
             tried: Vec::new(),
             attempts: Attempts::default(),
             has_failed: false,
@@ -238,11 +234,12 @@
 
     async fn attempt(&mut self, resume_after: Option<&str>) -> Result<Answer, SendFailure> {
         let model = self.model();
+        let rule = self.gateway.version_rule(&self.call);
         let attempt = Attempt {
             call: &self.call,
             model: model.as_ref(),
             resume_after,
-            rule: &self.version_rule,
+            rule: &rule,
             tried: &self.tried,
             head_deadline: self.head_deadline(),
             overdue_after: self.overdue_after(),
@@ -279,6 +276,9 @@
         if matches!(result, Ok(_) | Err(SendFailure::Failed { .. })) {
             self.record_usage();
         }
+        if let Ok(Answer { guard: SendGuard { backend, .. }, .. }) | Err(SendFailure::Failed { backend, .. }) = result {
+            self.gateway.record_run(&self.call, &backend.version);
+        }
         match result {
             Ok(answer) => {
                 self.attempts.record_run();
--- a/crates/daemon/src/gateway/session_use.rs
+++ b/crates/daemon/src/gateway/session_use.rs
@@ -96,7 +96,8 @@
 }
 
 impl State {
-    /// Versions that a request may run on, according to the rollout of its service.
+    /// Versions that a request may run on if it is sent now, according to the rollout of its service. Each send asks again,
+    /// since orders come and go while a request is repeated.
     pub fn version_rule(&self, call: &Call) -> VersionRule {
         let now = self.clock.now();
         let session_time = self.session_timeout();
@@ -122,6 +123,15 @@
         rule
     }
 
+    /// Records that a request ran on `version`, which the rule may only have preferred.
+    pub fn record_run(&self, call: &Call, version: &VersionName) {
+        let now = self.clock.now();
+        let session_time = self.session_timeout();
+        if let Some(canary) = lock(&self.canaries).get_mut(&call.service) {
+            canary.record_run(now, call.session, version, session_time);
+        }
+    }
+
     /// Idle time after which a session has expired.
     pub fn session_timeout(&self) -> Millis {
         self.settings().bounds.session_timeout() + SESSION_MARGIN
--- a/crates/testbed/tests/rollout_sessions.rs
+++ b/crates/testbed/tests/rollout_sessions.rs
@@ -58,3 +58,24 @@
     assert!(!new.arrivals().is_empty());
     Ok(())
 }
+
+/// Guards against a request that came before an order and runs on the new version at once, since it is sent again by the
+/// rule that held when it came (PINNED).
+#[tokio::test]
+async fn request_from_before_the_order_is_not_sent_to_new_version() -> Result<()> {
+    let rig = Rig::start(RigPlan { engines: 1, ..RigPlan::default() }).await?;
+    let new = FakeBackend::bind("chat-new").await?;
+    new.set_behaviour(|behaviour| behaviour.confidence = [("large".into(), 80)].into());
+    // The smallest model is not sure, so the largest one is asked, at any server.
+    rig.engines[0].set_behaviour(|behaviour| {
+        behaviour.confidence = [("small".into(), 5), ("large".into(), 80)].into();
+        behaviour.delay = Duration::from_millis(700);
+    });
+    tokio::try_join!(send_in_sessions(&rig, 0..20, 0), async {
+        sleep(Duration::from_millis(100)).await;
+        begin_rollout(&rig, &new).await
+    })?;
+    assert!(rig.gateways[0].log().contains("event=escalated"));
+    assert_eq!(new.arrivals().len(), 0, "requests from before the order ran on the new version");
+    Ok(())
+}
