gateway: the end of a connection ends an answer only if the request was sent whole

What callers saw: a server that answered a long upload at once with a 200 without a length, ended its side after a part of the body and reset the connection then, had that part passed on as the whole answer (MIXED).

Cause: the HTTP library takes the end of the connection for the end of the answer, stops sending the request, and nobody sees the reset.

Change: AnswerBody is the only way to read an answer, for buffered and relayed ones, event streams, resumed streams and drained answers.

--- a/crates/daemon/src/gateway/attempt.rs
+++ b/crates/daemon/src/gateway/attempt.rs
@@ -19,12 +19,13 @@
     request::{self, RouterFields},
     response::{self, ResponseMeta},
 };
-use http_body_util::{BodyExt, Full};
-use hyper::{HeaderMap, Request, Response, StatusCode, body::Incoming};
+use http_body_util::Full;
+use hyper::{HeaderMap, Request, Response, StatusCode};
 use tokio::time::{Instant, timeout, timeout_at};
 
 use super::{
     Gateway, State,
+    answer_body::AnswerBody,
     connections::{BackendConn, Unanswered},
     net::Conn,
     request::Call,
@@ -78,7 +79,7 @@
     /// Values of the header fields that the router evaluates.
     pub meta: ResponseMeta,
     /// The body, which has not been read yet.
-    pub body: Incoming,
+    pub body: AnswerBody,
     /// The send that the answer belongs to.
     pub guard: SendGuard,
 }
@@ -168,7 +169,9 @@
                 return Err(self.fail_as_lost(gateway, backend, Some(SampleOutcome::TimedOut), "it is silent".into()));
             }
         };
-        self.classify_response(gateway, guard, response, started)
+        let (head, incoming) = response.into_parts();
+        let body = AnswerBody::new(incoming, &head.headers, conn.conn.socket());
+        self.classify_response(gateway, guard, Response::from_parts(head, body), started)
     }
 
     /// Chooses a server and counts the send there. If all servers that the version rule allows have been tried and the
@@ -300,7 +303,7 @@
         &self,
         gateway: &Gateway,
         mut guard: SendGuard,
-        response: Response<Incoming>,
+        response: Response<AnswerBody>,
         started: Instant,
     ) -> Result<Answer, SendFailure> {
         let (head, body) = response.into_parts();
@@ -440,7 +443,7 @@
 
 /// Reads the rest of a response, for at most `DRAIN_TIMEOUT`, so that its connection can be reused. Returns whether it was
 /// complete.
-async fn drain(mut body: Incoming, guard: SendGuard, meta: ResponseMeta) -> bool {
+async fn drain(mut body: AnswerBody, guard: SendGuard, meta: ResponseMeta) -> bool {
     let read_rest = async {
         while let Some(frame) = body.frame().await {
             if frame.is_err() {
--- a/crates/daemon/src/gateway/execute.rs
+++ b/crates/daemon/src/gateway/execute.rs
@@ -17,7 +17,6 @@
     unit::Millis,
 };
 use eelgrasswell_platform::request::ModelSelection;
-use http_body_util::BodyExt;
 use hyper::{HeaderMap, Response, StatusCode, header::CONTENT_LENGTH};
 use tokio::time::{Instant, sleep, timeout_at};
 
@@ -538,7 +537,7 @@
 async fn buffer_answer(mut answer: Answer, deadline: Instant, share: Share) -> Result<Body, String> {
     let mut buf = Vec::new();
     while let Some(frame) = answer.body.frame().await {
-        let frame = frame.map_err(|err| super::net::error_chain(&err))?;
+        let frame = frame.map_err(|err| err.to_string())?;
         let mut is_counted = true;
         if let Ok(data) = frame.into_data() {
             is_counted = share.reserve(&mut buf, data.len(), MAX_BUFFERED_BYTES).await.is_ok();
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -3,6 +3,7 @@
 
 mod admission;
 mod announcements;
+mod answer_body;
 mod attempt;
 mod callers;
 mod connections;
--- a/crates/daemon/src/gateway/net.rs
+++ b/crates/daemon/src/gateway/net.rs
@@ -1,12 +1,18 @@
 //! HTTP/1.1 connections to the store and to backend servers. A connection carries one request at a time.
 
-use std::{fmt, io, net::SocketAddr, time::Duration};
+use std::{
+    fmt, io,
+    net::SocketAddr,
+    pin::Pin,
+    task::{Context, Poll, ready},
+    time::Duration,
+};
 
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{
     Request, Response,
-    body::Incoming,
+    body::{Body, Frame, Incoming, SizeHint},
     client::conn::http1::{self, SendRequest},
 };
 use hyper_util::rt::TokioIo;
@@ -33,11 +39,41 @@
 
 /// An open connection. Dropping it closes the socket at once, so that the other end stops work on the request.
 pub struct Conn {
-    sender: SendRequest<Full<Bytes>>,
+    sender: SendRequest<RequestBody>,
     socket: Socket,
     task: AbortHandle,
 }
 
+/// The body of a request, which tells the socket when it has been taken whole.
+struct RequestBody {
+    body: Full<Bytes>,
+    socket: Socket,
+}
+
+impl Body for RequestBody {
+    type Data = Bytes;
+    type Error = std::convert::Infallible;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Self::Data>, Self::Error>>> {
+        let frame = ready!(Pin::new(&mut self.body).poll_frame(cx));
+        if self.body.is_end_stream() {
+            self.socket.record_body_taken();
+        }
+        Poll::Ready(frame)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
 /// Why a request got no response.
 #[derive(Debug)]
 pub enum SendError {
@@ -82,6 +118,11 @@
         self.sender.is_closed() || self.task.is_finished()
     }
 
+    /// The connection's socket.
+    pub fn socket(&self) -> &Socket {
+        &self.socket
+    }
+
     /// Waits until the connection is ready for a request; false if it is closed, or if bytes have come without a request.
     pub async fn ready(&mut self) -> bool {
         self.sender.ready().await.is_ok() && !self.is_closed() && self.socket.is_quiet()
@@ -90,7 +131,8 @@
     /// Sends a request and waits for the head of the response. Nothing is sent if bytes have come before: they are not its
     /// response.
     pub async fn send(&mut self, req: Request<Full<Bytes>>) -> Result<Response<Incoming>, SendError> {
-        self.socket.begin_request();
+        self.socket.begin_request(req.body().size_hint().lower());
+        let req = req.map(|body| RequestBody { body, socket: self.socket.clone() });
         let result = self.sender.try_send_request(req).await;
         result.map_err(|mut err| {
             let unsent = err.take_message().is_some() || self.socket.has_rejected_request();
--- a/crates/daemon/src/gateway/relay.rs
+++ b/crates/daemon/src/gateway/relay.rs
@@ -21,7 +21,7 @@
 };
 use tokio::time::{Instant, timeout_at};
 
-use super::{attempt::Answer, execute::Execution, memory::BufferedAnswer, net::error_chain};
+use super::{attempt::Answer, execute::Execution, memory::BufferedAnswer};
 use crate::{callers::Body, event};
 
 /// Time without data after which a stream is resumed at another server, if its route sets no longest pause.
@@ -179,7 +179,7 @@
                     return Ok(Some(data));
                 }
             }
-            Some(Err(err)) => return Err(eyre!("the answer broke off: {}", error_chain(&err))),
+            Some(Err(err)) => return Err(eyre!("the answer broke off: {err}")),
             None => {
                 if let Some(answer) = answer.take() {
                     answer.finish();
@@ -296,7 +296,7 @@
                         return ReadOutcome::Data(data);
                     }
                 }
-                Ok(Some(Err(err))) => return ReadOutcome::Broken(error_chain(&err)),
+                Ok(Some(Err(err))) => return ReadOutcome::Broken(err.to_string()),
                 Ok(None) => return ReadOutcome::End,
                 Err(_) if Instant::now() >= deadline => return ReadOutcome::DeadlinePassed,
                 Err(_) => return ReadOutcome::Stalled,
--- a/crates/testbed/src/site/scripted.rs
+++ b/crates/testbed/src/site/scripted.rs
@@ -3,6 +3,7 @@
 use std::{
     net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
 };
 
 use eyre::{Result, WrapErr};
@@ -10,10 +11,13 @@
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpStream},
     task::JoinHandle,
+    time::sleep,
 };
 
 /// Maximum size of a request's head in bytes.
 const MAX_HEAD: usize = 64 << 10;
+/// Time between the end of an early answer and the reset of its connection.
+const RESET_DELAY: Duration = Duration::from_millis(30);
 
 /// A request as the stand-in reads it.
 #[derive(Clone, Debug)]
@@ -37,6 +41,15 @@
     pub closes: bool,
 }
 
+/// How much of a request's body the stand-in reads before it answers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum BodyRead {
+    /// All of it.
+    Whole,
+    /// This many bytes. It ends its side of the connection after the answer, and resets it a moment later.
+    Bytes(usize),
+}
+
 type Handler = Arc<dyn Fn(&ScriptedRequest) -> Script + Send + Sync>;
 
 /// A running stand-in. It stops when this is dropped.
@@ -57,10 +70,18 @@
 impl ScriptedBackend {
     /// Starts a stand-in on a free port of the loopback address, which answers each request with what `handler` returns.
     pub async fn bind(handler: impl Fn(&ScriptedRequest) -> Script + Send + Sync + 'static) -> Result<Self> {
+        Self::bind_reading(BodyRead::Whole, handler).await
+    }
+
+    /// Like `bind`, for a stand-in that may answer before it has read the whole body.
+    pub async fn bind_reading(
+        reads: BodyRead,
+        handler: impl Fn(&ScriptedRequest) -> Script + Send + Sync + 'static,
+    ) -> Result<Self> {
         let listener = TcpListener::bind("127.0.0.1:0").await.wrap_err("could not bind a backend server")?;
         let address = listener.local_addr()?;
         let requests = Arc::new(Requests::default());
-        let accept_task = tokio::spawn(accept_connections(listener, Arc::new(handler), Arc::clone(&requests)));
+        let accept_task = tokio::spawn(accept_connections(listener, reads, Arc::new(handler), Arc::clone(&requests)));
         Ok(Self { address, requests, accept_task })
     }
 
@@ -90,30 +111,36 @@
     ids.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
-async fn accept_connections(listener: TcpListener, handler: Handler, requests: Arc<Requests>) {
+async fn accept_connections(listener: TcpListener, reads: BodyRead, handler: Handler, requests: Arc<Requests>) {
     while let Ok((stream, _)) = listener.accept().await {
-        tokio::spawn(serve(stream, Arc::clone(&handler), Arc::clone(&requests)));
+        tokio::spawn(serve(stream, reads, Arc::clone(&handler), Arc::clone(&requests)));
     }
 }
 
-async fn serve(mut stream: TcpStream, handler: Handler, requests: Arc<Requests>) {
+async fn serve(mut stream: TcpStream, reads: BodyRead, handler: Handler, requests: Arc<Requests>) {
     let mut first_id: Option<String> = None;
     for number in 0.. {
-        let Ok(Some(id)) = read_request(&mut stream).await else { return };
+        let Ok(Some(id)) = read_request(&mut stream, reads).await else { return };
         let first_id = first_id.get_or_insert_with(|| id.clone()).clone();
         let script = handler(&ScriptedRequest { id: id.clone(), number, first_id });
         lock(&requests.arrivals).push(id.clone());
         if script.runs {
             lock(&requests.runs).push(id);
         }
-        if stream.write_all(&script.bytes).await.is_err() || script.closes {
+        let written = stream.write_all(&script.bytes).await;
+        if reads != BodyRead::Whole {
+            let _ = stream.shutdown().await;
+            sleep(RESET_DELAY).await;
+            return;
+        }
+        if written.is_err() || script.closes {
             return;
         }
     }
 }
 
 /// Reads one request and returns its id; none if the connection was closed.
-async fn read_request(stream: &mut TcpStream) -> Result<Option<String>> {
+async fn read_request(stream: &mut TcpStream, reads: BodyRead) -> Result<Option<String>> {
     let mut head = Vec::new();
     while !head.ends_with(b"\r\n\r\n") {
         let mut byte = [0];
@@ -125,6 +152,10 @@
     let head = String::from_utf8_lossy(&head).to_lowercase();
     let field = |name: &str| head.lines().find_map(|line| line.strip_prefix(name)?.strip_prefix(':')).map(str::trim);
     let length = field("content-length").and_then(|length| length.parse().ok()).unwrap_or(0);
+    let length = match reads {
+        BodyRead::Whole => length,
+        BodyRead::Bytes(bytes) => bytes.min(length),
+    };
     stream.read_exact(&mut vec![0; length]).await?;
     Ok(Some(field("x-attempt-id").unwrap_or_default().to_owned()))
 }
