core: a status that HTTP does not define is no answer

Cause: CallerStatus::of_answer ruled out the statuses that promise that a request has not run, and took any other number.

Change: a status outside 100 to 599 makes the send one without an answer: repeated if the request may be, 502 otherwise, logged as undefined_status.

Evidence: undefined_status_is_not_passed_on failed before for 600 and 999, and passes.

--- a/crates/core/src/caller_status.rs
+++ b/crates/core/src/caller_status.rs
@@ -12,6 +12,9 @@
 /// Statuses that promise that the request has not run and never will: request timeout, misdirected request, too many
 /// requests, service unavailable.
 const PROMISES: [u16; 4] = [408, 421, 429, 503];
+/// Smallest and largest status that HTTP defines.
+const MIN_STATUS: u16 = 100;
+const MAX_STATUS: u16 = 599;
 /// Status in place of one that would promise too much (bad gateway).
 const UNKNOWN_OUTCOME: u16 = 502;
 
@@ -20,12 +23,18 @@
 pub struct CallerStatus(u16);
 
 impl CallerStatus {
-    /// Status of the answer of a server that has run the request; none if it promises that the request has not run.
+    /// Whether HTTP defines the class of `status`. A caller can't read any other status.
+    pub fn is_defined(status: u16) -> bool {
+        (MIN_STATUS..=MAX_STATUS).contains(&status)
+    }
+
+    /// Status of the answer of a server that has run the request; none if it promises that the request has not run, or is
+    /// undefined.
     pub fn of_answer(status: u16) -> Option<Self> {
-        (!PROMISES.contains(&status)).then_some(Self(status))
+        (Self::is_defined(status) && !PROMISES.contains(&status)).then_some(Self(status))
     }
 
-    /// The same, with 502 in place of a status that promises that the request has not run.
+    /// The same, with 502 in place of a status that can't be passed on.
     pub fn of_answer_or_unknown(status: u16) -> Self {
         Self::of_answer(status).unwrap_or(Self(UNKNOWN_OUTCOME))
     }
--- a/crates/daemon/src/gateway/attempt.rs
+++ b/crates/daemon/src/gateway/attempt.rs
@@ -349,6 +349,11 @@
             let why = "the answer is not sealed".into();
             return Err(self.fail_as_lost(gateway, backend, Some(SampleOutcome::Failed), why));
         }
+        if !CallerStatus::is_defined(status.as_u16()) {
+            event!(Warn, "undefined_status", request = self.call.id, backend = backend.id, status = status.as_u16());
+            let why = format!("its status, {}, is undefined", status.as_u16());
+            return Err(self.fail_as_lost(gateway, backend, Some(SampleOutcome::Failed), why));
+        }
         let Some(status) = CallerStatus::of_answer(status.as_u16()) else {
             event!(
                 Warn,
--- a/crates/testbed/tests/early_answers.rs
+++ b/crates/testbed/tests/early_answers.rs
@@ -1,4 +1,4 @@
-//! Tests of gateway processes with servers that answer before they have read a whole upload.
+//! Tests of gateway processes with servers that answer before they have read a whole upload, or with an undefined status.
 
 use eelgrasswell_testbed::site::{
     BodyRead, Rig, RigPlan, Script, ScriptedBackend, ScriptedRequest, config, wait_until,
@@ -81,3 +81,19 @@
     }
     Ok(())
 }
+
+/// Guards against statuses that HTTP does not define, which callers can't read.
+#[test_case(0)]
+#[test_case(99)]
+#[test_case(600)]
+#[test_case(999)]
+#[tokio::test]
+async fn undefined_status_is_not_passed_on(status: u16) -> Result<()> {
+    let faulty = ScriptedBackend::bind(move |req| answer_without_length(status, req)).await?;
+    let rig = start(&faulty).await?;
+    for (path, status, body) in send_uploads(&rig, &faulty, 10).await? {
+        let is_whole = status == 200 && body == "done by desk-0";
+        assert!(is_whole || status == 502, "{path}: {status} {body:?}");
+    }
+    Ok(())
+}
