tests: routers of one process don't write the same credential file

Four tests of shards.rs failed under `cargo test`, where the tests of a file are threads of one process (under nextest each is a process of its own): the credential's path held the process and the router's id, so one thread read the file while another one had just emptied it ("the file is empty"). The path now holds a number, too. The checks are as before.

--- a/crates/daemon/tests/support/mod.rs
+++ b/crates/daemon/tests/support/mod.rs
@@ -1,6 +1,16 @@
 //! Shard components of routers in one process, each on its own thread, which a test can pause.
 
-use std::{fs, net::SocketAddr, path::Path, sync::Arc, thread, time::Duration};
+use std::{
+    fs,
+    net::SocketAddr,
+    path::Path,
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
+    thread,
+    time::Duration,
+};
 
 use eelgrasswell_core::{
     id::Revision,
@@ -176,7 +186,10 @@
 }
 
 fn settings(id: &str, inner: SocketAddr, platform: SocketAddr) -> RouterSettings {
-    let credential = Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("credential-{}-{id}", std::process::id()));
+    // Tests of one process run at the same time and use the same ids.
+    static NEXT: AtomicUsize = AtomicUsize::new(0);
+    let (process, number) = (std::process::id(), NEXT.fetch_add(1, Ordering::Relaxed));
+    let credential = Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("credential-{process}-{number}-{id}"));
     fs::write(&credential, "secret").unwrap();
     RouterSettings {
         host: HostSettings {
