--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod answer_counters;
 pub mod attempt;
 pub mod backend;
+pub mod backend_health;
 pub mod budget;
 pub mod byte_budget;
 pub mod caller_status;
--- a/crates/core/src/pool.rs
+++ b/crates/core/src/pool.rs
@@ -15,6 +15,7 @@
 
 use crate::{
     backend::{Backend, ServerId},
+    backend_health::{Health, Outcome},
     departure::{Departure, Departures},
     hash::{HashMap, HashSet, stable_hash},
     id::{BackendId, DomainId, ServiceName, VersionName},
@@ -32,16 +33,6 @@
 const AFFINITY_LOAD_FACTOR: f64 = 1.25;
 /// Load, on top of `AFFINITY_LOAD_FACTOR` times the mean, up to which a server keeps receiving those requests.
 const AFFINITY_SLACK: Cost = 2.0;
-/// Time for which a server is avoided after the first failure to reach it; doubles with each further failure in a row.
-const DOWN_BASE: Millis = Millis(400);
-/// Longest time for which a server is avoided after failures to reach it.
-const DOWN_MAX: Millis = Millis(3_000);
-/// Weight of the newest sample in the moving averages of the failure rate and the slowness of a server.
-const AVERAGE_WEIGHT: f64 = 0.12;
-/// Average failure rate above which a server is suspect: it gets only probes while healthy servers are available.
-const SUSPECT_FAILURE_RATE: f64 = 0.25;
-/// Interval at which a suspect server gets one request, as a probe of whether it has recovered.
-const PROBE_INTERVAL: Millis = Millis(1_500);
 /// When the slowness of a server exceeds the median by more than this factor, its load is multiplied by the ratio.
 const SLOW_FACTOR: f64 = 1.5;
 /// Length of a shared prefix from which requests go to other failure domains for a server that keeps it. Processing a
@@ -104,20 +95,6 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct SendId(u64);
 
-#[derive(Clone, Copy, Debug, Default)]
-struct Health {
-    /// Time until which the server is avoided after failures to reach it.
-    down_until: Millis,
-    /// Number of failures to reach the server since its last successful answer.
-    consecutive_failures: u32,
-    /// Moving average from 0 to 1.
-    failure_rate: f64,
-    /// Moving average of the time to the start of a response, as a multiple of the expected time.
-    slowness: Option<f64>,
-    /// Time of the last request to the server while it was suspect.
-    last_probe: Millis,
-}
-
 /// Prompt prefix that requests share.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct SharedPrefix {
@@ -172,27 +149,6 @@
     },
 }
 
-/// Result of a send, as far as it concerns the health of the server.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub enum Outcome {
-    /// The server responded.
-    Answered {
-        /// Time to the start of the response, as a multiple of the expected time for the request.
-        slowness: f64,
-    },
-    /// The server responded with a failure.
-    Failed,
-    /// The server rejected the request without running it.
-    Refused,
-    /// The server has not responded for this multiple of the expected time, and the request was given up.
-    Slow {
-        /// Time waited, as a multiple of the expected time for the request.
-        slowness: f64,
-    },
-    /// The server could not be reached, or broke off the connection.
-    Unreachable,
-}
-
 /// Servers that an update of the pool affected.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Changes {
@@ -570,7 +526,7 @@
     }
 
     fn median_slowness(&self, candidates: &[BackendId]) -> f64 {
-        let mut values: Vec<f64> = candidates.iter().filter_map(|id| self.entries[id].health.slowness).collect();
+        let mut values: Vec<f64> = candidates.iter().filter_map(|id| self.entries[id].health.slowness()).collect();
         if values.is_empty() {
             return 1.0;
         }
@@ -622,57 +578,10 @@
     }
 
     fn load(&self, requirements: &Requirements<'_>, median_slowness: f64, baseline: &Baseline) -> f64 {
-        let factor = self.health.slowness.map_or(1.0, |slowness| slowness / median_slowness);
+        let factor = self.health.slowness().map_or(1.0, |slowness| slowness / median_slowness);
         let factor = if factor > SLOW_FACTOR { factor } else { 1.0 };
         let factor = factor.max(baseline.factor(&self.pace));
         let remote = if self.backend.domain == *requirements.domain { 0.0 } else { REMOTE_DOMAIN_LOAD };
         (self.load + self.peer_load + requirements.cost) * factor + remote
     }
 }
-
-impl Health {
-    fn is_usable(&self, now: Millis) -> bool {
-        let is_suspect = self.failure_rate > SUSPECT_FAILURE_RATE;
-        now >= self.down_until && (!is_suspect || now >= self.last_probe + PROBE_INTERVAL)
-    }
-
-    /// Whether the server gets more than probes.
-    fn is_sound(&self, now: Millis) -> bool {
-        now >= self.down_until && self.failure_rate <= SUSPECT_FAILURE_RATE
-    }
-
-    fn record_probe(&mut self, now: Millis) {
-        if self.failure_rate > SUSPECT_FAILURE_RATE {
-            self.last_probe = now;
-        }
-    }
-
-    fn record_outcome(&mut self, now: Millis, outcome: Outcome) {
-        let failure = match outcome {
-            Outcome::Answered { slowness } => {
-                self.consecutive_failures = 0;
-                self.down_until = Millis::ZERO;
-                self.record_slowness(slowness);
-                0.0
-            }
-            Outcome::Slow { slowness } => {
-                self.slowness.get_or_insert(1.0);
-                return self.record_slowness(slowness);
-            }
-            Outcome::Refused => return,
-            Outcome::Failed => 1.0,
-            Outcome::Unreachable => {
-                let pause = DOWN_BASE.0 << self.consecutive_failures.min(8);
-                self.consecutive_failures += 1;
-                self.down_until = now + Millis(pause).min(DOWN_MAX);
-                1.0
-            }
-        };
-        self.failure_rate += AVERAGE_WEIGHT * (failure - self.failure_rate);
-    }
-
-    fn record_slowness(&mut self, slowness: f64) {
-        let average = self.slowness.unwrap_or(slowness);
-        self.slowness = Some(average + AVERAGE_WEIGHT * (slowness - average));
-    }
-}
--- a/crates/core/tests/pool.rs
+++ b/crates/core/tests/pool.rs
@@ -5,10 +5,11 @@
 
 use eelgrasswell_core::{
     backend::Backend,
+    backend_health::Outcome,
     hash::{HashMap, HashSet},
     id::{BackendId, DomainId, ServiceName, VersionName},
     not_run::Unsent,
-    pool::{Outcome, Pool, Requirements, SharedPrefix, Unavailable},
+    pool::{Pool, Requirements, SharedPrefix, Unavailable},
     unit::{Millis, Tokens},
 };
 use rand::SeedableRng;
--- a/crates/daemon/src/gateway/attempt.rs
+++ b/crates/daemon/src/gateway/attempt.rs
@@ -2,17 +2,20 @@
 //!
 //! The reasons in `SendFailure::Lost` also reach callers, as part of the failure's message.
 
+mod ends;
+
 use std::{fmt, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use eelgrasswell_core::{
     backend::Backend,
+    backend_health::Outcome,
     caller_status::CallerStatus,
     canary::VersionRule,
     crash_evidence::{Block, PartId},
     id::{BackendId, ModelName, RequestId},
-    not_run::{Evidence, Named, NotRun, Received, Unsent},
-    pool::{Cost, Outcome, Requirements, SendId, Unavailable},
+    not_run::{Named, NotRun, Received, Unsent},
+    pool::{Cost, Requirements, SendId, Unavailable},
     unit::Millis,
 };
 use eelgrasswell_platform::{
@@ -21,8 +24,9 @@
 };
 use http_body_util::Full;
 use hyper::{HeaderMap, Request, Response, StatusCode};
-use tokio::time::{Instant, timeout, timeout_at};
+use tokio::time::{Instant, timeout_at};
 
+use self::ends::drain;
 use super::{
     Gateway, State,
     answer_body::AnswerBody,
@@ -35,8 +39,6 @@
 
 /// Timeout for connecting to a backend server.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
-/// Timeout for reading the rest of an unwanted answer, which is done to reuse its connection.
-const DRAIN_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Prompt tokens that load a backend server as much as one small request.
 const PROMPT_TOKENS_PER_COST: f64 = 7_000.0;
 /// Answer tokens that load a backend server as much as one small request.
@@ -426,85 +428,3 @@
         lock(&self.pool).record_outcome(self.clock.now(), backend, outcome);
     }
 }
-
-impl Answer {
-    /// Ends the answer after its last byte has been read and makes its connection available to other requests.
-    pub fn finish(self) {
-        if self.status.is_success() {
-            self.guard.gateway.record_completion(&self.guard.shared_parts);
-        }
-        self.guard.return_connection(&self.meta);
-    }
-
-    /// Reads the rest of an unwanted answer, for at most `DRAIN_TIMEOUT`, so that its connection can be reused.
-    pub async fn drain(self) {
-        let Self { status, meta, body, guard, .. } = self;
-        let (gateway, shared_parts) = (guard.gateway.clone(), Arc::clone(&guard.shared_parts));
-        if drain(body, guard, meta).await && status.is_success() {
-            gateway.record_completion(&shared_parts);
-        }
-    }
-}
-
-/// Reads the rest of a response, for at most `DRAIN_TIMEOUT`, so that its connection can be reused. Returns whether it was
-/// complete.
-async fn drain(mut body: AnswerBody, guard: SendGuard, meta: ResponseMeta) -> bool {
-    let read_rest = async {
-        while let Some(frame) = body.frame().await {
-            if frame.is_err() {
-                guard.record_crash();
-                return false;
-            }
-        }
-        true
-    };
-    let is_complete = timeout(DRAIN_TIMEOUT, read_rest).await.unwrap_or(false);
-    if is_complete {
-        guard.return_connection(&meta);
-    } else {
-        event!(Debug, "answer_dropped", request = guard.id);
-    }
-    is_complete
-}
-
-impl SendGuard {
-    /// Records that the answer broke off.
-    pub fn record_crash(&self) {
-        let answering = self.answered_at.map_or(Millis::ZERO, |at| at.elapsed().into());
-        self.gateway.record_crash(&self.backend, &self.id, &self.shared_parts, answering);
-    }
-
-    /// What shows that a response on the connection belongs to the request.
-    fn attribute(&self, named: Named) -> Option<Evidence> {
-        self.conn.as_ref()?.received.attribute(&self.id, named)
-    }
-
-    /// Records a response on the connection that is no refusal.
-    fn record_response(&mut self) {
-        if let Some(conn) = &mut self.conn {
-            conn.received.record_response();
-        }
-    }
-
-    /// Records a refusal on the connection. Returns the proof that the request did not run; if there is none, the connection
-    /// is closed.
-    fn record_refusal(&mut self, named: Named) -> Option<NotRun> {
-        let proof = self.conn.as_mut()?.received.record_refusal(&self.id, named);
-        if proof.is_none() {
-            self.conn = None;
-        }
-        proof
-    }
-
-    fn return_connection(mut self, meta: &ResponseMeta) {
-        if let Some(conn) = self.conn.take().filter(|_| !meta.closes_connection) {
-            self.gateway.connections.release(&self.backend, &self.id, conn, meta.idle_timeout);
-        }
-    }
-}
-
-impl Drop for SendGuard {
-    fn drop(&mut self) {
-        lock(&self.gateway.pool).release(&self.backend, self.send, self.cost);
-    }
-}
--- a/crates/daemon/src/gateway/execute.rs
+++ b/crates/daemon/src/gateway/execute.rs
@@ -1,5 +1,7 @@
 //! Runs a request: chooses the model and decides whether the request is sent again after a failure.
 
+mod failures;
+
 use std::{sync::Arc, time::Duration};
 
 use eelgrasswell_core::{
@@ -7,12 +9,9 @@
     backend::Backend,
     byte_budget::Use,
     caller_status::CallerStatus,
-    crash_evidence::Block,
     escalation::EscalationSteps,
     id::{BackendId, ModelName},
-    latency, pause,
-    pool::Unavailable,
-    refusal::{Reason, Refusal},
+    latency,
     repeat::Purpose,
     unit::Millis,
 };
@@ -20,6 +19,7 @@
 use hyper::{HeaderMap, Response, StatusCode, header::CONTENT_LENGTH};
 use tokio::time::{Instant, sleep, timeout_at};
 
+use self::failures::lost_failure;
 use super::{
     Gateway,
     admission::Permit,
@@ -39,15 +39,9 @@
 const MAX_SENDS: u32 = 5;
 /// A request is sent again only if more than this time is left until its deadline.
 const MIN_REPEAT_TIME: Duration = Duration::from_millis(60);
-/// Maximum time that a request waits while every server is cold and has reached its request limit.
-const MAX_COLD_WAIT: Duration = Duration::from_millis(250);
-/// Pause before such a request is tried again, and before the next attempt to resume a stream for which no server was
-/// available.
+/// Pause before a request is tried again for which all servers were cold, and before the next attempt to resume a stream for
+/// which no server was available.
 const COLD_RETRY_INTERVAL: Duration = Duration::from_millis(40);
-/// `Retry-After` when no server can take the request.
-const NO_BACKEND_RETRY_AFTER: Millis = Millis(400);
-/// `Retry-After` for requests with a part that crashes servers. A part seldom becomes harmless within seconds.
-const BLOCKED_RETRY_AFTER: Millis = Millis(30_000);
 /// Maximum size of an answer that is buffered whole before it is passed on, in bytes.
 const MAX_BUFFERED_BYTES: usize = 1 << 20;
 
@@ -384,96 +378,6 @@
             && self.try_acquire_repeat(Purpose::Escalation)
     }
 
-    /// Decides whether to send the request again after a send without an answer: Ok to send it, or the failure for the
-    /// caller.
-    async fn handle_failure(&mut self, failure: SendFailure) -> Result<(), Failure> {
-        event!(Info, "send_ended", request = self.call.id, error = failure);
-        if self.call.remaining().is_zero() {
-            return Err(self.deadline_failure());
-        }
-        match failure {
-            SendFailure::Unavailable(why) => self.handle_unavailable(why).await,
-            SendFailure::Blocked(block) => Err(self.blocked_failure(block)),
-            SendFailure::NotRun { .. } => {
-                let why = if !self.attempts.allows_another(self.limits()) {
-                    "one has refused, and its tries are used up"
-                } else if self.call.remaining() <= MIN_REPEAT_TIME {
-                    "one has refused, and no time is left for another"
-                } else if !self.gateway.try_acquire_repeat(&self.call.service, Purpose::Failure) {
-                    "one has refused, and the budget of repeats is used up"
-                } else {
-                    return Ok(());
-                };
-                Err(self.no_backend_failure(why, self.no_backend_retry_after()))
-            }
-            SendFailure::Failed { .. } | SendFailure::Lost { .. } if self.try_acquire_repeat(Purpose::Failure) => {
-                Ok(())
-            }
-            SendFailure::Failed { status, .. } => {
-                Err(Failure::unknown(Reason::BackendError, format!("the backend server failed with {status}")))
-            }
-            SendFailure::Lost { why, .. } => Err(lost_failure(&why)),
-        }
-    }
-
-    async fn handle_unavailable(&mut self, why: Unavailable) -> Result<(), Failure> {
-        let waited = self.call.arrived.elapsed();
-        match why {
-            Unavailable::Cold if waited < MAX_COLD_WAIT => {
-                sleep(COLD_RETRY_INTERVAL).await;
-                return Ok(());
-            }
-            Unavailable::AllTried if !self.tried.is_empty() && self.attempts.sends() < MAX_SENDS => {
-                self.tried.clear();
-                return Ok(());
-            }
-            Unavailable::Cold | Unavailable::AllTried | Unavailable::NoneInService | Unavailable::Paused { .. } => {}
-        }
-        let (why, wait) = match why {
-            // Without servers, there is no rate from which a time could be derived.
-            Unavailable::NoneInService => ("none in service", Some(NO_BACKEND_RETRY_AFTER)),
-            Unavailable::Cold => ("all are cold", self.no_backend_retry_after()),
-            Unavailable::AllTried => ("all have refused", self.no_backend_retry_after()),
-            Unavailable::Paused { until } => {
-                let wait = pause::retry_after(self.gateway.clock.now(), until, &mut rand::rng());
-                ("all have asked for a pause", Some(wait))
-            }
-        };
-        Err(self.no_backend_failure(why, wait))
-    }
-
-    /// Failure of the request in its present state. Only a request that certainly has not run is refused, for the reason
-    /// `refused`, and may be sent again after `wait`.
-    fn failure(&self, refused: Reason, lost: Reason, message: String, wait: Option<Millis>) -> Failure {
-        let refusal = self.attempts.refuse(refused, lost);
-        let retry_after = wait.filter(|_| !self.attempts.may_have_run());
-        Failure { refusal: Refusal { retry_after, ..refusal }, message, request_id: None }
-    }
-
-    /// Failure for a request whose deadline has passed.
-    fn deadline_failure(&self) -> Failure {
-        self.failure(Reason::Expired, Reason::Deadline, "the deadline passed before an answer came".into(), None)
-    }
-
-    /// Failure for a request that no backend server can take.
-    fn no_backend_failure(&self, why: &str, wait: Option<Millis>) -> Failure {
-        let message = format!("no backend server can take the request: {why}");
-        self.failure(Reason::NoBackend, Reason::ConnectionLost, message, wait)
-    }
-
-    fn no_backend_retry_after(&self) -> Option<Millis> {
-        match &self.gateway.admission {
-            Some(admission) => admission.return_time(&self.call),
-            None => Some(NO_BACKEND_RETRY_AFTER),
-        }
-    }
-
-    /// Failure for a request that is not sent because a part of its prompt crashes servers.
-    fn blocked_failure(&self, block: Block) -> Failure {
-        let message = format!("{} servers have crashed on requests with a part of this prompt", block.servers);
-        self.failure(Reason::CrashesServers, Reason::ConnectionLost, message, Some(BLOCKED_RETRY_AFTER))
-    }
-
     /// Makes the response for the caller. A stream is relayed; any other answer is buffered first, so that a broken one
     /// can be repeated.
     async fn respond(mut self, answer: Answer) -> Result<Response<Body>, Failure> {
@@ -515,11 +419,6 @@
     }
 }
 
-/// Failure for a request that may have run and got no answer.
-fn lost_failure(why: &str) -> Failure {
-    Failure::unknown(Reason::ConnectionLost, format!("the backend server gave no answer: {why}"))
-}
-
 fn response(status: CallerStatus, headers: HeaderMap, body: Body, session: Option<SessionUse>) -> Response<Body> {
     let body = match session {
         Some(session) => session.hold_by(body),
--- a/crates/daemon/src/gateway/relay.rs
+++ b/crates/daemon/src/gateway/relay.rs
@@ -4,11 +4,11 @@
 
 use bytes::Bytes;
 use eelgrasswell_core::{
+    backend_health::Outcome,
     caller_status::CallerStatus,
     event_order::{EventFault, EventOrder},
     event_stream::EventSplitter,
     pace::PaceSampler,
-    pool::Outcome,
     repeat::Purpose,
     server_pace::StreamSampler,
 };
--- a/crates/daemon/src/gateway/second_send.rs
+++ b/crates/daemon/src/gateway/second_send.rs
@@ -9,8 +9,8 @@
 
 use eelgrasswell_core::{
     backend::Backend,
+    backend_health::Outcome,
     latency::SLOW_FACTOR,
-    pool::Outcome,
     second_send::{self as rules, Class, Denial, Limits},
     unit::Millis,
 };
