--- a/crates/daemon/src/gateway/request.rs
+++ b/crates/daemon/src/gateway/request.rs
@@ -83,7 +83,7 @@
     pub arrived: Instant,
     /// End of the caller's deadline or of the route's timeout, whichever is earlier.
     pub deadline: Instant,
-    /// Hash of the service and the session, or of the service and the request id if there is no session.
+    /// Hash of the session, or of the request id if there is no session.
     pub session: u64,
     /// Prompt parts that requests on the same subject share; none if the prompt has no such parts.
     pub shared_prefix: Option<SharedPrefix>,
@@ -144,8 +144,8 @@
     let limits = BodyLimits { head: head_size, size: config.limits.body, deadline, idle };
     let body = memory::read_body(body, limits, &share).await.map_err(refuse)?;
     let session = meta.session.as_deref().unwrap_or(id.as_str());
-    let service = route.target(stable_hash(&[session])).clone();
-    let session = stable_hash(&[service.as_str(), session]);
+    let session = stable_hash(&[session]);
+    let service = route.target(session).clone();
     let shared_prefix = shared_prefix(&meta);
     let shared_parts = shared_parts(&meta);
     let customer = match caller {
