gateway: the check at the end of an answer survives a caller that stops waiting

Found by reading: AnswerBody::frame took the socket before it waited for a reset. If its future was dropped in that quarter of a second, as a timeout does, or if it was asked again after a failure, the next call reported a complete body. The socket now stays until the check has ended well. No test: all callers give up after a failure, and the timeouts that wrap the call end the request.

--- a/crates/daemon/src/gateway/answer_body.rs
+++ b/crates/daemon/src/gateway/answer_body.rs
@@ -63,10 +63,18 @@
         if let Some(frame) = self.incoming.frame().await {
             return Some(frame.map_err(Broken::Connection));
         }
-        let socket = self.unchecked.take()?;
-        if !socket.has_sent_request() {
-            return Some(Err(Broken::RequestNotSent));
+        // The socket stays until the check has ended: the caller may give up waiting and ask again.
+        let socket = self.unchecked.as_ref()?;
+        let broken = if !socket.has_sent_request() {
+            Some(Broken::RequestNotSent)
+        } else if socket.is_reset_within(RESET_WAIT).await {
+            Some(Broken::Reset)
+        } else {
+            None
+        };
+        if broken.is_none() {
+            self.unchecked = None;
         }
-        if socket.is_reset_within(RESET_WAIT).await { Some(Err(Broken::Reset)) } else { None }
+        broken.map(Err)
     }
 }
