--- a/crates/daemon/src/gateway/session_use.rs
+++ b/crates/daemon/src/gateway/session_use.rs
@@ -127,7 +127,7 @@
     pub fn record_run(&self, call: &Call, version: &VersionName) {
         let now = self.clock.now();
         let session_time = self.session_timeout();
-        if let Some(canary) = lock(&self.canaries).get_mut(&call.service) {
+        if let Some(canary) = lock(&self.canaries).get_mut(&call.service).filter(|canary| is_in_progress(canary)) {
             canary.record_run(now, call.session, version, session_time);
         }
     }
@@ -141,7 +141,7 @@
     /// is sent.
     fn renew_session(&self, service: &ServiceName, session: u64) {
         let (now, session_time) = (self.clock.now(), self.session_timeout());
-        if let Some(canary) = lock(&self.canaries).get_mut(service) {
+        if let Some(canary) = lock(&self.canaries).get_mut(service).filter(|canary| is_in_progress(canary)) {
             canary.renew(now, session, session_time);
         }
     }
@@ -157,6 +157,7 @@
     }
 }
 
+/// Whether a rollout is in progress. After its end, no session needs a pin.
 fn is_in_progress(canary: &Canary) -> bool {
     matches!(canary.order().state, OrderState::New | OrderState::Running) && !canary.is_bad()
 }
