--- a/review/rig-3/src/main.rs
+++ b/review/rig-3/src/main.rs
@@ -5,6 +5,7 @@
 mod gateway;
 mod http;
 mod names;
+mod parts;
 mod platform;
 mod record;
 mod store;
@@ -53,6 +54,7 @@
         .line(format!("case {name}, the disruption {}", if case.trouble { "takes place" } else { "is left out" }));
     let broken = match name.as_str() {
         "names" => names::run(&case),
+        "parts" => parts::run(&case),
         _ => Err(format!("there is no case {name}")),
     };
     let _ = fs::remove_dir_all(&case.dir);
