--- a/review/rig-3/src/main.rs
+++ b/review/rig-3/src/main.rs
@@ -2,6 +2,7 @@
 //! the case could not run. With `TROUBLE=0` the disruption is left out.
 
 mod bookings;
+mod crowd;
 mod gateway;
 mod http;
 mod names;
@@ -54,6 +55,7 @@
         .line(format!("case {name}, the disruption {}", if case.trouble { "takes place" } else { "is left out" }));
     let broken = match name.as_str() {
         "names" => names::run(&case),
+        "crowd" => crowd::run(&case),
         "parts" => parts::run(&case),
         _ => Err(format!("there is no case {name}")),
     };
