--- a/review/rig-3/src/crowd.rs
+++ b/review/rig-3/src/crowd.rs
@@ -46,8 +46,8 @@
 pub fn run(case: &Case) -> Setup<bool> {
     let store = Store::start().map_err(|err| err.to_string())?;
     let plan = Plan { service: "plain", slots: 6, work: Duration::from_millis(LAMPLIGHT.work_ms), early: None };
-    case.workers(&store, WORKERS, plan)?;
-    case.workers(&store, WORKERS, Plan { service: "model", slots: 64, ..plan })?;
+    case.workers(&store, "plain", WORKERS, plan)?;
+    case.workers(&store, "model", WORKERS, Plan { service: "model", slots: 64, ..plan })?;
     store.put("config", "main", &config(LAMPLIGHT));
     let gateways = case.gateways(&store, LAMPLIGHT, 1)?;
     let callers = gateways[0].callers;
--- a/review/rig-3/src/main.rs
+++ b/review/rig-3/src/main.rs
@@ -3,6 +3,7 @@
 
 mod bookings;
 mod crowd;
+mod early;
 mod gateway;
 mod http;
 mod names;
@@ -55,6 +56,7 @@
         .line(format!("case {name}, the disruption {}", if case.trouble { "takes place" } else { "is left out" }));
     let broken = match name.as_str() {
         "names" => names::run(&case),
+        "early" => early::run(&case),
         "crowd" => crowd::run(&case),
         "parts" => parts::run(&case),
         _ => Err(format!("there is no case {name}")),
--- a/review/rig-3/src/names.rs
+++ b/review/rig-3/src/names.rs
@@ -34,7 +34,7 @@
 pub fn run(case: &Case) -> Setup<bool> {
     let store = Store::start().map_err(|err| err.to_string())?;
     let plan = Plan { service: "plain", slots: 6, work: Duration::from_millis(LAMPLIGHT.work_ms), early: None };
-    let workers = case.workers(&store, WORKERS, plan)?;
+    let workers = case.workers(&store, "plain", WORKERS, plan)?;
     store.put("config", "main", &config(LAMPLIGHT));
     let mut gateways = case.gateways(&store, LAMPLIGHT, 1)?;
     let callers = gateways[0].callers;
--- a/review/rig-3/src/worker.rs
+++ b/review/rig-3/src/worker.rs
@@ -5,7 +5,7 @@
     net::{Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream},
     sync::{
         Arc, Mutex,
-        atomic::{AtomicBool, Ordering},
+        atomic::{AtomicBool, AtomicUsize, Ordering},
     },
     thread,
     time::{Duration, Instant},
@@ -62,6 +62,8 @@
     runs: Mutex<Vec<(String, Instant)>>,
     /// Times at which requests came while it was cold.
     cold_arrivals: Mutex<Vec<Instant>>,
+    /// Number of requests that it has rejected before their bodies were in.
+    early_rejections: AtomicUsize,
 }
 
 impl Worker {
@@ -79,6 +81,7 @@
             open: Mutex::default(),
             runs: Mutex::default(),
             cold_arrivals: Mutex::default(),
+            early_rejections: AtomicUsize::new(0),
         }));
         let served = worker.clone();
         thread::spawn(move || {
@@ -120,6 +123,11 @@
         lock(&self.0.cold_arrivals).clone()
     }
 
+    /// Number of requests that it has rejected before their bodies were in.
+    pub fn early_rejections(&self) -> usize {
+        self.0.early_rejections.load(Ordering::SeqCst)
+    }
+
     /// Crashes: its connections end, and new ones are closed.
     pub fn crash(&self) {
         self.0.down.store(true, Ordering::SeqCst);
@@ -145,7 +153,8 @@
         while let Ok(Some(mut head)) = read_head(&mut stream, rest) {
             let id = head.field("x-attempt-id").to_owned();
             if let Some(early) = shared.plan.early.filter(|early| head.length() >= early.from) {
-                shared.record.line(format!("{} rejects {id} before its body is in", shared.id));
+                shared.early_rejections.fetch_add(1, Ordering::SeqCst);
+                shared.record.line(format!("worker: {} rejects {id} before its body is in", shared.id));
                 let rejected = answer(&mut stream, 503, &id, &[("x-not-executed", "1")], b"full");
                 if rejected.and_then(|()| read_on(&mut stream, &head, early)).is_err() {
                     return;
--- a/review/rig-3/src/world.rs
+++ b/review/rig-3/src/world.rs
@@ -73,9 +73,9 @@
 }
 
 impl Case {
-    /// Starts `count` workers and enters them in the store.
-    pub fn workers(&self, store: &Store, count: usize, plan: Plan) -> Setup<Vec<Worker>> {
-        let start = |n| Worker::start(&format!("{}-{n}", plan.service), plan, &self.record);
+    /// Starts `count` workers, whose ids begin with `name`, and enters them in the store.
+    pub fn workers(&self, store: &Store, name: &str, count: usize, plan: Plan) -> Setup<Vec<Worker>> {
+        let start = |n| Worker::start(&format!("{name}-{n}"), plan, &self.record);
         let workers: Vec<Worker> = (0..count).map(start).collect::<Result<_, _>>()?;
         workers.iter().for_each(|worker| store.put("servers", worker.id(), &worker.entry()));
         Ok(workers)
