--- a/review/rig-3/src/main.rs
+++ b/review/rig-3/src/main.rs
@@ -2,6 +2,7 @@
 //! the case could not run. With `TROUBLE=0` the disruption is left out.
 
 mod bookings;
+mod cold;
 mod crowd;
 mod early;
 mod gateway;
@@ -56,6 +57,7 @@
         .line(format!("case {name}, the disruption {}", if case.trouble { "takes place" } else { "is left out" }));
     let broken = match name.as_str() {
         "names" => names::run(&case),
+        "cold" => cold::run(&case),
         "early" => early::run(&case),
         "crowd" => crowd::run(&case),
         "parts" => parts::run(&case),
