--- a/review/12/run.sh
+++ b/review/12/run.sh
@@ -10,4 +10,4 @@
     exit 2
 fi
 ulimit -Sn 8192 || exit 2
-exec "$program" parts "$here"
+exec "$program" drill "$here"
--- a/review/rig-3/src/main.rs
+++ b/review/rig-3/src/main.rs
@@ -4,6 +4,7 @@
 mod bookings;
 mod cold;
 mod crowd;
+mod drill;
 mod early;
 mod gateway;
 mod http;
@@ -57,6 +58,7 @@
         .line(format!("case {name}, the disruption {}", if case.trouble { "takes place" } else { "is left out" }));
     let broken = match name.as_str() {
         "names" => names::run(&case),
+        "drill" => drill::run(&case),
         "cold" => cold::run(&case),
         "early" => early::run(&case),
         "crowd" => crowd::run(&case),
--- a/review/rig-3/src/store.rs
+++ b/review/rig-3/src/store.rs
@@ -1,7 +1,7 @@
 //! Stand-in for the platform's store: lists and watches, as PROTOCOL.md describes them.
 
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, VecDeque},
     io::Write,
     net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream},
     sync::{Arc, Condvar, Mutex, MutexGuard},
@@ -11,6 +11,12 @@
 
 use crate::http::{read_body, read_head};
 
+/// Time that an answer takes, and reading calls in a second, as on the sheets.
+const ANSWER_TIME: Duration = Duration::from_millis(4);
+const READS_PER_S: usize = 2_000;
+/// Time for which a call without an answer keeps its connection.
+const SILENCE: Duration = Duration::from_secs(60);
+
 /// An object: the revision of its last change, and its content as JSON text.
 #[derive(Clone, Debug)]
 struct Object {
@@ -18,14 +24,26 @@
     spec: String,
 }
 
-#[derive(Default)]
-struct Inner {
+/// What a drill brings back.
+#[derive(Clone, Default)]
+pub struct Copy {
     revision: u64,
     objects: BTreeMap<(String, String), Object>,
     /// Revision, kind, and the event as JSON text.
     history: Vec<(u64, String, String)>,
+}
+
+#[derive(Default)]
+struct Inner {
+    copy: Copy,
     /// Whether the store is silent: it takes calls and never answers.
     silent: bool,
+    /// Whether it ends all calls, as one that is away.
+    away: bool,
+    /// Rises with each return from an older copy.
+    era: u64,
+    /// Times of the calls within the last second.
+    calls: VecDeque<Instant>,
 }
 
 struct Shared {
@@ -46,7 +64,7 @@
     pub fn start() -> std::io::Result<Self> {
         let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0))?;
         let shared = Arc::new(Shared {
-            inner: Mutex::new(Inner { revision: 100, ..Inner::default() }),
+            inner: Mutex::new(Inner { copy: Copy { revision: 100, ..Copy::default() }, era: 1, ..Inner::default() }),
             changed: Condvar::new(),
         });
         let store = Self { address: listener.local_addr()?, shared };
@@ -68,15 +86,15 @@
     pub fn put(&self, kind: &str, name: &str, spec: &str) {
         let mut inner = self.lock();
         let key = (kind.to_owned(), name.to_owned());
-        if inner.objects.get(&key).is_some_and(|object| object.spec == spec) {
+        if inner.copy.objects.get(&key).is_some_and(|object| object.spec == spec) {
             return;
         }
-        inner.revision += 1;
-        let revision = inner.revision;
+        inner.copy.revision += 1;
+        let revision = inner.copy.revision;
         let object = Object { revision, spec: spec.to_owned() };
         let event = format!("{{\"deleted\":false,\"object\":{}}}", text(name, &object));
-        inner.objects.insert(key, object);
-        inner.history.push((revision, kind.to_owned(), event));
+        inner.copy.objects.insert(key, object);
+        inner.copy.history.push((revision, kind.to_owned(), event));
         drop(inner);
         self.shared.changed.notify_all();
     }
@@ -87,6 +105,30 @@
         self.shared.changed.notify_all();
     }
 
+    /// The store's present state.
+    pub fn copy(&self) -> Copy {
+        self.lock().copy.clone()
+    }
+
+    /// Its revision.
+    pub fn revision(&self) -> u64 {
+        self.lock().copy.revision
+    }
+
+    /// Goes away: calls, waiting ones too, end without an answer.
+    pub fn go_away(&self) {
+        self.lock().away = true;
+        self.shared.changed.notify_all();
+    }
+
+    /// Comes back from `copy`.
+    pub fn come_back(&self, copy: Copy) {
+        let mut inner = self.lock();
+        inner.copy = copy;
+        inner.era += 1;
+        inner.away = false;
+    }
+
     fn serve(&self, mut stream: TcpStream) {
         let _ = stream.set_nodelay(true);
         let mut rest = Vec::new();
@@ -94,14 +136,21 @@
             let Ok((_, after)) = read_body(&mut stream, &mut head) else { return };
             rest = after;
             let (path, query) = head.path().split_once('?').unwrap_or((head.path(), ""));
-            let (status, reply) = self.handle(head.method(), path, query);
-            if self.lock().silent {
-                // A connection on which a response is lost returns nothing further.
-                thread::sleep(Duration::from_secs(60));
+            thread::sleep(ANSWER_TIME / 2);
+            // A connection on which a response is lost returns nothing further.
+            let Some((status, reply)) = self.handle(head.method(), path, query) else { return };
+            let (is_silent, era) = {
+                let inner = self.lock();
+                (inner.silent, inner.era)
+            };
+            if is_silent {
+                thread::sleep(SILENCE);
                 return;
             }
+            thread::sleep(ANSWER_TIME / 2);
             let reply = format!(
-                "HTTP/1.1 {status} x\r\ncontent-type: application/json\r\ncontent-length: {}\r\n\r\n{reply}",
+                "HTTP/1.1 {status} x\r\nstore-era: {era}\r\ncontent-type: application/json\r\n\
+                 content-length: {}\r\n\r\n{reply}",
                 reply.len()
             );
             if stream.write_all(reply.as_bytes()).is_err() {
@@ -110,7 +159,11 @@
         }
     }
 
-    fn handle(&self, method: &str, path: &str, query: &str) -> (u16, String) {
+    /// Status and body of the answer; none if the call gets no answer.
+    fn handle(&self, method: &str, path: &str, query: &str) -> Option<(u16, String)> {
+        if !self.is_within_rate()? {
+            return Some((429, "{}".into()));
+        }
         let parts: Vec<&str> = path.trim_start_matches("/objects/").split('/').collect();
         let parameter = |name: &str| {
             query
@@ -123,34 +176,56 @@
             ("GET", [kind]) => match parameter("watch").and_then(|value| value.parse().ok()) {
                 Some(revision) => {
                     let wait = parameter("wait_ms").and_then(|value| value.parse().ok()).unwrap_or(0);
-                    (200, self.watch(kind, revision, Duration::from_millis(wait)))
+                    self.watch(kind, revision, Duration::from_millis(wait))
                 }
-                None => (200, self.list(kind)),
+                None => Some((200, self.list(kind))),
             },
-            _ => (404, "{}".into()),
+            _ => Some((404, "{}".into())),
         }
     }
 
+    /// Counts a call. Returns whether the store takes it, and none while it is away.
+    fn is_within_rate(&self) -> Option<bool> {
+        let mut inner = self.lock();
+        if inner.away {
+            return None;
+        }
+        let now = Instant::now();
+        while inner.calls.front().is_some_and(|at| now - *at >= Duration::from_secs(1)) {
+            inner.calls.pop_front();
+        }
+        let is_within = inner.calls.len() < READS_PER_S;
+        if is_within {
+            inner.calls.push_back(now);
+        }
+        Some(is_within)
+    }
+
     fn list(&self, kind: &str) -> String {
         let inner = self.lock();
-        let of_kind = inner.objects.iter().filter(|((other, _), _)| other == kind);
+        let of_kind = inner.copy.objects.iter().filter(|((other, _), _)| other == kind);
         let items: Vec<String> = of_kind.map(|((_, name), object)| text(name, object)).collect();
-        format!("{{\"items\":[{}],\"has_more\":false,\"store_revision\":{}}}", items.join(","), inner.revision)
+        format!("{{\"items\":[{}],\"has_more\":false,\"store_revision\":{}}}", items.join(","), inner.copy.revision)
     }
 
-    fn watch(&self, kind: &str, revision: u64, wait: Duration) -> String {
+    fn watch(&self, kind: &str, revision: u64, wait: Duration) -> Option<(u16, String)> {
         let until = Instant::now() + wait;
         let mut inner = self.lock();
+        let era = inner.era;
         loop {
-            let events: Vec<&str> = inner
-                .history
-                .iter()
-                .filter(|(at, of, _)| *at > revision && of == kind)
-                .map(|(_, _, event)| event.as_str())
-                .collect();
+            if inner.away || inner.era != era {
+                return None;
+            }
+            let latest = inner.copy.revision;
+            if revision > latest {
+                return Some((410, "{}".into()));
+            }
+            let is_new = |(at, of, _): &&(u64, String, String)| *at > revision && of == kind;
+            let events: Vec<&str> =
+                inner.copy.history.iter().filter(is_new).map(|(_, _, event)| event.as_str()).collect();
             let now = Instant::now();
             if !events.is_empty() || now >= until {
-                return format!("{{\"events\":[{}],\"store_revision\":{}}}", events.join(","), inner.revision);
+                return Some((200, format!("{{\"events\":[{}],\"store_revision\":{latest}}}", events.join(","))));
             }
             let waited = self.shared.changed.wait_timeout(inner, until - now);
             inner = waited.unwrap_or_else(|err| err.into_inner()).0;
--- a/review/rig-3/src/world.rs
+++ b/review/rig-3/src/world.rs
@@ -1,6 +1,6 @@
 //! What the cases share: the deployments that they play, the configuration, and the requests of clients.
 
-use std::{net::SocketAddr, path::PathBuf};
+use std::{net::SocketAddr, path::PathBuf, thread, time::Duration};
 
 use crate::{
     gateway::{Gateway, Machine},
@@ -81,6 +81,17 @@
         Ok(workers)
     }
 
+    /// Starts `count` model workers one after the other, each of which enters itself in the store.
+    pub fn workers_later(&self, store: &Store, name: &str, count: usize, interval: Duration) -> Setup<()> {
+        let plan = Plan { service: "model", slots: 64, work: Duration::from_millis(40), early: None };
+        for n in 0..count {
+            thread::sleep(interval);
+            let worker = Worker::start(&format!("{name}-{n}"), plan, &self.record)?;
+            store.put("servers", worker.id(), &worker.entry());
+        }
+        Ok(())
+    }
+
     /// Starts `count` gateways and waits until they are ready.
     pub fn gateways(&self, store: &Store, site: Site, count: u8) -> Setup<Vec<Gateway>> {
         let machines: Vec<Machine> =
@@ -98,6 +109,11 @@
 /// The configuration: bookings (`/book/`, may run once) and reads (`/read/`) at the service `plain`, streams (`/chat/`, may be
 /// resumed) at the service `model`.
 pub fn config(site: Site) -> String {
+    config_with(site, 7, "\"key-a\"")
+}
+
+/// The same with the version `version` and `keys`, the keys of the one tenant as JSON strings.
+pub fn config_with(site: Site, version: u64, keys: &str) -> String {
     let route = |name: &str, kind: &str, service: &str, timeout: u64, objective: u64, attempts: u32, more: &str| {
         format!(
             "{{\"name\":\"{name}\",\"hostname\":\"site.example\",\"path_prefix\":\"/{name}/\",\"route_type\":\"{kind}\",\
@@ -112,13 +128,13 @@
         route("chat", "streaming", "model", site.stream_ms, 2_000, 3, stream),
     ];
     format!(
-        "{{\"version\":7,\"routes\":[{}],\"services\":[\
+        "{{\"version\":{version},\"routes\":[{}],\"services\":[\
          {{\"name\":\"plain\",\"health_path\":\"/healthz\",\"max_connections\":100,\"warmup_s\":0.0,\"cold_per_s\":0.0}},\
          {{\"name\":\"model\",\"health_path\":\"/healthz\",\"max_connections\":360,\"warmup_s\":3.0,\"cold_per_s\":{}.0,\
          \"engine\":{{\"slots\":64,\"models\":[{{\"name\":\"m0\",\"cost\":0.014}}]}}}}],\
          \"limits\":{{\"max_header_bytes\":16384,\"max_body_bytes\":{MAX_BODY},\"header_timeout_ms\":3000,\
          \"idle_timeout_ms\":15000}},\
-         \"tenants\":[{{\"name\":\"tenant-a\",\"api_keys\":[\"key-a\"]}}]}}",
+         \"tenants\":[{{\"name\":\"tenant-a\",\"api_keys\":[{keys}]}}]}}",
         routes.join(","),
         site.cold_per_s
     )
