--- a/review/rig-3/src/world.rs
+++ b/review/rig-3/src/world.rs
@@ -12,6 +12,9 @@
 /// Largest body in the configuration, in bytes.
 pub const MAX_BODY: usize = 4_194_304;
 
+/// Time after its start from which a machine is in touch (`contact_ms` is 3,000), with a margin.
+const IN_TOUCH_AFTER: Duration = Duration::from_millis(3_500);
+
 /// Why a case could not run.
 pub type Setup<T> = Result<T, String>;
 
@@ -92,7 +95,7 @@
         Ok(())
     }
 
-    /// Starts `count` gateways and waits until they are ready.
+    /// Starts `count` gateways and waits until they are ready and in touch: the rules leave out the time after a start.
     pub fn gateways(&self, store: &Store, site: Site, count: u8) -> Setup<Vec<Gateway>> {
         let machines: Vec<Machine> =
             (1..=count).map(Machine::new).collect::<Result<_, _>>().map_err(|err| err.to_string())?;
@@ -102,6 +105,8 @@
             .collect::<Result<_, _>>()?;
         gateways.iter().try_for_each(Gateway::wait_ready)?;
         self.record.line(format!("{count} gateway(s) ready"));
+        thread::sleep(IN_TOUCH_AFTER);
+        self.record.line(format!("{count} gateway(s) in touch"));
         Ok(gateways)
     }
 }
