testbed: the stand-in of the store can come back from an older copy

In a drill the store is away, comes back from a copy some seconds old, gives out its revisions again and raises its era by one. The stand-in does that now: `copy`, `go_away`, `come_back`; 410 for a watch from a revision that it does not have; the header store-era in all responses, with faults in it; a delay before watches, so that a change falls between a list and the next watch.

A write of a status checked its condition and changed the object under two locks; it is one step now, as for specs.

--- a/crates/testbed/src/site/mod.rs
+++ b/crates/testbed/src/site/mod.rs
@@ -11,4 +11,4 @@
 pub use duty_api::{ApiMode, DutyCall, FakeDutyApi};
 pub use rig::{GatewayProcess, Rig, RigPlan, config, wait_until};
 pub use scripted::{BodyRead, Script, ScriptedBackend, ScriptedRequest};
-pub use store::{FakeStore, StoreFaults};
+pub use store::{FakeStore, StoreCopy, StoreFaults};
--- a/crates/testbed/src/site/store.rs
+++ b/crates/testbed/src/site/store.rs
@@ -3,10 +3,12 @@
 //! | call | response |
 //! |---|---|
 //! | `GET /objects/KIND?after=NAME` | `items`, `has_more`, `store_revision` |
-//! | `GET /objects/KIND?watch=N&wait_ms=T` | `events`, `store_revision`; 410 if the history was dropped |
+//! | `GET /objects/KIND?watch=N&wait_ms=T` | `events`, `store_revision`; 410 if the history was dropped or has no revision N |
 //! | `POST /objects/KIND` | the new object; 409 if it exists |
 //! | `PUT /objects/KIND/NAME` | the object; 409 if `metadata.revision` differs; 404 |
 //! | `PUT /objects/KIND/NAME/status` | the object; 409 if `metadata.revision` differs; 404 |
+//!
+//! All responses have the header `store-era`, which rises by one with each return from an older copy.
 
 use std::{
     collections::{BTreeMap, HashMap},
@@ -19,7 +21,7 @@
 use bytes::Bytes;
 use eyre::{Result, WrapErr};
 use http_body_util::{BodyExt, Full};
-use hyper::{Request, Response, StatusCode, body::Incoming, service::service_fn};
+use hyper::{Request, Response, StatusCode, body::Incoming, header::HeaderValue, service::service_fn};
 use hyper_util::rt::TokioIo;
 use serde_json::{Value, json};
 use tokio::{
@@ -31,6 +33,8 @@
 
 /// Number of objects on one page of a list.
 const PAGE_SIZE: usize = 3;
+/// Header field with the era of the store.
+const ERA_HEADER: &str = "store-era";
 
 /// Faults that the stand-in simulates.
 #[derive(Clone, Debug, Default)]
@@ -41,6 +45,12 @@
     pub unresponsive_to: Vec<usize>,
     /// No call gets a response.
     pub unresponsive: bool,
+    /// The connections of all calls are closed without a response.
+    pub away: bool,
+    /// Time before a watch is handled. Lists are handled at once.
+    pub watch_delay: Duration,
+    /// Values of the era header in place of the era; one header field each.
+    pub era_header: Option<Vec<&'static str>>,
     /// Writes of specs by the gateway with this index get no response and take effect after this time, if their condition
     /// still holds.
     pub late_writes: Option<(usize, Duration)>,
@@ -60,7 +70,7 @@
 
 impl fmt::Display for CutOff {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str("the watch was cut off")
+        f.write_str("the call was cut off")
     }
 }
 
@@ -72,13 +82,21 @@
     changes: watch::Sender<u64>,
 }
 
-#[derive(Default)]
-struct Inner {
+/// What the store holds at a moment.
+#[derive(Clone, Default)]
+pub struct StoreCopy {
     revision: u64,
     kinds: HashMap<String, BTreeMap<String, Value>>,
     history: Vec<(u64, String, Value)>,
     /// Revision up to which the history was dropped.
     dropped_revision: u64,
+}
+
+#[derive(Default)]
+struct Inner {
+    data: StoreCopy,
+    /// Number of returns from an older copy, plus one.
+    era: u64,
     faults: StoreFaults,
     /// JSON texts that `Value` can't hold, each with the text that stands for it in objects.
     raw: Vec<(String, String)>,
@@ -93,6 +111,7 @@
     /// Starts a stand-in with one free port of the loopback address for each of `gateways` gateways.
     pub async fn bind(gateways: usize) -> Result<Self> {
         let state = Arc::new(State::default());
+        state.lock().era = 1;
         let mut store = Self { addresses: Vec::new(), state: Arc::clone(&state), accept_tasks: Vec::new() };
         for gateway in 0..gateways {
             let listener = TcpListener::bind("127.0.0.1:0").await.wrap_err("could not bind the store")?;
@@ -127,10 +146,10 @@
     pub fn delete(&self, kind: &str, name: &str) {
         let revision = {
             let mut inner = self.state.lock();
-            let Some(object) = inner.kinds.entry(kind.into()).or_default().remove(name) else { return };
-            inner.revision += 1;
-            let revision = inner.revision;
-            inner.history.push((revision, kind.into(), json!({ "deleted": true, "object": object })));
+            let Some(object) = inner.data.kinds.entry(kind.into()).or_default().remove(name) else { return };
+            inner.data.revision += 1;
+            let revision = inner.data.revision;
+            inner.data.history.push((revision, kind.into(), json!({ "deleted": true, "object": object })));
             revision
         };
         self.state.changes.send_replace(revision);
@@ -139,14 +158,14 @@
     /// Status of an object; null if the object does not exist.
     pub fn status(&self, kind: &str, name: &str) -> Value {
         let inner = self.state.lock();
-        let object = inner.kinds.get(kind).and_then(|objects| objects.get(name));
+        let object = inner.data.kinds.get(kind).and_then(|objects| objects.get(name));
         object.map_or(Value::Null, |object| object["status"].clone())
     }
 
     /// Spec of an object; null if the object does not exist.
     pub fn spec(&self, kind: &str, name: &str) -> Value {
         let inner = self.state.lock();
-        let object = inner.kinds.get(kind).and_then(|objects| objects.get(name));
+        let object = inner.data.kinds.get(kind).and_then(|objects| objects.get(name));
         object.map_or(Value::Null, |object| object["spec"].clone())
     }
 
@@ -165,8 +184,8 @@
     /// Drops the history, so that watches from earlier revisions fail.
     pub fn drop_history(&self) {
         let mut inner = self.state.lock();
-        inner.history.clear();
-        inner.dropped_revision = inner.revision;
+        inner.data.history.clear();
+        inner.data.dropped_revision = inner.data.revision;
     }
 
     /// Ends the connections of all watches that wait, without a response.
@@ -175,6 +194,27 @@
         self.state.changes.send_modify(|_| {});
     }
 
+    /// What the store holds now.
+    pub fn copy(&self) -> StoreCopy {
+        self.state.lock().data.clone()
+    }
+
+    /// Goes away: the connections of all calls, waiting ones too, are closed without a response.
+    pub fn go_away(&self) {
+        self.set_faults(|faults| faults.away = true);
+    }
+
+    /// Comes back from an older copy, in the next era.
+    pub fn come_back(&self, copy: StoreCopy) {
+        let mut inner = self.state.lock();
+        inner.data = copy;
+        inner.era += 1;
+        inner.cuts += 1;
+        inner.faults.away = false;
+        drop(inner);
+        self.state.changes.send_modify(|_| {});
+    }
+
     /// Number of calls of `gateway` for `kind` so far.
     pub fn calls(&self, gateway: usize, kind: &str) -> u64 {
         self.state.lock().calls.get(&(gateway, kind.into())).copied().unwrap_or_default()
@@ -187,7 +227,12 @@
     }
 }
 
-impl Inner {
+impl StoreCopy {
+    /// The revision.
+    pub fn revision(&self) -> u64 {
+        self.revision
+    }
+
     fn change(&mut self, kind: &str, name: &str, change: impl FnOnce(&mut Value)) -> Value {
         self.revision += 1;
         let objects = self.kinds.entry(kind.into()).or_default();
@@ -209,12 +254,21 @@
     fn change(&self, kind: &str, name: &str, change: impl FnOnce(&mut Value)) -> Value {
         let (object, revision) = {
             let mut inner = self.lock();
-            (inner.change(kind, name, change), inner.revision)
+            (inner.data.change(kind, name, change), inner.data.revision)
         };
         self.changes.send_replace(revision);
         object
     }
 
+    /// Values of the era header.
+    fn era_header(&self) -> Vec<HeaderValue> {
+        let inner = self.lock();
+        match &inner.faults.era_header {
+            Some(values) => values.iter().map(|value| HeaderValue::from_static(value)).collect(),
+            None => vec![inner.era.into()],
+        }
+    }
+
     /// The JSON text of a response.
     fn encode(&self, value: &Value) -> String {
         let raw = self.lock().raw.clone();
@@ -236,7 +290,7 @@
             .map(|(key, value)| (key.to_owned(), value.to_owned()))
             .collect();
         *self.lock().calls.entry((gateway, path[0].clone())).or_default() += 1;
-        if let Some(failure) = self.simulate_fault(gateway).await {
+        if let Some(failure) = self.simulate_fault(gateway).await? {
             return Ok(failure);
         }
         let method = req.method().clone();
@@ -268,21 +322,24 @@
         }
     }
 
-    async fn simulate_fault(&self, gateway: usize) -> Option<(StatusCode, Value)> {
+    async fn simulate_fault(&self, gateway: usize) -> Result<Option<(StatusCode, Value)>, CutOff> {
         let faults = self.lock().faults.clone();
+        if faults.away {
+            return Err(CutOff);
+        }
         if faults.unresponsive || faults.unresponsive_to.contains(&gateway) {
             std::future::pending::<()>().await;
         }
-        faults.down.then_some((StatusCode::SERVICE_UNAVAILABLE, Value::Null))
+        Ok(faults.down.then_some((StatusCode::SERVICE_UNAVAILABLE, Value::Null)))
     }
 
     fn list(&self, kind: &str, after: Option<&str>) -> Value {
         let inner = self.lock();
-        let objects = inner.kinds.get(kind);
+        let objects = inner.data.kinds.get(kind);
         let mut rest =
             objects.into_iter().flatten().filter(|(name, _)| after.is_none_or(|after| name.as_str() > after));
         let items: Vec<Value> = rest.by_ref().take(PAGE_SIZE).map(|(_, object)| object.clone()).collect();
-        json!({ "items": items, "has_more": rest.next().is_some(), "store_revision": inner.revision })
+        json!({ "items": items, "has_more": rest.next().is_some(), "store_revision": inner.data.revision })
     }
 
     async fn watch(
@@ -292,12 +349,14 @@
         revision: u64,
         wait: Duration,
     ) -> Result<(StatusCode, Value), CutOff> {
+        let delay = self.lock().faults.watch_delay;
+        sleep(delay).await;
         let until = Instant::now() + wait;
         let cuts = self.lock().cuts;
         let mut changes = self.changes.subscribe();
         loop {
             changes.borrow_and_update();
-            if let Some(failure) = self.simulate_fault(gateway).await {
+            if let Some(failure) = self.simulate_fault(gateway).await? {
                 return Ok(failure);
             }
             {
@@ -305,17 +364,18 @@
                 if inner.cuts != cuts {
                     return Err(CutOff);
                 }
-                if revision < inner.dropped_revision {
+                if revision < inner.data.dropped_revision || revision > inner.data.revision {
                     return Ok((StatusCode::GONE, Value::Null));
                 }
                 let events: Vec<Value> = inner
+                    .data
                     .history
                     .iter()
                     .filter(|(at, of, _)| *at > revision && of == kind)
                     .map(|(_, _, event)| event.clone())
                     .collect();
                 if !events.is_empty() || Instant::now() >= until {
-                    return Ok((StatusCode::OK, json!({ "events": events, "store_revision": inner.revision })));
+                    return Ok((StatusCode::OK, json!({ "events": events, "store_revision": inner.data.revision })));
                 }
             }
             let _ = timeout_at(until, changes.changed()).await;
@@ -330,7 +390,7 @@
         let name = named.clone().unwrap_or_else(|| body["metadata"]["name"].as_str().unwrap_or_default().to_owned());
         // The condition and the change are one step.
         let mut inner = self.lock();
-        let known = inner.kinds.get(&path[0]).and_then(|objects| objects.get(&name)).cloned();
+        let known = inner.data.kinds.get(&path[0]).and_then(|objects| objects.get(&name)).cloned();
         match (named, known) {
             (Some(_), None) => return (StatusCode::NOT_FOUND, Value::Null),
             (None, Some(known)) => return (StatusCode::CONFLICT, known),
@@ -339,8 +399,8 @@
             }
             (Some(_), Some(_)) | (None, None) => {}
         }
-        let object = inner.change(&path[0], &name, |object| object["spec"] = body["spec"].clone());
-        let revision = inner.revision;
+        let object = inner.data.change(&path[0], &name, |object| object["spec"] = body["spec"].clone());
+        let revision = inner.data.revision;
         drop(inner);
         self.changes.send_replace(revision);
         (StatusCode::OK, object)
@@ -348,15 +408,18 @@
 
     fn put_status(&self, path: &[String], body: &[u8]) -> (StatusCode, Value) {
         let body: Value = serde_json::from_slice(body).unwrap_or_default();
-        let known = {
-            let inner = self.lock();
-            inner.kinds.get(&path[0]).and_then(|objects| objects.get(&path[1])).cloned()
-        };
+        // The condition and the change are one step.
+        let mut inner = self.lock();
+        let known = inner.data.kinds.get(&path[0]).and_then(|objects| objects.get(&path[1])).cloned();
         let Some(known) = known else { return (StatusCode::NOT_FOUND, Value::Null) };
         if body["metadata"]["revision"] != known["metadata"]["revision"] {
             return (StatusCode::CONFLICT, known);
         }
-        (StatusCode::OK, self.change(&path[0], &path[1], |object| object["status"] = body["status"].clone()))
+        let object = inner.data.change(&path[0], &path[1], |object| object["status"] = body["status"].clone());
+        let revision = inner.data.revision;
+        drop(inner);
+        self.changes.send_replace(revision);
+        (StatusCode::OK, object)
     }
 }
 
@@ -370,6 +433,9 @@
                 let (status, value) = state.handle_request(gateway, req).await?;
                 let mut response = Response::new(Full::new(Bytes::from(state.encode(&value))));
                 *response.status_mut() = status;
+                for era in state.era_header() {
+                    response.headers_mut().append(ERA_HEADER, era);
+                }
                 Ok::<_, CutOff>(response)
             }
         });
