gateway: logs tell which lists are ignored and which watches have no history

Two events and a counter tell them apart: store_list_ignored (kind, revision listed, revision known) and store_history_gone.

In the logs of all kinds each list after the return is ignored (revision=7 known=17) and each watch from 17 gets 410, until the store has passed 17: the cause is the same for all kinds.

The two calls follow each other without a pause.

--- a/crates/daemon/src/gateway/sync.rs
+++ b/crates/daemon/src/gateway/sync.rs
@@ -17,7 +17,7 @@
     Gateway, State,
     store::{CallError, StoreClient},
 };
-use crate::{event, sync::lock};
+use crate::{event, sync::lock, telemetry};
 
 /// Longest wait of a watch for the configuration. It bounds the age of the confirmation that keys are still valid, and
 /// the time until the gateways that follow this one learn that it can't reach the store.
@@ -88,6 +88,8 @@
         };
         needs_list = true;
         if matches!(err, CallError::Refused(StoreError::HistoryGone)) {
+            event!(Info, "store_history_gone", kind = kind);
+            metrics::counter!(telemetry::STORE_HISTORY_GONE, "kind" => kind.path()).increment(1);
             calls.record_answer(false);
             continue;
         }
@@ -157,8 +159,12 @@
 impl State {
     /// Replaces the copy of `kind` by a list that was requested at `sent`, unless the copy has a newer revision.
     fn apply_list(&self, kind: Kind, objects: Vec<Object>, revision: u64, sent: Millis) {
+        let known = lock(self.mirror.copy(kind)).revision();
         if self.update_copy(kind, STORE_SOURCE, |copy| copy.replace(objects, revision, sent)) {
             self.mirror.notify_followers();
+        } else {
+            let known = known.unwrap_or_default();
+            event!(Warn, "store_list_ignored", kind = kind, revision = revision, known = known);
         }
     }
 }
--- a/crates/daemon/src/telemetry.rs
+++ b/crates/daemon/src/telemetry.rs
@@ -31,6 +31,8 @@
 pub const COMMITS: &str = "eelgrasswell_commits_total";
 /// Exchanges with other routers, by `result`.
 pub const EXCHANGES: &str = "eelgrasswell_exchanges_total";
+/// Watches of the store that could not be continued from the revision of the copy, by `kind` of object.
+pub const STORE_HISTORY_GONE: &str = "eelgrasswell_store_history_gone_total";
 /// Follow requests to other gateways, by `result`.
 pub const FOLLOWS: &str = "eelgrasswell_follows_total";
 /// Replies of followed gateways that left large objects to the store.
