--- a/crates/core/src/canary.rs
+++ b/crates/core/src/canary.rs
@@ -13,6 +13,7 @@
 
 use crate::{
     id::{ServiceName, VersionName},
+    place::Place,
     request_kind::{CountersByKind, RequestKind},
     rollout::{Criteria, Criterion, Monitor, PASS_SUM, Verdict},
     session_map::SessionMap,
@@ -67,8 +68,8 @@
     pub duration: Millis,
     /// Last reported state.
     pub state: OrderState,
-    /// Revision of the store at which this router received the order.
-    pub revision: u64,
+    /// Place of the store at which this router received the order.
+    pub place: Place,
 }
 
 /// State of an order, as reported to the operators.
@@ -220,8 +221,8 @@
 
     /// The verdict on the new version if it was found bad.
     pub fn withdrawal(&self) -> Option<Withdrawal> {
-        let Order { service, target, revision, .. } = &self.order;
-        self.bad.then(|| Withdrawal { service: service.clone(), version: target.clone(), revision: *revision })
+        let Order { service, target, place, .. } = &self.order;
+        self.bad.then(|| Withdrawal { service: service.clone(), version: target.clone(), place: *place })
     }
 
     /// Records that another router has found the new version bad.
--- a/crates/core/src/confirmation.rs
+++ b/crates/core/src/confirmation.rs
@@ -4,7 +4,7 @@
 //! serves keyed requests only if its copy was confirmed recently. All times come from a clock that keeps running while
 //! the machine is suspended.
 
-use crate::unit::Millis;
+use crate::{place::Place, unit::Millis};
 
 /// Maximum time for which a watch of the store may have missed a change before the store ends the watch.
 pub const MAX_WATCH_DELAY: Millis = Millis(1_100);
@@ -23,21 +23,34 @@
 
 /// A value that was derived from a copy, with the last confirmation that counts for it.
 ///
-/// The pattern: while one thread decodes a changed copy, which is already confirmed, another one reads the old value and
-/// takes the confirmation for its own. It would serve a key that the change has revoked. Therefore value and confirmation
-/// are read together, and a confirmation counts only once the value was derived from the confirmed state of the copy.
+/// Two patterns: while one thread decodes a changed copy, which is already confirmed, another one reads the old value and
+/// takes the confirmation for its own. Or the store comes back from an older copy, and a list confirms what it holds, which is
+/// less than the value. In both cases a key would be served that a change has revoked. Therefore value and confirmation are
+/// read together, and a confirmation counts only if the value was derived from the confirmed state of the copy, or from a later
+/// one in the same era.
 #[derive(Clone, Debug)]
 pub struct Confirmed<T> {
     value: T,
-    /// Revision at which the copy that the value was derived from last changed.
-    revision: u64,
+    /// Place at which the copy that the value was derived from last changed.
+    place: Place,
     confirmation: Confirmation,
 }
 
+/// What a changed copy holds in comparison with the value in force.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Offer<T> {
+    /// A newer value.
+    Newer(T),
+    /// The same value.
+    Same,
+    /// An older value, one that can't be used, or none.
+    Worse,
+}
+
 impl<T> Confirmed<T> {
-    /// A value that was derived from a copy that last changed at `revision`, not confirmed yet.
-    pub fn new(value: T, revision: u64) -> Self {
-        Self { value, revision, confirmation: Confirmation::default() }
+    /// A value that was derived from a copy that last changed at `place`, not confirmed yet.
+    pub fn new(value: T, place: Place) -> Self {
+        Self { value, place, confirmation: Confirmation::default() }
     }
 
     /// The value.
@@ -45,20 +58,27 @@
         &self.value
     }
 
-    /// Replaces the value by a newer one. The last confirmation still counts: the newer value lacks nothing that it covers.
-    pub fn replace(&mut self, value: T, revision: u64) {
-        self.value = value;
-        self.keep(revision);
+    /// Records what the copy holds since it changed at `place`.
+    ///
+    /// A newer value replaces the one in force. The last confirmation still counts: the newer value lacks nothing that it
+    /// covers. A worse one leaves the value in force. It stays confirmed by its copy, but not in a new era, in which the copy
+    /// may be older than the value: then it must wait until the value, or a newer one, is written again.
+    pub fn offer(&mut self, offer: Offer<T>, place: Place) {
+        match offer {
+            Offer::Newer(value) => (self.value, self.place) = (value, place),
+            Offer::Worse if place.era() != self.place.era() => {}
+            Offer::Same | Offer::Worse => self.place = self.place.max(place),
+        }
     }
 
-    /// Records that the value stays as it is although the copy changed at `revision`.
-    pub fn keep(&mut self, revision: u64) {
-        self.revision = self.revision.max(revision);
+    /// Whether a confirmation of a copy that last changed at `place` counts for the value.
+    pub fn is_covered_by(&self, place: Place) -> bool {
+        self.place.era() == place.era() && self.place >= place
     }
 
-    /// Takes over the confirmation of a copy that last changed at `revision`, unless the value is older than that.
-    pub fn confirm(&mut self, revision: u64, confirmation: Confirmation) {
-        if let Some(at) = confirmation.at.filter(|_| self.revision >= revision) {
+    /// Takes over the confirmation of a copy that last changed at `place`, if it counts for the value.
+    pub fn confirm(&mut self, place: Place, confirmation: Confirmation) {
+        if let Some(at) = confirmation.at.filter(|_| self.is_covered_by(place)) {
             self.confirmation.confirm_at(at);
         }
     }
--- a/crates/core/src/duty_lease.rs
+++ b/crates/core/src/duty_lease.rs
@@ -14,6 +14,7 @@
 
 use crate::{
     id::{Fence, HostId, Incarnation},
+    place::Place,
     unit::Millis,
     usage::{Report, WindowId},
 };
@@ -68,8 +69,8 @@
 /// The lease object as read from the store or confirmed by it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Stored {
-    /// Revision of the object.
-    pub revision: u64,
+    /// Place of the last change of the object.
+    pub place: Place,
     /// Its content.
     pub lease: Lease,
 }
@@ -98,16 +99,16 @@
     Read,
     /// Creates the object if it does not exist.
     Create(Lease),
-    /// Replaces the object if it has the revision.
+    /// Replaces the object if it has not changed since the place.
     Replace(Stored),
 }
 
 /// Outcome of a write.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum WriteOutcome {
-    /// The object has been written and has this revision now.
-    Written(u64),
-    /// The object has another revision, exists already, or does not exist any more.
+    /// The object has been written; this is the place of the change.
+    Written(Place),
+    /// The object has changed since, exists already, or does not exist any more.
     Conflict,
     /// The store has not executed the call and never will.
     Refused,
@@ -229,23 +230,23 @@
                     None => (self.first_settled, Vec::new()),
                 };
                 let fence = Fence(fence.max(self.max_fence).0.saturating_add(1));
-                let revision = seen.as_ref().map(|seen| seen.revision);
+                let place = seen.as_ref().map(|seen| seen.place);
                 let holder = self.own.clone();
-                self.write(revision, Lease { holder, fence, renewals: 0, settled_through, reports })
+                self.write(place, Lease { holder, fence, renewals: 0, settled_through, reports })
             }
             Phase::Holding(held) if held.must_read => Action::Read,
             Phase::Holding(held) => {
-                let (revision, lease) = (held.stored.revision, held.next_content());
+                let (place, lease) = (held.stored.place, held.next_content());
                 self.not_before = now + Millis(self.duration.0 / RENEWALS_PER_LEASE);
-                self.write(Some(revision), lease)
+                self.write(Some(place), lease)
             }
         }
     }
 
-    fn write(&mut self, revision: Option<u64>, lease: Lease) -> Action {
+    fn write(&mut self, place: Option<Place>, lease: Lease) -> Action {
         self.in_flight = Some(lease.clone());
-        match revision {
-            Some(revision) => Action::Replace(Stored { revision, lease }),
+        match place {
+            Some(place) => Action::Replace(Stored { place, lease }),
             None => Action::Create(lease),
         }
     }
@@ -294,9 +295,9 @@
             Phase::Listening { .. } | Phase::Observing { .. } => None,
         };
         match (outcome, held) {
-            (WriteOutcome::Written(revision), held) => {
+            (WriteOutcome::Written(place), held) => {
                 let (fence, is_new) = (lease.fence, held.as_ref().is_none_or(|held| held.valid_from.is_none()));
-                let mut renewed = Held::new(Stored { revision, lease }, Some(sent));
+                let mut renewed = Held::new(Stored { place, lease }, Some(sent));
                 if let Some(held) = held {
                     renewed.finished = std::mem::take(&mut held.finished);
                     renewed.finished.retain(|window| renewed.stored.lease.is_unfinished(*window));
--- a/crates/core/src/id.rs
+++ b/crates/core/src/id.rs
@@ -104,6 +104,8 @@
     Incarnation(u64);
     /// Revision of the configuration; increases with every change.
     Revision(u64);
+    /// Era of the store; rises each time it comes back from an older copy. 0 stands for an era that is not known.
+    Era(u64);
     /// Fencing token of a lease; increases with every new holder.
     Fence(u64);
     /// Number of a shard.
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -32,6 +32,7 @@
 pub mod outage;
 pub mod pace;
 pub mod pause;
+pub mod place;
 pub mod pool;
 pub mod quality;
 pub mod rate;
--- a/crates/core/src/outage.rs
+++ b/crates/core/src/outage.rs
@@ -47,6 +47,8 @@
     in_doubt: bool,
     /// Number of cuts since the last complete watch.
     cuts: u32,
+    /// Number of watches since the last complete one that could not be continued from their place.
+    resyncs: u32,
 }
 
 impl CallSequence {
@@ -54,10 +56,19 @@
     pub fn record_answer(&mut self, is_watch: bool) {
         self.in_doubt = false;
         if is_watch {
-            self.cuts = 0;
+            (self.cuts, self.resyncs) = (0, 0);
         }
     }
 
+    /// Records a response which shows that the changes since the copy's place must be read by a list, and returns how many
+    /// there were since the last complete watch. The first list is made at once. With more, lists and watches may follow each
+    /// other without end, so each list should be made after a pause.
+    pub fn record_resync(&mut self) -> u32 {
+        self.in_doubt = false;
+        self.resyncs += 1;
+        self.resyncs
+    }
+
     /// Records the end of a call without a usable response, and returns what it shows.
     pub fn record_end(&mut self, end: CallEnd) -> Finding {
         let was_in_doubt = std::mem::replace(&mut self.in_doubt, true);
@@ -69,6 +80,12 @@
     }
 }
 
+/// Time for which a server that is found missing at `now` stays in use if the store came back from an older copy at `risen_at`.
+/// The copy lacks the servers that entered themselves since it was made; they do so again.
+pub fn grace_after_rise(now: Millis, risen_at: Option<Millis>) -> Millis {
+    risen_at.map_or(Millis::ZERO, |at| (at + GRACE_AFTER_OUTAGE).saturating_sub(now))
+}
+
 /// The last time for which the store was unavailable, according to this router's calls.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Outage {
--- a/crates/core/src/pool.rs
+++ b/crates/core/src/pool.rs
@@ -21,6 +21,7 @@
     id::{BackendId, DomainId, ServiceName, VersionName},
     not_run::NotRun,
     pause::Pauses,
+    place::Place,
     rate::{self, RecentSends},
     room::ServerSlots,
     server_pace::{Baseline, RecentPace},
@@ -302,9 +303,9 @@
         self.withdrawn.withdraw(withdrawal)
     }
 
-    /// Records that the operators ordered `version` at `revision` of the store, which ends an earlier verdict on it.
-    pub fn record_order(&mut self, service: &ServiceName, version: &VersionName, revision: u64) {
-        self.withdrawn.record_order(service, version, revision);
+    /// Records that the operators ordered `version` at `place` of the store, which ends an earlier verdict on it.
+    pub fn record_order(&mut self, service: &ServiceName, version: &VersionName, place: Place) {
+        self.withdrawn.record_order(service, version, place);
     }
 
     /// Withdrawn versions of which servers are listed, for the other routers.
--- a/crates/core/src/withdrawn.rs
+++ b/crates/core/src/withdrawn.rs
@@ -2,12 +2,13 @@
 //!
 //! The pattern: a version is rolled back, and the next order comes, or the order is removed, while the servers of the bad
 //! version are still listed. They are idle, so they would get most of the requests. The verdict therefore outlives the
-//! order: it holds until the operators order the same version again. Routers exchange the verdicts, each with the revision
+//! order: it holds until the operators order the same version again. Routers exchange the verdicts, each with the place
 //! of its order, so that a late, lost, repeated or reordered message can't withdraw a version that was ordered again.
 
 use crate::{
     hash::HashMap,
     id::{ServiceName, VersionName},
+    place::Place,
 };
 
 /// Maximum number of versions that are remembered. The earliest ordered ones are forgotten first.
@@ -20,8 +21,8 @@
     pub service: ServiceName,
     /// The version.
     pub version: VersionName,
-    /// Revision of the store at which the order that failed was received.
-    pub revision: u64,
+    /// Place of the store at which the order that failed was received.
+    pub place: Place,
 }
 
 /// The verdicts that this router knows.
@@ -32,28 +33,28 @@
 
 #[derive(Clone, Copy, Debug)]
 struct Verdict {
-    /// Revision of the last order for the version.
-    revision: u64,
+    /// Place of the last order for the version.
+    place: Place,
     withdrawn: bool,
 }
 
 impl WithdrawnVersions {
     /// Records a verdict, unless the version was ordered again after it. Returns whether the version was in use until now.
     pub fn withdraw(&mut self, withdrawal: Withdrawal) -> bool {
-        let Withdrawal { service, version, revision } = withdrawal;
+        let Withdrawal { service, version, place } = withdrawal;
         let known = self.services.get(&service).and_then(|versions| versions.get(&version)).copied();
-        if known.is_some_and(|known| known.revision > revision) {
+        if known.is_some_and(|known| known.place > place) {
             return false;
         }
-        self.insert(service, version, Verdict { revision, withdrawn: true });
+        self.insert(service, version, Verdict { place, withdrawn: true });
         known.is_none_or(|known| !known.withdrawn)
     }
 
     /// Records an order for `version`, which ends an earlier verdict.
-    pub fn record_order(&mut self, service: &ServiceName, version: &VersionName, revision: u64) {
+    pub fn record_order(&mut self, service: &ServiceName, version: &VersionName, place: Place) {
         let known = self.services.get(service).and_then(|versions| versions.get(version));
-        if known.is_some_and(|known| known.revision < revision) {
-            self.insert(service.clone(), version.clone(), Verdict { revision, withdrawn: false });
+        if known.is_some_and(|known| known.place < place) {
+            self.insert(service.clone(), version.clone(), Verdict { place, withdrawn: false });
         }
     }
 
@@ -70,7 +71,7 @@
             withdrawn.map(|(version, verdict)| Withdrawal {
                 service: service.clone(),
                 version: version.clone(),
-                revision: verdict.revision,
+                place: verdict.place,
             })
         })
     }
@@ -84,7 +85,7 @@
 
     fn drop_earliest(&mut self) {
         let all = self.services.iter().flat_map(|(service, versions)| {
-            versions.iter().map(move |(version, verdict)| (verdict.revision, service, version))
+            versions.iter().map(move |(version, verdict)| (verdict.place, service, version))
         });
         let Some((_, service, version)) = all.min() else { return };
         let (service, version) = (service.clone(), version.clone());
--- a/crates/core/tests/canary.rs
+++ b/crates/core/tests/canary.rs
@@ -5,6 +5,7 @@
     answer_counters::Counters,
     canary::{Canary, KeptSession, Order, OrderState, Rises, VersionRule},
     hash::stable_hash,
+    place::Place,
     request_kind::{CountersByKind, RequestKind},
     rollout::Criterion,
     unit::Millis,
@@ -17,7 +18,7 @@
 const SESSION_TIMEOUT: Millis = Millis(5_000);
 
 fn order(state: OrderState) -> Order {
-    Order { service: "chat".into(), target: "v2".into(), duration: DURATION, state, revision: 7 }
+    Order { service: "chat".into(), target: "v2".into(), duration: DURATION, state, place: Place::default() }
 }
 
 fn counters(answers: u64, errors: u64) -> Counters {
--- a/crates/core/tests/duty_lease.rs
+++ b/crates/core/tests/duty_lease.rs
@@ -7,6 +7,7 @@
 use eelgrasswell_core::{
     duty_lease::{Action, DutyLease, Heard, Holder, Lease, Stored, WriteOutcome},
     id::{Fence, Incarnation},
+    place::Place,
     unit::Millis,
     usage::{Report, WindowId},
 };
@@ -89,19 +90,19 @@
 #[derive(Default)]
 struct Store {
     object: Option<Stored>,
-    revision: u64,
+    place: Place,
     /// Writes that take effect at a later step.
-    late: Vec<(u64, Option<u64>, Lease)>,
+    late: Vec<(u64, Option<Place>, Lease)>,
 }
 
 impl Store {
-    fn write(&mut self, condition: Option<u64>, lease: Lease) -> WriteOutcome {
-        if self.object.as_ref().map(|object| object.revision) != condition {
+    fn write(&mut self, condition: Option<Place>, lease: Lease) -> WriteOutcome {
+        if self.object.as_ref().map(|object| object.place) != condition {
             return WriteOutcome::Conflict;
         }
-        self.revision += 1;
-        self.object = Some(Stored { revision: self.revision, lease });
-        WriteOutcome::Written(self.revision)
+        self.place = Place::new(self.place.era(), self.place.revision() + 1);
+        self.object = Some(Stored { place: self.place, lease });
+        WriteOutcome::Written(self.place)
     }
 }
 
@@ -213,7 +214,7 @@
                 return;
             }
             Action::Create(lease) => (None, lease),
-            Action::Replace(stored) => (Some(stored.revision), stored.lease),
+            Action::Replace(stored) => (Some(stored.place), stored.lease),
         };
         if step < self.outage_until {
             self.lease.record_write(now, now, WriteOutcome::Refused);
--- a/crates/core/tests/outage.rs
+++ b/crates/core/tests/outage.rs
@@ -2,7 +2,7 @@
 //! against one that is dropped although its entry only lapsed in the outage.
 
 use eelgrasswell_core::{
-    outage::{CallEnd, CallSequence, Finding, Outage},
+    outage::{CallEnd, CallSequence, Finding, Outage, grace_after_rise},
     unit::Millis,
 };
 use test_case::test_case;
@@ -91,3 +91,22 @@
     }
     assert_eq!(last, Some(expected));
 }
+
+/// Guards against lists and watches that follow each other without a pause while the store has not reached a revision again.
+#[test]
+fn resyncs_count_until_a_complete_watch() {
+    let mut calls = CallSequence::default();
+    assert_eq!(calls.record_resync(), 1);
+    calls.record_answer(false);
+    assert_eq!(calls.record_resync(), 2);
+    calls.record_answer(true);
+    assert_eq!(calls.record_resync(), 1);
+}
+
+/// Guards against servers that are dropped because the older copy lacks their entries.
+#[test_case(None, 0; "no drill")]
+#[test_case(Some(49_000), 1_200; "a second after the return")]
+#[test_case(Some(47_000), 0; "entries must be back")]
+fn grace_of_missing_servers_after_a_drill(risen_at: Option<u64>, expected: u64) {
+    assert_eq!(grace_after_rise(Millis(50_000), risen_at.map(Millis)), Millis(expected));
+}
--- a/crates/daemon/src/gateway/derived.rs
+++ b/crates/daemon/src/gateway/derived.rs
@@ -5,9 +5,11 @@
 
 use eelgrasswell_core::{
     canary::{Canary, KeptSession, Order},
-    confirmation::Confirmed,
+    confirmation::{Confirmed, Offer},
     hash::{HashMap, HashSet},
     id::ServiceName,
+    outage,
+    place::Place,
     routing_config::RoutingConfig,
     unit::Millis,
 };
@@ -28,12 +30,12 @@
             lock(copy).set_applied();
         }
         if kind == Kind::Config {
-            let (revision, confirmation) = {
+            let (changed, confirmation) = {
                 let copy = lock(copy);
-                (copy.changed_revision(), copy.confirmation())
+                (copy.changed(), copy.confirmation())
             };
             if let Some(config) = &mut *self.config.write().unwrap_or_else(PoisonError::into_inner) {
-                config.confirm(revision, confirmation);
+                config.confirm(changed, confirmation);
             }
         }
         has_changed
@@ -49,54 +51,50 @@
     }
 
     fn apply_config(&self, source: &str) {
-        let (object, changed_revision, age) = {
+        let (object, changed, age) = {
             let copy = lock(self.mirror.copy(Kind::Config));
             let age = copy.confirmation().age(self.clock.now());
-            (copy.get(CONFIG_NAME).cloned(), copy.changed_revision(), age)
+            (copy.get(CONFIG_NAME).cloned(), copy.changed(), age)
         };
-        let Some(object) = object else { return self.keep_config(changed_revision) };
-        match objects::decode_routing_config(&object) {
-            Ok(config) => {
-                let version = config.version;
-                if self.adopt_config(config, changed_revision) {
-                    let revision = object.metadata.revision;
-                    let age = age.unwrap_or_default();
-                    event!(Info, "config_adopted", config = version, revision = revision, source = source, age = age);
-                    metrics::gauge!(telemetry::CONFIG_VERSION).set(version.0 as f64);
-                }
-            }
-            Err(err) => {
-                self.mirror.report_malformed(Kind::Config, &err);
-                self.keep_config(changed_revision);
-            }
+        let decoded = object.as_ref().map(objects::decode_routing_config);
+        if let Some(Err(err)) = &decoded {
+            self.mirror.report_malformed(Kind::Config, err);
         }
-    }
-
-    /// Puts `config` in force if its version is newer than the current one, and returns whether it is. It comes from a copy
-    /// that last changed at `revision`.
-    fn adopt_config(&self, config: RoutingConfig, revision: u64) -> bool {
-        let mut current = self.config.write().unwrap_or_else(PoisonError::into_inner);
-        match &mut *current {
-            Some(current) if current.value().version >= config.version => {
-                current.keep(revision);
-                return false;
-            }
-            Some(current) => current.replace(Arc::new(config), revision),
-            None => *current = Some(Confirmed::new(Arc::new(config), revision)),
+        let config = decoded.and_then(Result::ok);
+        let version = config.as_ref().map(|config| config.version);
+        if self.offer_config(config, changed) {
+            let (version, place) = (version.unwrap_or_default(), object.unwrap_or_default().metadata.place);
+            let age = age.unwrap_or_default();
+            event!(Info, "config_adopted", config = version, place = place, source = source, age = age);
+            metrics::gauge!(telemetry::CONFIG_VERSION).set(version.0 as f64);
         }
-        true
     }
 
-    /// Records that the configuration in force stays although the copy changed at `revision`.
-    fn keep_config(&self, revision: u64) {
-        if let Some(current) = &mut *self.config.write().unwrap_or_else(PoisonError::into_inner) {
-            current.keep(revision);
+    /// Puts `config` in force if it is newer than the current one, and returns whether it is. It comes from a copy that last
+    /// changed at `changed`; none if the copy has none that can be used.
+    fn offer_config(&self, config: Option<RoutingConfig>, changed: Place) -> bool {
+        let mut current = self.config.write().unwrap_or_else(PoisonError::into_inner);
+        let Some(current) = &mut *current else {
+            *current = config.map(|config| Confirmed::new(Arc::new(config), changed));
+            return current.is_some();
+        };
+        let version = current.value().version;
+        let offer = match config {
+            Some(config) if config.version > version => Offer::Newer(Arc::new(config)),
+            Some(config) if config.version == version => Offer::Same,
+            Some(_) | None => Offer::Worse,
+        };
+        let is_newer = matches!(offer, Offer::Newer(_));
+        current.offer(offer, changed);
+        if !current.is_covered_by(changed) {
+            event!(Warn, "config_older", config = version, changed = changed);
         }
+        is_newer
     }
 
     fn apply_backends(&self) {
         let now = self.clock.now();
-        let grace = self.mirror.missing_grace(now);
+        let grace = self.mirror.missing_grace(now).max(outage::grace_after_rise(now, self.store_era.risen_at()));
         let list: Vec<_> = lock(self.mirror.copy(Kind::Backends)).objects().map(objects::decode_backend).collect();
         let mut backends = Vec::with_capacity(list.len());
         for entry in list {
@@ -161,8 +159,8 @@
         }
         drop(canaries);
         let mut pool = lock(&self.pool);
-        for Order { service, target, revision, .. } in received {
-            pool.record_order(&service, &target, revision);
+        for Order { service, target, place, .. } in received {
+            pool.record_order(&service, &target, place);
         }
         drop(pool);
         self.withdraw_bad_versions();
--- a/crates/daemon/src/gateway/duties/lease.rs
+++ b/crates/daemon/src/gateway/duties/lease.rs
@@ -2,6 +2,7 @@
 
 use eelgrasswell_core::{
     duty_lease::{Action, Change, WriteOutcome},
+    place::Place,
     unit::Millis,
 };
 use eelgrasswell_platform::store::StoreError;
@@ -28,7 +29,7 @@
 /// Takes part in the lease until the process ends.
 pub async fn run(gateway: Gateway) {
     let Some(active) = &gateway.duties.0 else { return };
-    let mut client = StoreClient::new(gateway.settings.store);
+    let mut client = StoreClient::new(gateway.settings.store, gateway.store_era.clone());
     let limit = MAX_CALL_TIME.min(Millis(active.settings.lease_ms / CALLS_PER_LEASE));
     let mut may_act = false;
     loop {
@@ -67,12 +68,16 @@
 }
 
 impl Active {
-    fn record_write(&self, sent: Millis, call: &str, result: Result<u64, CallError>) {
+    fn record_write(&self, sent: Millis, call: &str, result: Result<Place, CallError>) {
         let outcome = match &result {
-            Ok(revision) => WriteOutcome::Written(*revision),
-            Err(CallError::Refused(StoreError::Conflict(_) | StoreError::NotFound)) => WriteOutcome::Conflict,
+            Ok(place) => WriteOutcome::Written(*place),
+            Err(CallError::Refused(StoreError::Conflict | StoreError::NotFound)) => WriteOutcome::Conflict,
             Err(CallError::Refused(StoreError::Throttled | StoreError::Unavailable)) => WriteOutcome::Refused,
-            Err(CallError::Refused(_) | CallError::Lost(_) | CallError::Cut(_)) => WriteOutcome::Unknown,
+            // The object must be read anew before it is replaced.
+            Err(CallError::EraRisen) => WriteOutcome::Conflict,
+            Err(CallError::Refused(_) | CallError::Lost(_) | CallError::Cut(_) | CallError::Late) => {
+                WriteOutcome::Unknown
+            }
         };
         if let Err(err) = result {
             event!(Warn, "duty_lease_not_written", call = call, outcome = format!("{outcome:?}"), error = err);
--- a/crates/daemon/src/gateway/follow.rs
+++ b/crates/daemon/src/gateway/follow.rs
@@ -10,7 +10,8 @@
 use eelgrasswell_core::{
     confirmation::{self, MAX_FOLLOW_WAIT},
     fleet::Member,
-    id::HostId,
+    id::{Era, HostId},
+    place::Place,
     transfer,
     unit::{Bytes, Millis},
 };
@@ -160,10 +161,12 @@
     fn own_replicas(&self) -> Vec<Replica> {
         let replica = |kind: &Kind| {
             let copy = lock(self.mirror.copy(*kind));
+            let place = copy.place().unwrap_or_default();
             Replica {
                 kind: kind.index() as u32,
-                revision: copy.revision().unwrap_or_default(),
-                changed: copy.changed_revision(),
+                era: Some(place.era().0),
+                revision: place.revision(),
+                changed: copy.changed().revision(),
                 ..Replica::default()
             }
         };
@@ -183,20 +186,24 @@
         let mut copy = lock(self.mirror.copy(kind));
         let source_age = copy.store_response_age(now).unwrap_or(NEVER);
         let is_current = source_age < confirmation::max_source_age(sync::watch_wait(kind));
+        let place = copy.place()?;
         let mut replica = Replica {
             kind: kind.index() as u32,
-            revision: copy.revision()?,
-            changed: copy.changed_revision(),
+            era: Some(place.era().0),
+            revision: place.revision(),
+            changed: copy.changed().revision(),
             proof_age_ms: copy.confirmation().age(now)?.0,
             sound: reaches_store && copy.is_synced_from_store() && is_current,
             source_age_ms: source_age.0,
             ..Replica::default()
         };
-        let known_revision = known.map_or(0, |known| known.changed);
-        if known_revision >= copy.changed_revision() {
+        // A follower that sends no era knows none, and compares revisions only.
+        let changed_at = |known: &Replica| Place::new(known.era.map_or(place.era(), Era), known.changed);
+        let known = known.map(changed_at).unwrap_or_default();
+        if known >= copy.changed() {
             return Some(replica);
         }
-        let encoded = match copy.lacking_since(known_revision) {
+        let encoded = match copy.lacking_since(known) {
             Ok(encoded) => encoded,
             Err(err) => {
                 event!(Error, "copy_not_encoded", kind = kind, error = err);
@@ -221,10 +228,12 @@
         for replica in reply.replicas {
             let Some(&kind) = Kind::ALL.get(replica.kind as usize) else { continue };
             let source_at = responded_at.saturating_sub(Millis(replica.source_age_ms));
-            let lacks = replica.left_to_store && lock(self.mirror.copy(kind)).changed_revision() < replica.changed;
-            let is_synced = replica.sound && !lacks;
+            let places = Places::of(&replica);
+            self.store_era.record_peer(places.copy.era(), watcher.as_str());
+            let lacks = replica.left_to_store && lock(self.mirror.copy(kind)).changed() < places.changed;
+            let is_synced = replica.sound && !lacks && places.copy.era() == self.store_era.current();
             if lacks {
-                event!(Info, "copy_left_to_store", kind = kind, peer = watcher, revision = replica.changed);
+                event!(Info, "copy_left_to_store", kind = kind, peer = watcher, place = places.changed);
                 metrics::counter!(telemetry::COPIES_LEFT_TO_STORE).increment(1);
                 lacks_objects = true;
             }
@@ -247,24 +256,25 @@
         responded_at: Millis,
     ) -> Result<(), serde_json::Error> {
         let age = Millis(replica.proof_age_ms);
+        let Places { copy: place, changed } = Places::of(&replica);
         let mut parsed = None;
         if !replica.objects.is_empty() {
-            let objects = ParsedObjects::from_json(&replica.objects, replica.revision)?;
+            let objects = ParsedObjects::from_json(&replica.objects, place)?;
             objects.malformed.iter().for_each(|err| self.mirror.report_malformed(kind, err));
             parsed = Some(objects.objects);
         }
         self.update_copy(kind, watcher.as_str(), |copy| {
             copy.record_peer_confirmation(responded_at.saturating_sub(age));
-            // If this gateway's copy is newer, a confirmation of an older revision does not apply to it.
-            let is_older = copy.revision().is_some_and(|known| known > replica.revision);
+            // If this gateway's copy is newer, a confirmation of an older state does not apply to it.
+            let is_older = copy.place().is_some_and(|known| known > place);
             match parsed {
                 Some(objects) if !is_older => {
-                    copy.merge(objects, &replica.names, replica.revision, replica.changed);
-                    copy.confirm_from_peer(replica.revision, responded_at, age);
+                    copy.merge(objects, &replica.names, place, changed);
+                    copy.confirm_from_peer(place, responded_at, age);
                     true
                 }
-                None if !is_older && copy.changed_revision() >= replica.changed && copy.revision().is_some() => {
-                    copy.confirm_from_peer(replica.revision, responded_at, age);
+                None if !is_older && copy.changed() >= changed && copy.place().is_some() => {
+                    copy.confirm_from_peer(place, responded_at, age);
                     false
                 }
                 Some(_) | None => false,
@@ -273,3 +283,19 @@
         Ok(())
     }
 }
+
+/// Places of another gateway's copy.
+struct Places {
+    /// Place that the copy corresponds to.
+    copy: Place,
+    /// Place at which it last changed.
+    changed: Place,
+}
+
+impl Places {
+    /// The places in `replica`. Without an era they are earlier than those of any known era.
+    fn of(replica: &Replica) -> Self {
+        let era = Era(replica.era.unwrap_or_default());
+        Self { copy: Place::new(era, replica.revision), changed: Place::new(era, replica.changed) }
+    }
+}
--- a/crates/daemon/src/gateway/mirror.rs
+++ b/crates/daemon/src/gateway/mirror.rs
@@ -9,6 +9,7 @@
     hash::{HashMap, HashSet},
     id::HostId,
     outage::Outage,
+    place::Place,
     unit::Millis,
 };
 use eelgrasswell_platform::{
@@ -51,12 +52,12 @@
 pub struct ObjectCopy {
     /// Objects by name.
     objects: BTreeMap<CompactString, Object>,
-    /// Revision of the store that the copy corresponds to; none before the first read.
-    revision: Option<u64>,
+    /// Place of the store that the copy corresponds to; none before the first read.
+    place: Option<Place>,
     /// Whether what is derived from the copy has been derived at least once.
     is_applied: bool,
-    /// Revision of the store at which the copy last changed.
-    changed_revision: u64,
+    /// Place of the store at which the copy last changed, in the same era.
+    changed: Place,
     confirmation: Confirmation,
     /// Time for which the store's last response to this gateway showed the copy to be current.
     store_response: Confirmation,
@@ -75,10 +76,10 @@
 /// Objects in the form in which followers get them.
 #[derive(Clone)]
 pub struct EncodedObjects {
-    /// Revision after which the objects have changed.
-    since: u64,
-    /// Revision at which the copy last changed when they were encoded.
-    changed_revision: u64,
+    /// Place after which the objects have changed.
+    since: Place,
+    /// Place at which the copy last changed when they were encoded.
+    changed: Place,
     /// Number of objects.
     pub count: usize,
     /// The objects as JSON.
@@ -211,9 +212,9 @@
 }
 
 impl ObjectCopy {
-    /// Revision of the store that the copy corresponds to; none before the first read.
-    pub fn revision(&self) -> Option<u64> {
-        self.revision
+    /// Place of the store that the copy corresponds to; none before the first read.
+    pub fn place(&self) -> Option<Place> {
+        self.place
     }
 
     /// Last confirmation that the copy is current. It says nothing about what is derived from the copy, which may lag.
@@ -241,9 +242,9 @@
         self.peer_confirmed_at = self.peer_confirmed_at.max(Some(at));
     }
 
-    /// Revision of the store at which the copy last changed.
-    pub fn changed_revision(&self) -> u64 {
-        self.changed_revision
+    /// Place of the store at which the copy last changed, in the same era.
+    pub fn changed(&self) -> Place {
+        self.changed
     }
 
     /// Time since the store's last response to this gateway's calls for the copy; none before the first.
@@ -252,16 +253,16 @@
     }
 
     /// The objects that have changed after `since`, encoded.
-    pub fn lacking_since(&mut self, since: u64) -> Result<EncodedObjects, serde_json::Error> {
-        let changed_revision = self.changed_revision;
+    pub fn lacking_since(&mut self, since: Place) -> Result<EncodedObjects, serde_json::Error> {
+        let changed = self.changed;
         if let Some(encoded) = &self.encoded
-            && (encoded.since, encoded.changed_revision) == (since, changed_revision)
+            && (encoded.since, encoded.changed) == (since, changed)
         {
             return Ok(encoded.clone());
         }
-        let objects: Vec<&Object> = self.objects.values().filter(|object| object.metadata.revision > since).collect();
+        let objects: Vec<&Object> = self.objects.values().filter(|object| object.metadata.place > since).collect();
         let (count, json) = (objects.len(), serde_json::to_vec(&objects)?.into());
-        let encoded = EncodedObjects { since, changed_revision, count, json };
+        let encoded = EncodedObjects { since, changed, count, json };
         self.encoded = Some(encoded.clone());
         Ok(encoded)
     }
@@ -271,37 +272,38 @@
         self.source_is_store && !self.store_calls_fail
     }
 
-    /// Records a peer's confirmation that the copy corresponds to `revision`. The confirmation was `age` old when the
-    /// peer responded, which was at `responded_at` or later.
-    pub fn confirm_from_peer(&mut self, revision: u64, responded_at: Millis, age: Millis) {
-        self.revision = self.revision.max(Some(revision));
+    /// Records a peer's confirmation that the copy corresponds to `place`. The confirmation was `age` old when the peer
+    /// responded, which was at `responded_at` or later.
+    pub fn confirm_from_peer(&mut self, place: Place, responded_at: Millis, age: Millis) {
+        self.place = self.place.max(Some(place));
         self.confirmation.confirm_by_peer(responded_at, age);
     }
 
-    /// Merges a peer's copy at `revision`: `objects` are those that have changed since this copy, `names` the names of
-    /// all objects in the peer's copy, and `changed` the revision at which that copy last changed.
-    pub fn merge(&mut self, objects: Vec<Object>, names: &[String], revision: u64, changed: u64) {
+    /// Merges a peer's copy at `place`: `objects` are those that have changed since this copy, all of them in another era,
+    /// `names` the names of all objects in the peer's copy, and `changed` the place at which that copy last changed.
+    pub fn merge(&mut self, objects: Vec<Object>, names: &[String], place: Place, changed: Place) {
         let names: HashSet<&str> = names.iter().map(String::as_str).collect();
         self.objects.retain(|name, _| names.contains(name.as_str()));
         for object in objects {
             self.objects.insert(object.metadata.name.clone(), object);
         }
-        self.revision = self.revision.max(Some(revision));
-        self.changed_revision = self.changed_revision.max(changed);
+        self.place = self.place.max(Some(place));
+        self.changed = self.changed.max(changed);
     }
 
-    /// Replaces all objects by a list at `revision` that was requested at `sent`. Returns whether it did: an older list than
-    /// the copy changes nothing.
-    pub fn replace(&mut self, objects: Vec<Object>, revision: u64, sent: Millis) -> bool {
-        if self.revision.is_some_and(|known| known > revision) {
+    /// Replaces all objects by a list at `place` that was requested at `sent`. Returns whether it did: an older list than the
+    /// copy changes nothing.
+    pub fn replace(&mut self, objects: Vec<Object>, place: Place, sent: Millis) -> bool {
+        if self.place.is_some_and(|known| known > place) {
             return false;
         }
         let objects = objects.into_iter().map(|object| (object.metadata.name.clone(), object)).collect();
-        if self.objects != objects || self.revision.is_none() {
-            self.changed_revision = revision;
+        let is_new_era = self.place.is_none_or(|known| known.era() != place.era());
+        if self.objects != objects || is_new_era {
+            self.changed = place;
         }
         self.objects = objects;
-        self.revision = Some(revision);
+        self.place = Some(place);
         self.confirmation.confirm_by_read(sent);
         self.store_response.confirm_at(sent);
         true
@@ -313,14 +315,18 @@
         self.store_response.confirm_at(began_at);
     }
 
-    /// Applies changes up to `revision`.
-    pub fn apply_changes(&mut self, changes: Vec<Change>, revision: u64) {
+    /// Applies changes up to `place`, unless the copy has been replaced by one of a later era meanwhile. Returns whether it
+    /// did.
+    pub fn apply_changes(&mut self, changes: Vec<Change>, place: Place) -> bool {
+        if self.place.is_some_and(|known| known.era() != place.era()) {
+            return false;
+        }
         if !changes.is_empty() {
-            self.changed_revision = self.changed_revision.max(revision);
+            self.changed = self.changed.max(place);
         }
         for Change { object, deleted } in changes {
             let known = self.objects.get(&object.metadata.name);
-            if known.is_some_and(|known| known.metadata.revision > object.metadata.revision) {
+            if known.is_some_and(|known| known.metadata.place > object.metadata.place) {
                 continue;
             }
             if deleted {
@@ -329,6 +335,7 @@
                 self.objects.insert(object.metadata.name.clone(), object);
             }
         }
-        self.revision = self.revision.max(Some(revision));
+        self.place = self.place.max(Some(place));
+        true
     }
 }
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -27,6 +27,7 @@
 mod session_use;
 mod socket;
 pub mod store;
+pub mod store_era;
 mod sync;
 
 use std::{
@@ -54,7 +55,7 @@
 
 use self::{
     connections::IdleConnections, duties::Duties, memory::Memory, mirror::Mirror, response_stats::ResponseStats,
-    second_send::SecondSends,
+    second_send::SecondSends, store_era::StoreEra,
 };
 use crate::{
     callers::endpoint,
@@ -90,6 +91,7 @@
     response_stats: ResponseStats,
     second_sends: SecondSends,
     mirror: Mirror,
+    store_era: StoreEra,
     fleet: Mutex<Fleet>,
     peer_reports: Mutex<exchange::PeerReports>,
     /// None if the settings have no section for it.
@@ -157,6 +159,7 @@
             response_stats: ResponseStats::default(),
             second_sends: SecondSends::open(),
             mirror: Mirror::default(),
+            store_era: StoreEra::open(BootClock),
             fleet: Mutex::default(),
             peer_reports: Mutex::default(),
             crash_evidence: Mutex::default(),
--- a/crates/daemon/src/gateway/orders.rs
+++ b/crates/daemon/src/gateway/orders.rs
@@ -7,7 +7,8 @@
 
 use eelgrasswell_core::{
     canary::{Canary, Order, OrderState},
-    id::{HostId, ServiceName, VersionName},
+    id::{Era, HostId, ServiceName, VersionName},
+    place::Place,
     request_kind::{CountersByKind, RequestKind},
     unit::Millis,
     withdrawn::Withdrawal,
@@ -39,7 +40,7 @@
 /// Starts a task that evaluates orders and reports their states.
 pub fn spawn(gateway: Gateway) {
     tokio::spawn(async move {
-        let mut client = StoreClient::new(gateway.settings.store);
+        let mut client = StoreClient::new(gateway.settings.store, gateway.store_era.clone());
         let mut waiting_since: Option<Millis> = None;
         loop {
             sleep(INTERVAL).await;
@@ -141,18 +142,19 @@
             return;
         }
         self.refresh_admission();
-        let Withdrawal { service, version, revision } = withdrawal;
-        event!(Info, "version_withdrawn", service = service, version = version, revision = revision, source = source);
+        let Withdrawal { service, version, place } = withdrawal;
+        event!(Info, "version_withdrawn", service = service, version = version, place = place, source = source);
         metrics::counter!(telemetry::VERSIONS_WITHDRAWN).increment(1);
     }
 
     /// Adds the verdicts that this gateway knows of to `state`.
     pub fn add_withdrawals(&self, state: &mut FleetState) {
         let withdrawals = lock(&self.pool).withdrawals();
-        let withdrawal = |Withdrawal { service, version, revision }| VersionWithdrawal {
+        let withdrawal = |Withdrawal { service, version, place }| VersionWithdrawal {
             service: service.to_string(),
             version: version.to_string(),
-            revision,
+            revision: place.revision(),
+            era: place.era().0,
         };
         state.withdrawals = withdrawals.into_iter().map(withdrawal).collect();
     }
@@ -160,9 +162,10 @@
     /// Records the verdicts that another gateway knows of.
     pub fn record_withdrawals(&self, state: &FleetState) {
         let source = HostId::from(state.id.as_str());
-        for VersionWithdrawal { service, version, revision } in &state.withdrawals {
+        for VersionWithdrawal { service, version, revision, era } in &state.withdrawals {
             let (service, version) = (service.as_str().into(), version.as_str().into());
-            self.withdraw(Withdrawal { service, version, revision: *revision }, &source);
+            let place = Place::new(Era(*era), *revision);
+            self.withdraw(Withdrawal { service, version, place }, &source);
         }
     }
 
@@ -199,7 +202,7 @@
                 }
             }
             // Another gateway has written the state first; the watch returns it.
-            Err(CallError::Refused(StoreError::Conflict(_))) => {}
+            Err(CallError::Refused(StoreError::Conflict)) => {}
             Err(err) => event!(Warn, "order_not_reported", service = report.order.service, error = err),
         }
     }
--- a/crates/daemon/src/gateway/store.rs
+++ b/crates/daemon/src/gateway/store.rs
@@ -6,7 +6,9 @@
 use compact_str::CompactString;
 use eelgrasswell_core::{
     duty_lease::{Lease, Stored},
+    id::Era,
     outage::CallEnd,
+    place::Place,
     transfer::Transfer,
     unit::Millis,
 };
@@ -16,10 +18,13 @@
     store::{self, Changes, StoreError},
 };
 use http_body_util::{BodyExt, Full};
-use hyper::{Request, StatusCode};
+use hyper::{Request, StatusCode, http::response};
 use tokio::time::timeout;
 
-use super::net::{Conn, error_chain};
+use super::{
+    net::{Conn, error_chain},
+    store_era::StoreEra,
+};
 use crate::{clock::BootClock, telemetry};
 
 /// Timeout for connecting to the store.
@@ -32,6 +37,7 @@
 /// A client with one connection to the store, which is opened again after it was lost. It makes one call at a time.
 pub struct StoreClient {
     address: SocketAddr,
+    era: StoreEra,
     conn: Option<Conn>,
 }
 
@@ -42,14 +48,15 @@
     pub objects: Vec<Object>,
     /// What is wrong with malformed objects.
     pub malformed: Vec<MalformedObject>,
-    /// Revision of the store at the first page.
-    pub revision: u64,
+    /// Place of the store at the first page.
+    pub place: Place,
 }
 
 /// A complete response of the store.
 struct Response {
     status: StatusCode,
     body: Bytes,
+    era: Era,
     /// Time at which the response began, which is when the store had read the objects.
     began_at: Millis,
 }
@@ -63,6 +70,10 @@
     Cut(String),
     /// The store rejected the call, or its response could not be read.
     Refused(StoreError),
+    /// The response is from before the store came back from an older copy. It tells nothing about the store now.
+    Late,
+    /// The store came back from an older copy since the place that the call refers to, which must be read anew.
+    EraRisen,
 }
 
 impl fmt::Display for CallError {
@@ -71,6 +82,8 @@
             Self::Lost(error) => write!(f, "no answer: {error}"),
             Self::Cut(error) => write!(f, "cut off: {error}"),
             Self::Refused(error) => write!(f, "refused: {error}"),
+            Self::Late => f.write_str("the response is from before the store came back from an older copy"),
+            Self::EraRisen => f.write_str("the store came back from an older copy"),
         }
     }
 }
@@ -82,9 +95,14 @@
     pub fn end(&self) -> CallEnd {
         match self {
             Self::Cut(_) => CallEnd::Cut,
-            Self::Lost(_) | Self::Refused(_) => CallEnd::Failed,
+            Self::Lost(_) | Self::Refused(_) | Self::Late | Self::EraRisen => CallEnd::Failed,
         }
     }
+
+    /// Whether the store has responded, and the objects must be read by a list before the next watch.
+    pub fn needs_list(&self) -> bool {
+        matches!(self, Self::Refused(StoreError::HistoryGone) | Self::Late | Self::EraRisen)
+    }
 }
 
 impl From<StoreError> for CallError {
@@ -94,9 +112,9 @@
 }
 
 impl StoreClient {
-    /// A client of the store at `address`. It connects on the first call.
-    pub fn new(address: SocketAddr) -> Self {
-        Self { address, conn: None }
+    /// A client of the store at `address`, whose responses tell `era`. It connects on the first call.
+    pub fn new(address: SocketAddr, era: StoreEra) -> Self {
+        Self { address, era, conn: None }
     }
 
     /// Reads all objects of a kind, page by page.
@@ -105,10 +123,13 @@
         let mut after: Option<CompactString> = None;
         loop {
             let response = self.call("list", store::list_request(kind, after.as_deref()), RESPONSE_TIMEOUT).await?;
-            let page = store::parse_page(response.status, &response.body)?;
+            let page = store::parse_page(response.status, &response.body, response.era)?;
             if after.is_none() {
-                // A watch from the revision of the first page also returns changes that were made between two pages.
-                list.revision = page.revision;
+                // A watch from the place of the first page also returns changes that were made between two pages.
+                list.place = page.place;
+            }
+            if page.place.era() != list.place.era() {
+                return Err(CallError::EraRisen);
             }
             list.malformed.extend(page.malformed);
             after = page.items.last().map(|object| object.metadata.name.clone());
@@ -122,41 +143,55 @@
         }
     }
 
-    /// Waits up to `wait` for changes of a kind after `revision`. Also returns the time at which the response began.
-    pub async fn watch(&mut self, kind: Kind, revision: u64, wait: Millis) -> Result<(Changes, Millis), CallError> {
+    /// Waits up to `wait` for changes of a kind after `place`. Also returns the time at which the response began.
+    pub async fn watch(&mut self, kind: Kind, place: Place, wait: Millis) -> Result<(Changes, Millis), CallError> {
         let limit = if kind == Kind::Config { CONFIG_WATCH_TIMEOUT } else { RESPONSE_TIMEOUT };
-        let response = self.call("watch", store::watch_request(kind, revision, wait), wait + limit).await?;
-        Ok((store::parse_changes(response.status, &response.body)?, response.began_at))
+        let response = self.call("watch", store::watch_request(kind, place, wait), wait + limit).await?;
+        let changes = store::parse_changes(response.status, &response.body, response.era)?;
+        // In another era the revision is that of another change.
+        if response.era != place.era() {
+            return Err(CallError::EraRisen);
+        }
+        Ok((changes, response.began_at))
     }
 
-    /// Replaces the status of an object if it still has the revision of `object`.
+    /// Replaces the status of an object if it has not changed since the place of `object`.
     pub async fn put_status(
         &mut self,
         kind: Kind,
         object: &Object,
         value: &serde_json::Value,
     ) -> Result<(), CallError> {
-        let req = store::put_status_request(kind, &object.metadata.name, object.metadata.revision, value);
+        let place = object.metadata.place;
+        self.check_condition(place)?;
+        let req = store::put_status_request(kind, &object.metadata.name, place, value);
         let response = self.call("put_status", req, RESPONSE_TIMEOUT).await?;
-        Ok(store::parse_written(response.status, &response.body)?)
+        Ok(store::parse_written(response.status)?)
     }
 
     /// Reads the lease on the duties within `limit`; none if it does not exist.
     pub async fn read_lease(&mut self, limit: Millis) -> Result<Option<Stored>, CallError> {
         let response = self.call("read_lease", duties::read_request(), limit).await?;
-        Ok(duties::parse_read(response.status, &response.body)?)
+        Ok(duties::parse_read(response.status, &response.body, response.era)?)
     }
 
-    /// Creates the lease on the duties if it does not exist, and returns its revision.
-    pub async fn create_lease(&mut self, lease: &Lease, limit: Millis) -> Result<u64, CallError> {
+    /// Creates the lease on the duties if it does not exist, and returns its place.
+    pub async fn create_lease(&mut self, lease: &Lease, limit: Millis) -> Result<Place, CallError> {
         let response = self.call("create_lease", duties::create_request(lease), limit).await?;
-        Ok(duties::parse_written(response.status, &response.body)?)
+        Ok(duties::parse_written(response.status, &response.body, response.era)?)
     }
 
-    /// Replaces the lease on the duties if it still has the revision of `stored`, and returns its new revision.
-    pub async fn replace_lease(&mut self, stored: &Stored, limit: Millis) -> Result<u64, CallError> {
+    /// Replaces the lease on the duties if it has not changed since the place of `stored`, and returns its new place.
+    pub async fn replace_lease(&mut self, stored: &Stored, limit: Millis) -> Result<Place, CallError> {
+        self.check_condition(stored.place)?;
         let response = self.call("replace_lease", duties::replace_request(stored), limit).await?;
-        Ok(duties::parse_written(response.status, &response.body)?)
+        Ok(duties::parse_written(response.status, &response.body, response.era)?)
+    }
+
+    /// Fails if the store came back from an older copy since `place`. Its revision may have been given out again, so that a
+    /// write under this condition could replace something else.
+    fn check_condition(&self, place: Place) -> Result<(), CallError> {
+        if place.era() == self.era.current() { Ok(()) } else { Err(CallError::EraRisen) }
     }
 
     async fn call(
@@ -165,6 +200,7 @@
         req: Request<Full<Bytes>>,
         limit: Millis,
     ) -> Result<Response, CallError> {
+        let sent_in = self.era.current();
         // The connection is reused only after a complete response, so that a late response is not taken for that of a
         // later call.
         let result = match self.acquire_conn().await {
@@ -173,9 +209,11 @@
         };
         let label = if result.is_ok() { "answered" } else { "lost" };
         metrics::counter!(telemetry::PLATFORM_CALLS, "kind" => name, "result" => label).increment(1);
-        let (conn, response) = result?;
+        let (conn, head, body, began_at) = result?;
         self.conn = Some(conn);
-        Ok(response)
+        let header = store::response_era(&head.headers);
+        let era = self.era.record_response(header, sent_in).ok_or(CallError::Late)?;
+        Ok(Response { status: head.status, body, era, began_at })
     }
 
     /// Returns the open connection, or a new one if it was closed.
@@ -190,8 +228,13 @@
     }
 }
 
-/// Sends a request and reads the response, which must begin within `limit` and then make progress.
-async fn send_request(mut conn: Conn, req: Request<Full<Bytes>>, limit: Millis) -> Result<(Conn, Response), CallError> {
+/// Sends a request and reads the response, which must begin within `limit` and then make progress. Returns its head and body,
+/// and the time at which it began.
+async fn send_request(
+    mut conn: Conn,
+    req: Request<Full<Bytes>>,
+    limit: Millis,
+) -> Result<(Conn, response::Parts, Bytes, Millis), CallError> {
     let clock = BootClock;
     let mut transfer = Transfer::start(clock.now(), limit);
     let answer = timeout(limit.into(), conn.send(req)).await.map_err(|_| CallError::Lost("timed out".into()))?;
@@ -212,5 +255,5 @@
             return Err(CallError::Lost(format!("the response is too long after {} bytes", transfer.received())));
         }
     }
-    Ok((conn, Response { status: head.status, body: buf.freeze(), began_at }))
+    Ok((conn, head, buf.freeze(), began_at))
 }
--- a/crates/daemon/src/gateway/sync.rs
+++ b/crates/daemon/src/gateway/sync.rs
@@ -4,12 +4,10 @@
 
 use eelgrasswell_core::{
     outage::{CallSequence, Finding},
+    place::Place,
     unit::Millis,
 };
-use eelgrasswell_platform::{
-    objects::{Kind, Object},
-    store::StoreError,
-};
+use eelgrasswell_platform::objects::{Kind, Object};
 use rand::RngExt;
 use tokio::time::sleep;
 
@@ -62,7 +60,7 @@
 
 /// Keeps the copy of `kind` current: by calls to the store, unless a followed watcher does so.
 async fn sync_kind(gateway: Gateway, kind: Kind) {
-    let mut client = StoreClient::new(gateway.settings.store);
+    let mut client = StoreClient::new(gateway.settings.store, gateway.store_era.clone());
     let mut failures: u32 = 0;
     let mut needs_list = false;
     let mut calls = CallSequence::default();
@@ -76,7 +74,14 @@
         }
         let sent = gateway.clock.now();
         let is_watch = !needs_list;
-        let Err(err) = sync_once(&gateway, kind, &mut client, needs_list).await else {
+        let mut rises = gateway.store_era.subscribe();
+        let result = tokio::select! {
+            // A response that tells of the rise itself is used.
+            biased;
+            result = sync_once(&gateway, kind, &mut client, needs_list) => result,
+            Ok(()) = rises.changed() => Err(CallError::EraRisen),
+        };
+        let Err(err) = result else {
             calls.record_answer(is_watch);
             if failures > 0 {
                 event!(Info, "store_regained", kind = kind, failures = failures);
@@ -87,10 +92,13 @@
             continue;
         };
         needs_list = true;
-        if matches!(err, CallError::Refused(StoreError::HistoryGone)) {
-            event!(Info, "store_history_gone", kind = kind);
-            metrics::counter!(telemetry::STORE_HISTORY_GONE, "kind" => kind.path()).increment(1);
-            calls.record_answer(false);
+        if err.needs_list() {
+            let resyncs = calls.record_resync();
+            event!(Info, "store_resync", kind = kind, resyncs = resyncs, reason = err);
+            metrics::counter!(telemetry::STORE_RESYNCS, "kind" => kind.path()).increment(1);
+            if resyncs > 1 {
+                sleep(backoff(resyncs - 1, gateway.is_watcher())).await;
+            }
             continue;
         }
         match calls.record_end(err.end()) {
@@ -117,25 +125,32 @@
     }
 }
 
-/// Makes one call to the store: a list if the copy has no revision yet or `needs_list` is set, a watch otherwise.
+/// Makes one call to the store: a watch, or a list if the copy has not been read in the current era or `needs_list` is set.
 async fn sync_once(gateway: &Gateway, kind: Kind, client: &mut StoreClient, needs_list: bool) -> Result<(), CallError> {
     let sent = gateway.clock.now();
-    let revision = lock(gateway.mirror.copy(kind)).revision();
-    let Some(revision) = revision.filter(|_| !needs_list) else {
+    let place = lock(gateway.mirror.copy(kind)).place();
+    let Some(place) = place.filter(|place| !needs_list && place.era() == gateway.store_era.current()) else {
         let list = client.list(kind).await?;
         list.malformed.iter().for_each(|err| gateway.mirror.report_malformed(kind, err));
-        gateway.apply_list(kind, list.objects, list.revision, sent);
+        gateway.apply_list(kind, list.objects, list.place, sent);
         return Ok(());
     };
     let wait = watch_wait(kind);
-    let (changes, began_at) = client.watch(kind, revision, wait).await?;
+    let (changes, began_at) = client.watch(kind, place, wait).await?;
     changes.malformed.iter().for_each(|err| gateway.mirror.report_malformed(kind, err));
     let changed = !changes.events.is_empty();
+    let waited = if changed { Millis::ZERO } else { wait };
+    let mut is_applied = false;
     gateway.update_copy(kind, STORE_SOURCE, |copy| {
-        copy.apply_changes(changes.events, changes.revision);
-        copy.confirm_by_watch(sent, if changed { Millis::ZERO } else { wait }, began_at);
-        changed
+        is_applied = copy.apply_changes(changes.events, changes.place);
+        if is_applied {
+            copy.confirm_by_watch(sent, waited, began_at);
+        }
+        is_applied && changed
     });
+    if !is_applied {
+        return Err(CallError::EraRisen);
+    }
     if changed {
         gateway.mirror.notify_followers();
         if kind == Kind::Backends {
@@ -157,14 +172,13 @@
 }
 
 impl State {
-    /// Replaces the copy of `kind` by a list that was requested at `sent`, unless the copy has a newer revision.
-    fn apply_list(&self, kind: Kind, objects: Vec<Object>, revision: u64, sent: Millis) {
-        let known = lock(self.mirror.copy(kind)).revision();
-        if self.update_copy(kind, STORE_SOURCE, |copy| copy.replace(objects, revision, sent)) {
+    /// Replaces the copy of `kind` by a list that was requested at `sent`, unless the copy is newer.
+    fn apply_list(&self, kind: Kind, objects: Vec<Object>, place: Place, sent: Millis) {
+        if self.update_copy(kind, STORE_SOURCE, |copy| copy.replace(objects, place, sent)) {
             self.mirror.notify_followers();
         } else {
-            let known = known.unwrap_or_default();
-            event!(Warn, "store_list_ignored", kind = kind, revision = revision, known = known);
+            let known = lock(self.mirror.copy(kind)).place().unwrap_or_default();
+            event!(Info, "store_list_ignored", kind = kind, place = place, known = known);
         }
     }
 }
--- a/crates/daemon/src/telemetry.rs
+++ b/crates/daemon/src/telemetry.rs
@@ -31,8 +31,14 @@
 pub const COMMITS: &str = "eelgrasswell_commits_total";
 /// Exchanges with other routers, by `result`.
 pub const EXCHANGES: &str = "eelgrasswell_exchanges_total";
-/// Watches of the store that could not be continued from the revision of the copy, by `kind` of object.
-pub const STORE_HISTORY_GONE: &str = "eelgrasswell_store_history_gone_total";
+/// Watches of the store that could not be continued from the place of the copy, by `kind` of object.
+pub const STORE_RESYNCS: &str = "eelgrasswell_store_resyncs_total";
+/// Era of the store.
+pub const STORE_ERA: &str = "eelgrasswell_store_era";
+/// Times at which the store came back from an older copy.
+pub const STORE_ERA_RISES: &str = "eelgrasswell_store_era_rises_total";
+/// Responses of the store from before it came back, which count for nothing.
+pub const STORE_LATE_RESPONSES: &str = "eelgrasswell_store_late_responses_total";
 /// Follow requests to other gateways, by `result`.
 pub const FOLLOWS: &str = "eelgrasswell_follows_total";
 /// Replies of followed gateways that left large objects to the store.
