gateway: an older copy of the store does not undo what was in force

What callers saw, with the store back from a copy that lacks a change, until the change is written again 4 s later: a server that had left or drained got requests again (1,076 to 1,382 from eight clients), those of an evacuated domain did (1,059 to 1,306), and a gateway that started in between served a key that had been revoked (196 and 198).

Cause: the newest list of the store replaced all that a gateway knew, and a gateway that starts knows nothing else.

Final states of orders are sticky and written again. Gateways exchange the era, the version of their configuration and a hash of what they retain, read what they lack (Recall), and one that starts confirms nothing until it has asked.

Why it works: what is retained forbids more than the copy, so nothing that was forbidden is allowed in the gap; places order what several gateways know, so that a late or repeated report changes nothing; each entry ends when it is written, or in time.

--- a/crates/core/src/canary.rs
+++ b/crates/core/src/canary.rs
@@ -66,14 +66,14 @@
     pub target: VersionName,
     /// Time within which the rollout should be completed.
     pub duration: Millis,
-    /// Last reported state.
+    /// State that was reported for it.
     pub state: OrderState,
     /// Place of the store at which this router received the order.
     pub place: Place,
 }
 
-/// State of an order, as reported to the operators.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+/// State of an order, as reported to the operators. It only rises, up to one of the last two, which are final.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum OrderState {
     /// No state has been reported yet.
     New,
@@ -85,6 +85,13 @@
     RolledBack,
 }
 
+impl OrderState {
+    /// Whether the order has been carried out or given up.
+    pub fn is_final(self) -> bool {
+        matches!(self, Self::Completed | Self::RolledBack)
+    }
+}
+
 /// Versions that a request may run on.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct VersionRule {
@@ -101,7 +108,10 @@
 /// Progress of one order at this router.
 #[derive(Debug)]
 pub struct Canary {
+    /// The order, with the highest state that was reported for it.
     order: Order,
+    /// State that the store has. It is lower if the store came back from an older copy; then the state is reported again.
+    stored_state: OrderState,
     started: Millis,
     /// Tests of the new version for each kind of request.
     monitors: [Monitor; RequestKind::ALL.len()],
@@ -181,6 +191,7 @@
     pub fn new(order: Order, now: Millis) -> Self {
         let bad = order.state == OrderState::RolledBack;
         Self {
+            stored_state: order.state,
             order,
             started: now,
             monitors: Default::default(),
@@ -198,9 +209,10 @@
         &self.order
     }
 
-    /// Sets the state of the order that is stored.
-    pub fn set_state(&mut self, state: OrderState) {
-        self.order.state = state;
+    /// Records the state that the store has for the order.
+    pub fn set_stored_state(&mut self, state: OrderState) {
+        self.stored_state = state;
+        self.order.state = self.order.state.max(state);
         self.bad |= state == OrderState::RolledBack;
     }
 
@@ -300,12 +312,14 @@
         }
     }
 
-    /// State to report next, if it differs from the last reported one. `idle` is whether the old servers have no work.
+    /// State to report next, if it differs from that in the store. `idle` is whether the old servers have no work.
     pub fn next_state(&self, now: Millis, idle: bool) -> Option<OrderState> {
-        let is_final = matches!(self.order.state, OrderState::Completed | OrderState::RolledBack);
-        if is_final {
+        if self.stored_state.is_final() {
             return None;
         }
+        if self.order.state.is_final() {
+            return Some(self.order.state);
+        }
         if self.bad {
             return Some(OrderState::RolledBack);
         }
@@ -314,7 +328,7 @@
         if drained && self.has_passed(now) {
             return Some(OrderState::Completed);
         }
-        (self.order.state == OrderState::New).then_some(OrderState::Running)
+        (self.stored_state == OrderState::New).then_some(OrderState::Running)
     }
 
     /// What is known of the version of a session.
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod crash_evidence;
 pub mod customer_share;
 pub mod departure;
+pub mod drill;
 pub mod duty_lease;
 pub mod escalation;
 pub mod event_order;
--- a/crates/core/src/pool.rs
+++ b/crates/core/src/pool.rs
@@ -17,6 +17,7 @@
     backend::{Backend, ServerId},
     backend_health::{Health, Outcome},
     departure::{Departure, Departures},
+    drill::GoneServers,
     hash::{HashMap, HashSet, stable_hash},
     id::{BackendId, DomainId, ServiceName, VersionName},
     not_run::NotRun,
@@ -63,6 +64,7 @@
     /// Kept apart for the same reason.
     pauses: Pauses,
     withdrawn: WithdrawnVersions,
+    gone: GoneServers,
 }
 
 #[derive(Debug)]
@@ -190,13 +192,31 @@
         for entry in self.entries.values().filter(|entry| is_expired(entry) && !entry.tells_its_start()) {
             self.departures.remove(entry.server);
         }
+        for entry in self.entries.values().filter(|entry| is_expired(entry)) {
+            self.gone.record(now, &entry.backend);
+        }
         self.entries.retain(|_, entry| !is_expired(entry));
         self.departures.expire(now, self.entries.values().map(|entry| entry.server));
         self.pauses.expire(now);
         expired
     }
 
+    /// Records that servers have left, so that the next update removes them without a grace period.
+    pub fn set_gone<'a>(&mut self, now: Millis, servers: impl IntoIterator<Item = &'a str>) {
+        for id in servers {
+            if let Some(entry) = self.entries.get_mut(id) {
+                entry.missing_until = Some(now);
+            }
+        }
+    }
+
+    /// Whether a server that an older copy of the list names has left since.
+    pub fn has_left(&self, now: Millis, listed: &Backend) -> bool {
+        self.gone.contains(now, listed)
+    }
+
     fn insert(&mut self, now: Millis, backend: Backend, changes: &mut Changes) {
+        self.gone.remove(&backend.id);
         let cold_until =
             if backend.cold_remaining == Millis::ZERO { Millis::ZERO } else { now + backend.cold_remaining };
         let existing = self.entries.get_mut(&backend.id).filter(|entry| entry.backend.started_at == backend.started_at);
--- a/crates/core/tests/canary.rs
+++ b/crates/core/tests/canary.rs
@@ -389,3 +389,19 @@
     let next = canary.version_rule(at + Millis(1_000), session, SESSION_TIMEOUT);
     assert_eq!(on_target(&next), ran_on == "v2");
 }
+
+/// Guards against an order that is carried out again, or whose outcome is lost, because the store came back from a copy in which
+/// it was still in progress.
+#[test_case(OrderState::Completed, OrderState::Running, Some(OrderState::Completed); "completed, then in progress")]
+#[test_case(OrderState::RolledBack, OrderState::Running, Some(OrderState::RolledBack); "rolled back, then in progress")]
+#[test_case(OrderState::RolledBack, OrderState::New, Some(OrderState::RolledBack); "rolled back, then not reported")]
+#[test_case(OrderState::Running, OrderState::New, Some(OrderState::Running); "in progress, then not reported")]
+#[test_case(OrderState::Completed, OrderState::Completed, None; "completed, as before")]
+fn state_after_drill(known: OrderState, stored: OrderState, report: Option<OrderState>) {
+    let mut canary = Canary::new(order(known), START);
+    canary.set_stored_state(stored);
+    assert_eq!(canary.order().state, known);
+    assert_eq!(canary.next_state(START, false), report);
+    canary.set_stored_state(report.unwrap_or(known));
+    assert_eq!(canary.next_state(START, false), None);
+}
--- a/crates/core/tests/pool.rs
+++ b/crates/core/tests/pool.rs
@@ -506,3 +506,18 @@
     rig.pool.set_peer_outstanding(&HashMap::from_iter([("b1".into(), 1), ("b2".into(), 8)]));
     assert_eq!(rig.choose(NOW, |r| r.avoids_full = true), Ok("b1".into()), "all are full");
 }
+
+/// Guards against a server that has left and is used again because an older copy of the list names it, or that stays in use for
+/// the grace period of an outage.
+#[test]
+fn has_left_until_listed_again() {
+    let mut rig = Rig::with(vec![backend(1), backend(2)]);
+    rig.pool.update(NOW, vec![backend(2)], Millis::ZERO);
+    assert!(rig.pool.has_left(NOW, &backend(1)));
+    assert!(!rig.pool.has_left(NOW, &backend(2)));
+    rig.pool.update(NOW, vec![backend(1), backend(2)], Millis::ZERO);
+    assert!(!rig.pool.has_left(NOW, &backend(1)));
+    rig.pool.set_gone(NOW, ["b1"]);
+    let changes = rig.pool.update(NOW, vec![backend(2)], Millis(2_200));
+    assert_eq!(changes.removed, ["b1".into()]);
+}
--- a/crates/daemon/src/gateway/derived.rs
+++ b/crates/daemon/src/gateway/derived.rs
@@ -3,8 +3,9 @@
 
 use std::sync::{Arc, PoisonError};
 
+use compact_str::CompactString;
 use eelgrasswell_core::{
-    canary::{Canary, KeptSession, Order},
+    canary::{Canary, KeptSession, Order, OrderState},
     confirmation::{Confirmed, Offer},
     hash::{HashMap, HashSet},
     id::ServiceName,
@@ -13,7 +14,7 @@
     routing_config::RoutingConfig,
     unit::Millis,
 };
-use eelgrasswell_platform::objects::{self, CONFIG_NAME, Kind};
+use eelgrasswell_platform::objects::{self, CONFIG_NAME, Kind, Object};
 
 use super::{State, mirror::ObjectCopy};
 use crate::{event, sync::lock, telemetry};
@@ -24,7 +25,12 @@
     /// recorded. Returns whether objects changed.
     pub fn update_copy(&self, kind: Kind, source: &str, change: impl FnOnce(&mut ObjectCopy) -> bool) -> bool {
         let copy = self.mirror.copy(kind);
-        let has_changed = change(&mut lock(copy));
+        let has_changed = {
+            let mut copy = lock(copy);
+            let has_changed = change(&mut copy);
+            self.retain_superseded(kind, &mut copy);
+            has_changed
+        };
         if has_changed {
             self.apply(kind, source);
             lock(copy).set_applied();
@@ -34,14 +40,17 @@
                 let copy = lock(copy);
                 (copy.changed(), copy.confirmation())
             };
-            if let Some(config) = &mut *self.config.write().unwrap_or_else(PoisonError::into_inner) {
+            if let Some(config) = &mut *self.config.write().unwrap_or_else(PoisonError::into_inner)
+                && self.may_confirm(config.value().version)
+            {
                 config.confirm(changed, confirmation);
             }
         }
         has_changed
     }
 
-    fn apply(&self, kind: Kind, source: &str) {
+    /// Updates what is derived from the copy of `kind`, which holds data from `source`.
+    pub fn apply(&self, kind: Kind, source: &str) {
         match kind {
             Kind::Config => self.apply_config(source),
             Kind::Backends => self.apply_backends(),
@@ -51,11 +60,24 @@
     }
 
     fn apply_config(&self, source: &str) {
-        let (object, changed, age) = {
+        let (object, changed, age, retained) = {
             let copy = lock(self.mirror.copy(Kind::Config));
             let age = copy.confirmation().age(self.clock.now());
-            (copy.get(CONFIG_NAME).cloned(), copy.changed(), age)
+            let retained = copy.retained().get(CONFIG_NAME).and_then(|retained| retained.object.clone());
+            (copy.get_listed(CONFIG_NAME).cloned(), copy.changed(), age, retained)
         };
+        self.apply_config_object(object, changed, source, age);
+        if self.release_config(changed) {
+            return;
+        }
+        // What is retained from an earlier era is not covered by confirmations of the copy.
+        if let Some(retained) = retained {
+            let place = retained.metadata.place;
+            self.apply_config_object(Some(retained), place, "retained", age);
+        }
+    }
+
+    fn apply_config_object(&self, object: Option<Object>, changed: Place, source: &str, age: Option<Millis>) {
         let decoded = object.as_ref().map(objects::decode_routing_config);
         if let Some(Err(err)) = &decoded {
             self.mirror.report_malformed(Kind::Config, err);
@@ -84,9 +106,9 @@
             Some(config) if config.version == version => Offer::Same,
             Some(_) | None => Offer::Worse,
         };
-        let is_newer = matches!(offer, Offer::Newer(_));
+        let (is_newer, is_worse) = (matches!(offer, Offer::Newer(_)), matches!(offer, Offer::Worse));
         current.offer(offer, changed);
-        if !current.is_covered_by(changed) {
+        if is_worse && !current.is_covered_by(changed) {
             event!(Warn, "config_older", config = version, changed = changed);
         }
         is_newer
@@ -95,7 +117,11 @@
     fn apply_backends(&self) {
         let now = self.clock.now();
         let grace = self.mirror.missing_grace(now).max(outage::grace_after_rise(now, self.store_era.risen_at()));
-        let list: Vec<_> = lock(self.mirror.copy(Kind::Backends)).objects().map(objects::decode_backend).collect();
+        let (list, gone): (Vec<_>, Vec<CompactString>) = {
+            let copy = lock(self.mirror.copy(Kind::Backends));
+            let gone = copy.retained().iter().filter(|(_, retained)| retained.object.is_none());
+            (copy.objects().map(objects::decode_backend).collect(), gone.map(|(name, _)| name.clone()).collect())
+        };
         let mut backends = Vec::with_capacity(list.len());
         for entry in list {
             match entry {
@@ -103,7 +129,11 @@
                 Err(err) => self.mirror.report_malformed(Kind::Backends, &err),
             }
         }
-        let changes = lock(&self.pool).update(now, backends, grace);
+        let changes = {
+            let mut pool = lock(&self.pool);
+            pool.set_gone(now, gone.iter().map(CompactString::as_str));
+            pool.update(now, backends, grace)
+        };
         self.refresh_admission();
         for id in changes.added {
             event!(Info, "backend_added", backend = id);
@@ -121,7 +151,10 @@
 
     fn apply_orders(&self) {
         let now = self.clock.now();
-        let entries: Vec<_> = lock(self.mirror.copy(Kind::Orders)).objects().map(objects::decode_order).collect();
+        let (entries, era_start): (Vec<_>, Place) = {
+            let copy = lock(self.mirror.copy(Kind::Orders));
+            (copy.objects().map(objects::decode_order).collect(), copy.era_start())
+        };
         let mut orders: HashMap<ServiceName, Order> = HashMap::default();
         let mut malformed: HashSet<ServiceName> = HashSet::default();
         for entry in entries {
@@ -155,12 +188,15 @@
                 }
                 canary
             });
-            canary.set_state(state);
+            canary.set_stored_state(state);
         }
         drop(canaries);
         let mut pool = lock(&self.pool);
-        for Order { service, target, place, .. } in received {
-            pool.record_order(&service, &target, place);
+        for Order { service, target, place, state, .. } in received {
+            // An order that was taken up before the older copy was made is no new one.
+            if place > era_start || state == OrderState::New {
+                pool.record_order(&service, &target, place);
+            }
         }
         drop(pool);
         self.withdraw_bad_versions();
--- a/crates/daemon/src/gateway/exchange.rs
+++ b/crates/daemon/src/gateway/exchange.rs
@@ -13,8 +13,8 @@
     unit::Millis,
 };
 use eelgrasswell_proto::v1::{
-    BackendLoad, FleetCounters, FleetMember, FleetState, FollowReply, FollowRequest, OrderProgress, ReporterCounters,
-    UsageReply, UsageReport,
+    BackendLoad, FleetCounters, FleetMember, FleetState, FollowReply, FollowRequest, OrderProgress, RecallReply,
+    RecallRequest, ReporterCounters, UsageReply, UsageReport,
     fleet_client::FleetClient,
     fleet_server::{Fleet, FleetServer},
 };
@@ -26,7 +26,13 @@
     transport::{Channel, Endpoint, Server},
 };
 
-use super::{Gateway, State, follow, memory, request::SessionDigest, response_stats::Report};
+use super::{
+    Gateway, State,
+    drill::{self, Knowledge},
+    follow, memory,
+    request::SessionDigest,
+    response_stats::Report,
+};
 use crate::{event, sync::lock, telemetry};
 
 /// Interval between two rounds of exchanges with peers.
@@ -74,6 +80,10 @@
     async fn report_usage(&self, request: Request<UsageReport>) -> Result<Response<UsageReply>, Status> {
         Ok(Response::new(self.0.duties.handle_usage(request.get_ref())))
     }
+
+    async fn recall(&self, _: Request<RecallRequest>) -> Result<Response<RecallReply>, Status> {
+        drill::handle_request(&self.0).map(Response::new)
+    }
 }
 
 /// Serves exchanges on `listener`, and starts to exchange with peers and to follow watchers.
@@ -89,6 +99,7 @@
     let mut builder = Server::builder().max_concurrent_streams(MAX_CALLS).max_frame_size(MAX_FRAME).tcp_nodelay(true);
     tokio::spawn(builder.add_service(server).serve_with_incoming(incoming));
     follow::spawn(gateway.clone());
+    tokio::spawn(drill::inform(gateway.clone()));
     tokio::spawn(exchange_with_peers(gateway));
 }
 
@@ -120,20 +131,28 @@
         .connect_lazy()
 }
 
-async fn exchange_with(gateway: Gateway, address: SocketAddr, channel: Channel) {
+/// Exchanges states with the gateway at `address`, and reads what stays in force there. Returns what that one could tell.
+pub async fn exchange_with(gateway: Gateway, address: SocketAddr, channel: Channel) -> Knowledge {
     let state = gateway.fleet_state();
-    let result = FleetClient::new(channel).exchange(state).await;
+    let result = FleetClient::new(channel.clone()).exchange(state).await;
     let label = if result.is_ok() { "answered" } else { "failed" };
     metrics::counter!(telemetry::EXCHANGES, "result" => label).increment(1);
     match result {
-        Ok(answer) => gateway.record_state(&answer.into_inner()),
-        Err(err) => event!(Debug, "exchange_failed", peer = address, error = err.message()),
+        Ok(answer) => {
+            let state = answer.into_inner();
+            gateway.record_state(&state);
+            drill::recall_from(&gateway, channel, &state).await
+        }
+        Err(err) => {
+            event!(Debug, "exchange_failed", peer = address, error = err.message());
+            Knowledge::None
+        }
     }
 }
 
 impl State {
     /// Addresses of the peers to contact in the next interval.
-    fn peers_to_contact(&self) -> Vec<SocketAddr> {
+    pub fn peers_to_contact(&self) -> Vec<SocketAddr> {
         let own = self.settings.exchange;
         let now = self.clock.now();
         let mut fleet = lock(&self.fleet);
@@ -182,6 +201,7 @@
             counters: self.counters(),
             orders: self.order_progress(now),
             duty_lease: self.duties.lease_message(),
+            history: Some(self.store_history()),
             ..FleetState::default()
         };
         self.add_crash_evidence(&mut state);
@@ -246,6 +266,7 @@
     fn record_state(&self, state: &FleetState) {
         let now = self.clock.now();
         self.record_members(state, now);
+        self.record_history(state);
         state.counters.iter().for_each(|counters| self.record_counters(counters));
         self.record_orders(state, now);
         self.record_loads(state, now);
--- a/crates/daemon/src/gateway/follow.rs
+++ b/crates/daemon/src/gateway/follow.rs
@@ -211,12 +211,12 @@
             }
         };
         let size = Bytes(encoded.json.len() as u64);
-        if !needs_large && transfer::is_left_to_store(size, encoded.count, copy.objects().count()) {
+        if !needs_large && transfer::is_left_to_store(size, encoded.count, copy.listed().count()) {
             replica.left_to_store = true;
             return Some(replica);
         }
         replica.objects = encoded.json;
-        replica.names = copy.objects().map(|object| object.metadata.name.to_string()).collect();
+        replica.names = copy.listed().map(|object| object.metadata.name.to_string()).collect();
         Some(replica)
     }
 
--- a/crates/daemon/src/gateway/mirror.rs
+++ b/crates/daemon/src/gateway/mirror.rs
@@ -6,6 +6,7 @@
 use compact_str::CompactString;
 use eelgrasswell_core::{
     confirmation::Confirmation,
+    drill::{Retained, RetainedObjects},
     hash::{HashMap, HashSet},
     id::HostId,
     outage::Outage,
@@ -50,8 +51,14 @@
 /// Copy of all objects of one kind.
 #[derive(Default)]
 pub struct ObjectCopy {
-    /// Objects by name.
-    objects: BTreeMap<CompactString, Object>,
+    /// Objects of the store by name.
+    listed: BTreeMap<CompactString, Object>,
+    /// What stays in force of earlier eras in place of the store's objects.
+    retained: RetainedObjects<Object>,
+    /// What was in force before the era rose, until it is decided what stays so.
+    superseded: Option<Superseded>,
+    /// First place of the present era that the copy had.
+    era_start: Place,
     /// Place of the store that the copy corresponds to; none before the first read.
     place: Option<Place>,
     /// Whether what is derived from the copy has been derived at least once.
@@ -73,6 +80,14 @@
     peer_confirmed_at: Option<Millis>,
 }
 
+/// What a copy of an earlier era held.
+pub struct Superseded {
+    /// Last place of that copy.
+    pub place: Place,
+    /// Objects that were in force, by name.
+    pub objects: BTreeMap<CompactString, Object>,
+}
+
 /// Objects in the form in which followers get them.
 #[derive(Clone)]
 pub struct EncodedObjects {
@@ -227,14 +242,67 @@
         self.is_applied = true;
     }
 
-    /// All objects, by name.
+    /// All objects in force: those of the store, and what stays in force of earlier eras in their place.
     pub fn objects(&self) -> impl Iterator<Item = &Object> {
-        self.objects.values()
+        let listed = self.listed.iter().filter(|(name, _)| self.retained.get(name).is_none());
+        let retained = self.retained.iter().filter_map(|(_, retained)| retained.object.as_ref());
+        listed.map(|(_, object)| object).chain(retained)
+    }
+
+    /// All objects of the store, by name.
+    pub fn listed(&self) -> impl Iterator<Item = &Object> {
+        self.listed.values()
     }
 
-    /// The object with the name `name`.
-    pub fn get(&self, name: &str) -> Option<&Object> {
-        self.objects.get(name)
+    /// The store's object with the name `name`.
+    pub fn get_listed(&self, name: &str) -> Option<&Object> {
+        self.listed.get(name)
+    }
+
+    /// What stays in force of earlier eras.
+    pub fn retained(&self) -> &RetainedObjects<Object> {
+        &self.retained
+    }
+
+    /// The same, to change it.
+    pub fn retained_mut(&mut self) -> &mut RetainedObjects<Object> {
+        &mut self.retained
+    }
+
+    /// Retains an object unless it has been written again. Returns whether that changed anything.
+    pub fn retain(&mut self, name: CompactString, retained: Retained<Object>) -> bool {
+        let listed = self.listed.get(&name).map(|object| object.metadata.place);
+        self.retained.insert(name, retained, listed)
+    }
+
+    /// What was in force before the era rose, the first time after that.
+    pub fn take_superseded(&mut self) -> Option<Superseded> {
+        self.superseded.take()
+    }
+
+    /// First place of the present era that the copy had.
+    pub fn era_start(&self) -> Place {
+        self.era_start
+    }
+
+    /// Begins a new era if `place` is the first one of it, and returns whether it is.
+    fn begin_era(&mut self, place: Place) -> bool {
+        let is_new_era = self.place.is_none_or(|known| known.era() != place.era());
+        if is_new_era {
+            let by_name = |object: &Object| (object.metadata.name.clone(), object.clone());
+            self.superseded =
+                self.place.map(|place| Superseded { place, objects: self.objects().map(by_name).collect() });
+            self.era_start = place;
+            self.listed.clear();
+        }
+        is_new_era
+    }
+
+    /// Records that the store's objects are those at `place`, and drops what is retained and has been written again.
+    fn set_place(&mut self, place: Place) {
+        self.place = self.place.max(Some(place));
+        let listed = &self.listed;
+        self.retained.drop_written(|name| listed.get(name).map(|object| object.metadata.place));
     }
 
     /// Records that a peer's copy was current at `at`.
@@ -260,7 +328,7 @@
         {
             return Ok(encoded.clone());
         }
-        let objects: Vec<&Object> = self.objects.values().filter(|object| object.metadata.place > since).collect();
+        let objects: Vec<&Object> = self.listed.values().filter(|object| object.metadata.place > since).collect();
         let (count, json) = (objects.len(), serde_json::to_vec(&objects)?.into());
         let encoded = EncodedObjects { since, changed, count, json };
         self.encoded = Some(encoded.clone());
@@ -283,11 +351,10 @@
     /// `names` the names of all objects in the peer's copy, and `changed` the place at which that copy last changed.
     pub fn merge(&mut self, objects: Vec<Object>, names: &[String], place: Place, changed: Place) {
         let names: HashSet<&str> = names.iter().map(String::as_str).collect();
-        self.objects.retain(|name, _| names.contains(name.as_str()));
-        for object in objects {
-            self.objects.insert(object.metadata.name.clone(), object);
-        }
-        self.place = self.place.max(Some(place));
+        self.begin_era(place);
+        self.listed.retain(|name, _| names.contains(name.as_str()));
+        self.listed.extend(objects.into_iter().map(|object| (object.metadata.name.clone(), object)));
+        self.set_place(place);
         self.changed = self.changed.max(changed);
     }
 
@@ -298,12 +365,11 @@
             return false;
         }
         let objects = objects.into_iter().map(|object| (object.metadata.name.clone(), object)).collect();
-        let is_new_era = self.place.is_none_or(|known| known.era() != place.era());
-        if self.objects != objects || is_new_era {
+        if self.begin_era(place) || self.listed != objects {
             self.changed = place;
         }
-        self.objects = objects;
-        self.place = Some(place);
+        self.listed = objects;
+        self.set_place(place);
         self.confirmation.confirm_by_read(sent);
         self.store_response.confirm_at(sent);
         true
@@ -325,17 +391,17 @@
             self.changed = self.changed.max(place);
         }
         for Change { object, deleted } in changes {
-            let known = self.objects.get(&object.metadata.name);
+            let known = self.listed.get(&object.metadata.name);
             if known.is_some_and(|known| known.metadata.place > object.metadata.place) {
                 continue;
             }
             if deleted {
-                self.objects.remove(&object.metadata.name);
+                self.listed.remove(&object.metadata.name);
             } else {
-                self.objects.insert(object.metadata.name.clone(), object);
+                self.listed.insert(object.metadata.name.clone(), object);
             }
         }
-        self.place = self.place.max(Some(place));
+        self.set_place(place);
         true
     }
 }
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -9,6 +9,7 @@
 mod connections;
 mod crashes;
 mod derived;
+mod drill;
 mod duties;
 mod exchange;
 mod execute;
@@ -92,6 +93,7 @@
     second_sends: SecondSends,
     mirror: Mirror,
     store_era: StoreEra,
+    recalls: drill::Recalls,
     fleet: Mutex<Fleet>,
     peer_reports: Mutex<exchange::PeerReports>,
     /// None if the settings have no section for it.
@@ -129,6 +131,7 @@
     readiness::spawn_metrics(gateway.clone(), metrics);
     exchange::spawn(gateway.clone(), inner);
     sync::spawn(&gateway);
+    drill::spawn(gateway.clone());
     admission::spawn(gateway.clone());
     orders::spawn(gateway.clone());
     session_use::spawn_renewal(gateway.clone());
@@ -160,6 +163,7 @@
             second_sends: SecondSends::open(),
             mirror: Mirror::default(),
             store_era: StoreEra::open(BootClock),
+            recalls: drill::Recalls::default(),
             fleet: Mutex::default(),
             peer_reports: Mutex::default(),
             crash_evidence: Mutex::default(),
--- a/crates/daemon/src/gateway/orders.rs
+++ b/crates/daemon/src/gateway/orders.rs
@@ -14,7 +14,7 @@
     withdrawn::Withdrawal,
 };
 use eelgrasswell_platform::{
-    objects::{self, Kind},
+    objects::{self, Kind, Object},
     store::StoreError,
 };
 use eelgrasswell_proto::v1::{FleetState, VersionWithdrawal};
@@ -191,14 +191,14 @@
     }
 
     async fn write_state(&self, client: &mut StoreClient, report: PendingReport) {
-        let object = lock(self.mirror.copy(Kind::Orders)).get(report.order.service.as_str()).cloned();
-        let Some(object) = object else { return };
+        let object = lock(self.mirror.copy(Kind::Orders)).get_listed(report.order.service.as_str()).cloned();
+        let Some(object) = object.filter(|object| !is_for_another(object, &report.order.target)) else { return };
         let status = objects::order_status(&report.order, report.state);
         match client.put_status(Kind::Orders, &object, &status).await {
             Ok(_) => {
                 event!(Info, "order_reported", service = report.order.service, state = format!("{:?}", report.state));
                 if let Some(canary) = lock(&self.canaries).get_mut(&report.order.service) {
-                    canary.set_state(report.state);
+                    canary.set_stored_state(report.state);
                 }
             }
             // Another gateway has written the state first; the watch returns it.
@@ -207,3 +207,9 @@
         }
     }
 }
+
+/// Whether the store's order is for another version than `version`: an older one if the store came back from an older copy. One
+/// that can't be decoded any more still gets the state.
+fn is_for_another(object: &Object, version: &VersionName) -> bool {
+    objects::decode_order(object).is_ok_and(|order| order.target != *version)
+}
--- a/crates/daemon/src/gateway/store_era.rs
+++ b/crates/daemon/src/gateway/store_era.rs
@@ -79,6 +79,11 @@
         }
     }
 
+    /// Records that another gateway saw `era` rise at `at`.
+    pub fn merge_rise(&self, era: Era, at: Millis) {
+        lock(&self.0.eras).merge_rise(era, at);
+    }
+
     fn observe(&self, era: Era, source: &str) -> EraFinding {
         let finding = lock(&self.0.eras).observe(era, self.0.clock.now());
         match finding {
--- a/crates/daemon/src/telemetry.rs
+++ b/crates/daemon/src/telemetry.rs
@@ -39,6 +39,8 @@
 pub const STORE_ERA_RISES: &str = "eelgrasswell_store_era_rises_total";
 /// Responses of the store from before it came back, which count for nothing.
 pub const STORE_LATE_RESPONSES: &str = "eelgrasswell_store_late_responses_total";
+/// Objects that stayed in force although the store, back from an older copy, lacked them, by `kind`.
+pub const OBJECTS_RETAINED: &str = "eelgrasswell_objects_retained_total";
 /// Follow requests to other gateways, by `result`.
 pub const FOLLOWS: &str = "eelgrasswell_follows_total";
 /// Replies of followed gateways that left large objects to the store.
--- a/crates/testbed/tests/store_drills.rs
+++ b/crates/testbed/tests/store_drills.rs
@@ -3,9 +3,10 @@
 use std::time::Duration;
 
 use eelgrasswell_testbed::site::{FakeBackend, Rig, RigPlan, config, wait_until};
-use eyre::Result;
+use eyre::{Result, ensure};
+use futures::future::join_all;
 use hyper::StatusCode;
-use serde_json::json;
+use serde_json::{Value, json};
 use test_case::test_case;
 use tokio::time::{Instant, sleep, sleep_until};
 
@@ -136,3 +137,160 @@
     assert!(missed_by.is_empty(), "{change:?} missed by {missed_by:?}");
     Ok(())
 }
+
+/// Time for which the older copy is in the store before what it lacks is written again: longer than a key may work that was
+/// revoked, and than the grace of missing servers.
+const GAP: Duration = Duration::from_millis(4_000);
+
+/// Time after that in which it must stay in force: longer than the one before the first requests to a version on trial.
+const WRITTEN_AGAIN: Duration = Duration::from_millis(3_500);
+
+/// What was in force before a drill, and is not in the older copy.
+#[derive(Clone, Copy, Debug)]
+enum Lost {
+    Revocation,
+    DrainingServer,
+    RemovedServer,
+    Evacuation,
+    RolledBackVersion,
+}
+
+impl Lost {
+    /// Writes what the older copy will lack, and waits until all gateways know it.
+    async fn write(self, rig: &Rig, bad: &FakeBackend) -> Result<()> {
+        let event = match self {
+            Self::Revocation => {
+                rig.store.put("config", "main", config_without_key_b());
+                "event=config_adopted config=2 "
+            }
+            Self::DrainingServer => {
+                rig.store.put("servers", "desk-0", rig.desks[0].store_entry("desk", "v1", "draining"));
+                "event=backend_draining backend=desk-0"
+            }
+            Self::RemovedServer => {
+                rig.store.delete("servers", "desk-0");
+                "event=backend_gone backend=desk-0"
+            }
+            Self::Evacuation => {
+                rig.store.put("evacuations", "south", json!({}));
+                "event=evacuations_changed count=1"
+            }
+            Self::RolledBackVersion => {
+                rig.store.put("rollouts", "desk", order());
+                let mut sent = 0;
+                wait_until("the version is rolled back", async || {
+                    sent += 1;
+                    let _ = status(rig, sent % 4, "key-a").await;
+                    rig.store.status("rollouts", "desk")["state"] == "rolled_back"
+                })
+                .await?;
+                ensure!(!bad.runs().is_empty(), "the bad version got no request");
+                "event=version_withdrawn service=desk version=v2"
+            }
+        };
+        for gateway in &rig.gateways {
+            wait_until("it is in force", async || gateway.log().contains(event)).await?;
+        }
+        Ok(())
+    }
+
+    /// Writes it again.
+    fn write_again(self, rig: &Rig) {
+        match self {
+            Self::Revocation => rig.store.put("config", "main", config_without_key_b()),
+            Self::DrainingServer => {
+                rig.store.put("servers", "desk-0", rig.desks[0].store_entry("desk", "v1", "draining"));
+            }
+            Self::RemovedServer => rig.store.delete("servers", "desk-0"),
+            Self::Evacuation => rig.store.put("evacuations", "south", json!({})),
+            Self::RolledBackVersion => rig.store.put("rollouts", "desk", order()),
+        }
+    }
+
+    /// Number of requests that have run although it forbids them.
+    fn count_runs(self, rig: &Rig, bad: &FakeBackend) -> usize {
+        match self {
+            Self::Revocation => rig
+                .desks
+                .iter()
+                .flat_map(FakeBackend::runs)
+                .filter(|run| run.header("x-tenant") == "customer-b")
+                .count(),
+            Self::DrainingServer | Self::RemovedServer | Self::Evacuation => rig.desks[0].runs().len(),
+            Self::RolledBackVersion => bad.runs().len(),
+        }
+    }
+}
+
+fn config_without_key_b() -> Value {
+    let mut config = config(2);
+    config["tenants"].as_array_mut().expect("it is a list").truncate(1);
+    config
+}
+
+fn order() -> Value {
+    json!({"service": "desk", "target": "v2", "duration_s": 6})
+}
+
+/// Status of a request with `key` at `gateway`.
+async fn status(rig: &Rig, gateway: usize, key: &str) -> Result<StatusCode> {
+    let client = rig.customer(key).with("x-attempt-id", "read").with("x-deadline-ms", "2000");
+    Ok(client.get(rig.gateways[gateway].callers, "/read/1").await?.status)
+}
+
+/// Guards against an older copy that brings back what is no longer in force, until it is written again and after that: at
+/// gateways that knew it, and at one that starts in between and reads only the older copy.
+#[test_case(Lost::Revocation; "revocation")]
+#[test_case(Lost::DrainingServer; "server that leaves")]
+#[test_case(Lost::RemovedServer; "server that has left")]
+#[test_case(Lost::Evacuation; "evacuation")]
+#[test_case(Lost::RolledBackVersion; "version that was rolled back")]
+#[tokio::test]
+async fn older_copy_brings_nothing_back(lost: Lost) -> Result<()> {
+    let mut rig = Rig::start_with(RigPlan { gateways: 4, engines: 1, ..RigPlan::default() }, REVOKE_SETTINGS).await?;
+    let bad = FakeBackend::bind("desk-bad").await?;
+    bad.set_behaviour(|behaviour| behaviour.fails = true);
+    rig.store.put("servers", "desk-bad", bad.store_entry("desk", "v2", "ready"));
+    let mut entry = rig.desks[0].store_entry("desk", "v1", "ready");
+    entry["zone"] = json!("south");
+    rig.store.put("servers", "desk-0", entry);
+    sleep(WATCH_WAIT).await;
+    let copy = rig.store.copy();
+    lost.write(&rig, &bad).await?;
+    let written = Instant::now();
+    sleep(Duration::from_millis(500)).await;
+
+    rig.store.go_away();
+    sleep(AWAY).await;
+    rig.store.come_back(copy);
+    let returned = Instant::now();
+    sleep(Duration::from_millis(300)).await;
+    rig.gateways[3].restart()?;
+    if matches!(lost, Lost::Revocation) {
+        sleep_until(written + REVOKE).await;
+    }
+    let before = lost.count_runs(&rig, &bad);
+    let send = async |gateway: usize, key: &str, until: Instant| {
+        while Instant::now() < until {
+            // The gateway that starts does not listen yet.
+            let _ = status(&rig, gateway, key).await;
+            sleep(Duration::from_millis(5)).await;
+        }
+    };
+    let send_until = async |until: Instant| {
+        let senders = (0..4).flat_map(|gateway| [send(gateway, "key-a", until), send(gateway, "key-b", until)]);
+        join_all(senders).await;
+    };
+    send_until(returned + GAP).await;
+    assert_eq!(lost.count_runs(&rig, &bad), before, "{lost:?} before it was written again");
+    lost.write_again(&rig);
+    send_until(Instant::now() + WRITTEN_AGAIN).await;
+    assert_eq!(lost.count_runs(&rig, &bad), before, "{lost:?} after it was written again");
+    for gateway in 0..rig.gateways.len() {
+        assert_eq!(status(&rig, gateway, "key-a").await?, StatusCode::OK, "gateway {gateway}");
+    }
+    if matches!(lost, Lost::RolledBackVersion) {
+        assert_eq!(rig.store.status("rollouts", "desk")["state"], "rolled_back");
+    }
+    Ok(())
+}
