core: the copy of the store's objects decides without a network what it takes over

What a copy takes over from a list, a watch or another gateway's copy stood in the daemon, between locks and logs, and so did the comparison of configurations. It is core::store_copy::StoreCopy and Confirmed::offer_value now; the daemon keeps the times. Nothing else changes.

--- a/crates/core/src/confirmation.rs
+++ b/crates/core/src/confirmation.rs
@@ -58,6 +58,18 @@
         &self.value
     }
 
+    /// Records that the copy holds `value` since it changed at `place`; none if it holds none that can be used. Values compare by
+    /// their version. Returns what the value was in comparison with the one in force.
+    pub fn offer_value<V: Ord>(&mut self, value: Option<T>, place: Place, version: impl Fn(&T) -> V) -> Offer<()> {
+        let (offer, found) = match value {
+            Some(value) if version(&value) > version(&self.value) => (Offer::Newer(value), Offer::Newer(())),
+            Some(value) if version(&value) == version(&self.value) => (Offer::Same, Offer::Same),
+            Some(_) | None => (Offer::Worse, Offer::Worse),
+        };
+        self.offer(offer, place);
+        found
+    }
+
     /// Records what the copy holds since it changed at `place`.
     ///
     /// A newer value replaces the one in force. The last confirmation still counts: the newer value lacks nothing that it
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -52,6 +52,7 @@
 pub mod session_uses;
 pub mod shard;
 pub mod stage;
+pub mod store_copy;
 pub mod transfer;
 pub mod unit;
 pub mod usage;
--- a/crates/daemon/src/gateway/derived.rs
+++ b/crates/daemon/src/gateway/derived.rs
@@ -28,7 +28,7 @@
         let has_changed = {
             let mut copy = lock(copy);
             let has_changed = change(&mut copy);
-            self.retain_superseded(kind, &mut copy);
+            self.retain_superseded(kind, &mut copy.data);
             has_changed
         };
         if has_changed {
@@ -38,7 +38,7 @@
         if kind == Kind::Config {
             let (changed, confirmation) = {
                 let copy = lock(copy);
-                (copy.changed(), copy.confirmation())
+                (copy.data.changed(), copy.confirmation())
             };
             if let Some(config) = &mut *self.config.write().unwrap_or_else(PoisonError::into_inner)
                 && self.may_confirm(config.value().version)
@@ -63,8 +63,8 @@
         let (object, changed, age, retained) = {
             let copy = lock(self.mirror.copy(Kind::Config));
             let age = copy.confirmation().age(self.clock.now());
-            let retained = copy.retained().get(CONFIG_NAME).and_then(|retained| retained.object.clone());
-            (copy.get_listed(CONFIG_NAME).cloned(), copy.changed(), age, retained)
+            let retained = copy.data.retained().get(CONFIG_NAME).and_then(|retained| retained.object.clone());
+            (copy.data.get_listed(CONFIG_NAME).cloned(), copy.data.changed(), age, retained)
         };
         self.apply_config_object(object, changed, source, age);
         if self.release_config(changed) {
@@ -100,18 +100,11 @@
             *current = config.map(|config| Confirmed::new(Arc::new(config), changed));
             return current.is_some();
         };
-        let version = current.value().version;
-        let offer = match config {
-            Some(config) if config.version > version => Offer::Newer(Arc::new(config)),
-            Some(config) if config.version == version => Offer::Same,
-            Some(_) | None => Offer::Worse,
-        };
-        let (is_newer, is_worse) = (matches!(offer, Offer::Newer(_)), matches!(offer, Offer::Worse));
-        current.offer(offer, changed);
-        if is_worse && !current.is_covered_by(changed) {
-            event!(Warn, "config_older", config = version, changed = changed);
+        let offer = current.offer_value(config.map(Arc::new), changed, |config| config.version);
+        if offer == Offer::Worse && !current.is_covered_by(changed) {
+            event!(Warn, "config_older", config = current.value().version, changed = changed);
         }
-        is_newer
+        offer == Offer::Newer(())
     }
 
     fn apply_backends(&self) {
@@ -119,8 +112,8 @@
         let grace = self.mirror.missing_grace(now).max(outage::grace_after_rise(now, self.store_era.risen_at()));
         let (list, gone): (Vec<_>, Vec<CompactString>) = {
             let copy = lock(self.mirror.copy(Kind::Backends));
-            let gone = copy.retained().iter().filter(|(_, retained)| retained.object.is_none());
-            (copy.objects().map(objects::decode_backend).collect(), gone.map(|(name, _)| name.clone()).collect())
+            let gone = copy.data.retained().iter().filter(|(_, retained)| retained.object.is_none());
+            (copy.data.objects().map(objects::decode_backend).collect(), gone.map(|(name, _)| name.clone()).collect())
         };
         let mut backends = Vec::with_capacity(list.len());
         for entry in list {
@@ -153,7 +146,7 @@
         let now = self.clock.now();
         let (entries, era_start): (Vec<_>, Place) = {
             let copy = lock(self.mirror.copy(Kind::Orders));
-            (copy.objects().map(objects::decode_order).collect(), copy.era_start())
+            (copy.data.objects().map(objects::decode_order).collect(), copy.data.era_start())
         };
         let mut orders: HashMap<ServiceName, Order> = HashMap::default();
         let mut malformed: HashSet<ServiceName> = HashSet::default();
@@ -204,7 +197,7 @@
 
     fn apply_evacuations(&self) {
         let domains: Vec<_> =
-            lock(self.mirror.copy(Kind::Evacuations)).objects().map(objects::evacuated_domain).collect();
+            lock(self.mirror.copy(Kind::Evacuations)).data.objects().map(objects::evacuated_domain).collect();
         event!(Info, "evacuations_changed", count = domains.len());
         lock(&self.pool).set_evacuated(domains);
         self.refresh_admission();
--- a/crates/daemon/src/gateway/drill/mod.rs
+++ b/crates/daemon/src/gateway/drill/mod.rs
@@ -10,12 +10,13 @@
 use eelgrasswell_core::{
     drill::{self, Retained},
     place::Place,
+    store_copy::StoreCopy,
     unit::Millis,
 };
 use eelgrasswell_platform::objects::{self, CONFIG_NAME, Kind, Object};
 use tokio::time::sleep;
 
-use super::{Gateway, State, mirror::ObjectCopy};
+use super::{Gateway, State};
 use crate::{event, sync::lock, telemetry};
 
 pub use recall::{Knowledge, Recalls, handle_request, inform, recall_from};
@@ -39,7 +40,7 @@
 
 impl State {
     /// Decides which of the objects that were in force before the era rose stay so.
-    pub fn retain_superseded(&self, kind: Kind, copy: &mut ObjectCopy) {
+    pub fn retain_superseded(&self, kind: Kind, copy: &mut StoreCopy<Object>) {
         let Some(superseded) = copy.take_superseded() else { return };
         let known = superseded.objects.into_values().map(|object| (object.metadata.name.clone(), Some(object)));
         let gone = self.listed_but_gone(kind, copy).into_iter().map(|name| (name, None));
@@ -71,7 +72,7 @@
     }
 
     /// Names of the backend servers in the copy that are known to have left.
-    fn listed_but_gone(&self, kind: Kind, copy: &ObjectCopy) -> Vec<CompactString> {
+    fn listed_but_gone(&self, kind: Kind, copy: &StoreCopy<Object>) -> Vec<CompactString> {
         if kind != Kind::Backends {
             return Vec::new();
         }
@@ -82,7 +83,7 @@
     }
 
     fn expire_retained(&self, kind: Kind) {
-        let expired = lock(self.mirror.copy(kind)).retained_mut().expire(self.clock.now());
+        let expired = lock(self.mirror.copy(kind)).data.retained_mut().expire(self.clock.now());
         if expired.is_empty() {
             return;
         }
@@ -95,7 +96,7 @@
     pub fn release_config(&self, changed: Place) -> bool {
         let is_covered = self.confirmed_config().is_some_and(|config| config.is_covered_by(changed));
         if is_covered {
-            lock(self.mirror.copy(Kind::Config)).retained_mut().remove(CONFIG_NAME);
+            lock(self.mirror.copy(Kind::Config)).data.retained_mut().remove(CONFIG_NAME);
         }
         is_covered
     }
--- a/crates/daemon/src/gateway/drill/recall.rs
+++ b/crates/daemon/src/gateway/drill/recall.rs
@@ -68,7 +68,8 @@
     /// Whether all copies have been read in the present era.
     pub fn has_read_era(&self) -> bool {
         let era = self.store_era.current();
-        let is_current = |&kind: &Kind| lock(self.mirror.copy(kind)).place().is_some_and(|place| place.era() == era);
+        let is_current =
+            |&kind: &Kind| lock(self.mirror.copy(kind)).data.place().is_some_and(|place| place.era() == era);
         Kind::ALL.iter().all(is_current)
     }
 
@@ -99,7 +100,7 @@
     fn retained_hash(&self) -> u64 {
         let hash_of = |kind: Kind| {
             let copy = lock(self.mirror.copy(kind));
-            let hashes = copy.retained().iter().map(|(name, retained)| {
+            let hashes = copy.data.retained().iter().map(|(name, retained)| {
                 let is_gone = if retained.object.is_none() { "gone" } else { "" };
                 stable_hash(&[kind.path(), name, &retained.place.to_string(), is_gone])
             });
@@ -119,7 +120,8 @@
             let names: Vec<CompactString> = {
                 let mut copy = lock(self.mirror.copy(kind));
                 let mut retain = |(name, retained): &(CompactString, Retained<_>)| {
-                    outlives(kind, retained, copy.get_listed(name)) && copy.retain(name.clone(), retained.clone())
+                    outlives(kind, retained, copy.data.get_listed(name))
+                        && copy.data.retain(name.clone(), retained.clone())
                 };
                 recalled.iter().filter(|recalled| retain(recalled)).map(|(name, _)| name.clone()).collect()
             };
@@ -157,7 +159,7 @@
         let mut objects = Vec::new();
         for kind in Kind::ALL {
             let copy = lock(self.mirror.copy(kind));
-            for (name, retained) in copy.retained().iter() {
+            for (name, retained) in copy.data.retained().iter() {
                 let object = retained.object.as_ref().map(serde_json::to_vec).transpose()?;
                 objects.push(RetainedObject {
                     kind: kind.index() as u32,
--- a/crates/daemon/src/gateway/follow.rs
+++ b/crates/daemon/src/gateway/follow.rs
@@ -12,6 +12,7 @@
     fleet::Member,
     id::{Era, HostId},
     place::Place,
+    store_copy::{Lacking, PeerCopy},
     transfer,
     unit::{Bytes, Millis},
 };
@@ -161,12 +162,12 @@
     fn own_replicas(&self) -> Vec<Replica> {
         let replica = |kind: &Kind| {
             let copy = lock(self.mirror.copy(*kind));
-            let place = copy.place().unwrap_or_default();
+            let place = copy.data.place().unwrap_or_default();
             Replica {
                 kind: kind.index() as u32,
                 era: Some(place.era().0),
                 revision: place.revision(),
-                changed: copy.changed().revision(),
+                changed: copy.data.changed().revision(),
                 ..Replica::default()
             }
         };
@@ -186,12 +187,12 @@
         let mut copy = lock(self.mirror.copy(kind));
         let source_age = copy.store_response_age(now).unwrap_or(NEVER);
         let is_current = source_age < confirmation::max_source_age(sync::watch_wait(kind));
-        let place = copy.place()?;
+        let place = copy.data.place()?;
         let mut replica = Replica {
             kind: kind.index() as u32,
             era: Some(place.era().0),
             revision: place.revision(),
-            changed: copy.changed().revision(),
+            changed: copy.data.changed().revision(),
             proof_age_ms: copy.confirmation().age(now)?.0,
             sound: reaches_store && copy.is_synced_from_store() && is_current,
             source_age_ms: source_age.0,
@@ -200,7 +201,7 @@
         // A follower that sends no era knows none, and compares revisions only.
         let changed_at = |known: &Replica| Place::new(known.era.map_or(place.era(), Era), known.changed);
         let known = known.map(changed_at).unwrap_or_default();
-        if known >= copy.changed() {
+        if known >= copy.data.changed() {
             return Some(replica);
         }
         let encoded = match copy.lacking_since(known) {
@@ -211,12 +212,12 @@
             }
         };
         let size = Bytes(encoded.json.len() as u64);
-        if !needs_large && transfer::is_left_to_store(size, encoded.count, copy.listed().count()) {
+        if !needs_large && transfer::is_left_to_store(size, encoded.count, copy.data.listed().count()) {
             replica.left_to_store = true;
             return Some(replica);
         }
         replica.objects = encoded.json;
-        replica.names = copy.listed().map(|object| object.metadata.name.to_string()).collect();
+        replica.names = copy.data.listed().map(|object| object.metadata.name.to_string()).collect();
         Some(replica)
     }
 
@@ -230,7 +231,7 @@
             let source_at = responded_at.saturating_sub(Millis(replica.source_age_ms));
             let places = Places::of(&replica);
             self.store_era.record_peer(places.copy.era(), watcher.as_str());
-            let lacks = replica.left_to_store && lock(self.mirror.copy(kind)).changed() < places.changed;
+            let lacks = replica.left_to_store && lock(self.mirror.copy(kind)).data.changed() < places.changed;
             let is_synced = replica.sound && !lacks && places.copy.era() == self.store_era.current();
             if lacks {
                 event!(Info, "copy_left_to_store", kind = kind, peer = watcher, place = places.changed);
@@ -257,29 +258,14 @@
     ) -> Result<(), serde_json::Error> {
         let age = Millis(replica.proof_age_ms);
         let Places { copy: place, changed } = Places::of(&replica);
-        let mut parsed = None;
+        let mut lacking = None;
         if !replica.objects.is_empty() {
-            let objects = ParsedObjects::from_json(&replica.objects, place)?;
-            objects.malformed.iter().for_each(|err| self.mirror.report_malformed(kind, err));
-            parsed = Some(objects.objects);
+            let parsed = ParsedObjects::from_json(&replica.objects, place)?;
+            parsed.malformed.iter().for_each(|err| self.mirror.report_malformed(kind, err));
+            lacking = Some(Lacking { objects: parsed.objects, names: replica.names });
         }
-        self.update_copy(kind, watcher.as_str(), |copy| {
-            copy.record_peer_confirmation(responded_at.saturating_sub(age));
-            // If this gateway's copy is newer, a confirmation of an older state does not apply to it.
-            let is_older = copy.place().is_some_and(|known| known > place);
-            match parsed {
-                Some(objects) if !is_older => {
-                    copy.merge(objects, &replica.names, place, changed);
-                    copy.confirm_from_peer(place, responded_at, age);
-                    true
-                }
-                None if !is_older && copy.changed() >= changed && copy.place().is_some() => {
-                    copy.confirm_from_peer(place, responded_at, age);
-                    false
-                }
-                Some(_) | None => false,
-            }
-        });
+        let peer = PeerCopy { place, changed, lacking };
+        self.update_copy(kind, watcher.as_str(), |copy| copy.merge(peer, responded_at, age));
         Ok(())
     }
 }
--- a/crates/daemon/src/gateway/mirror.rs
+++ b/crates/daemon/src/gateway/mirror.rs
@@ -1,21 +1,20 @@
 //! Copies of the store's objects, and how current they are.
 
-use std::{collections::BTreeMap, sync::Mutex};
+use std::sync::Mutex;
 
 use bytes::Bytes;
-use compact_str::CompactString;
 use eelgrasswell_core::{
     confirmation::Confirmation,
-    drill::{Retained, RetainedObjects},
     hash::{HashMap, HashSet},
     id::HostId,
     outage::Outage,
     place::Place,
+    store_copy::{MergeOutcome, PeerCopy, StoreCopy},
     unit::Millis,
 };
 use eelgrasswell_platform::{
     objects::{Kind, MalformedObject, Object},
-    store::Change,
+    store::Changes,
 };
 use tokio::sync::watch;
 
@@ -48,23 +47,13 @@
     }
 }
 
-/// Copy of all objects of one kind.
+/// Copy of all objects of one kind, and how current it is.
 #[derive(Default)]
 pub struct ObjectCopy {
-    /// Objects of the store by name.
-    listed: BTreeMap<CompactString, Object>,
-    /// What stays in force of earlier eras in place of the store's objects.
-    retained: RetainedObjects<Object>,
-    /// What was in force before the era rose, until it is decided what stays so.
-    superseded: Option<Superseded>,
-    /// First place of the present era that the copy had.
-    era_start: Place,
-    /// Place of the store that the copy corresponds to; none before the first read.
-    place: Option<Place>,
+    /// The objects.
+    pub data: StoreCopy<Object>,
     /// Whether what is derived from the copy has been derived at least once.
     is_applied: bool,
-    /// Place of the store at which the copy last changed, in the same era.
-    changed: Place,
     confirmation: Confirmation,
     /// Time for which the store's last response to this gateway showed the copy to be current.
     store_response: Confirmation,
@@ -80,14 +69,6 @@
     peer_confirmed_at: Option<Millis>,
 }
 
-/// What a copy of an earlier era held.
-pub struct Superseded {
-    /// Last place of that copy.
-    pub place: Place,
-    /// Objects that were in force, by name.
-    pub objects: BTreeMap<CompactString, Object>,
-}
-
 /// Objects in the form in which followers get them.
 #[derive(Clone)]
 pub struct EncodedObjects {
@@ -227,11 +208,6 @@
 }
 
 impl ObjectCopy {
-    /// Place of the store that the copy corresponds to; none before the first read.
-    pub fn place(&self) -> Option<Place> {
-        self.place
-    }
-
     /// Last confirmation that the copy is current. It says nothing about what is derived from the copy, which may lag.
     pub fn confirmation(&self) -> Confirmation {
         self.confirmation
@@ -242,166 +218,61 @@
         self.is_applied = true;
     }
 
-    /// All objects in force: those of the store, and what stays in force of earlier eras in their place.
-    pub fn objects(&self) -> impl Iterator<Item = &Object> {
-        let listed = self.listed.iter().filter(|(name, _)| self.retained.get(name).is_none());
-        let retained = self.retained.iter().filter_map(|(_, retained)| retained.object.as_ref());
-        listed.map(|(_, object)| object).chain(retained)
-    }
-
-    /// All objects of the store, by name.
-    pub fn listed(&self) -> impl Iterator<Item = &Object> {
-        self.listed.values()
-    }
-
-    /// The store's object with the name `name`.
-    pub fn get_listed(&self, name: &str) -> Option<&Object> {
-        self.listed.get(name)
-    }
-
-    /// What stays in force of earlier eras.
-    pub fn retained(&self) -> &RetainedObjects<Object> {
-        &self.retained
-    }
-
-    /// The same, to change it.
-    pub fn retained_mut(&mut self) -> &mut RetainedObjects<Object> {
-        &mut self.retained
-    }
-
-    /// Retains an object unless it has been written again. Returns whether that changed anything.
-    pub fn retain(&mut self, name: CompactString, retained: Retained<Object>) -> bool {
-        let listed = self.listed.get(&name).map(|object| object.metadata.place);
-        self.retained.insert(name, retained, listed)
-    }
-
-    /// What was in force before the era rose, the first time after that.
-    pub fn take_superseded(&mut self) -> Option<Superseded> {
-        self.superseded.take()
-    }
-
-    /// First place of the present era that the copy had.
-    pub fn era_start(&self) -> Place {
-        self.era_start
-    }
-
-    /// Begins a new era if `place` is the first one of it, and returns whether it is.
-    fn begin_era(&mut self, place: Place) -> bool {
-        let is_new_era = self.place.is_none_or(|known| known.era() != place.era());
-        if is_new_era {
-            let by_name = |object: &Object| (object.metadata.name.clone(), object.clone());
-            self.superseded =
-                self.place.map(|place| Superseded { place, objects: self.objects().map(by_name).collect() });
-            self.era_start = place;
-            self.listed.clear();
-        }
-        is_new_era
-    }
-
-    /// Records that the store's objects are those at `place`, and drops what is retained and has been written again.
-    fn set_place(&mut self, place: Place) {
-        self.place = self.place.max(Some(place));
-        let listed = &self.listed;
-        self.retained.drop_written(|name| listed.get(name).map(|object| object.metadata.place));
-    }
-
-    /// Records that a peer's copy was current at `at`.
-    pub fn record_peer_confirmation(&mut self, at: Millis) {
-        self.peer_confirmed_at = self.peer_confirmed_at.max(Some(at));
-    }
-
-    /// Place of the store at which the copy last changed, in the same era.
-    pub fn changed(&self) -> Place {
-        self.changed
-    }
-
     /// Time since the store's last response to this gateway's calls for the copy; none before the first.
     pub fn store_response_age(&self, now: Millis) -> Option<Millis> {
         self.store_response.age(now)
     }
 
+    /// Whether this gateway's own calls keep the copy current.
+    pub fn is_synced_from_store(&self) -> bool {
+        self.source_is_store && !self.store_calls_fail
+    }
+
     /// The objects that have changed after `since`, encoded.
     pub fn lacking_since(&mut self, since: Place) -> Result<EncodedObjects, serde_json::Error> {
-        let changed = self.changed;
+        let changed = self.data.changed();
         if let Some(encoded) = &self.encoded
             && (encoded.since, encoded.changed) == (since, changed)
         {
             return Ok(encoded.clone());
         }
-        let objects: Vec<&Object> = self.listed.values().filter(|object| object.metadata.place > since).collect();
+        let objects = self.data.changed_since(since);
         let (count, json) = (objects.len(), serde_json::to_vec(&objects)?.into());
         let encoded = EncodedObjects { since, changed, count, json };
         self.encoded = Some(encoded.clone());
         Ok(encoded)
     }
 
-    /// Whether this gateway's own calls keep the copy current.
-    pub fn is_synced_from_store(&self) -> bool {
-        self.source_is_store && !self.store_calls_fail
-    }
-
-    /// Records a peer's confirmation that the copy corresponds to `place`. The confirmation was `age` old when the peer
-    /// responded, which was at `responded_at` or later.
-    pub fn confirm_from_peer(&mut self, place: Place, responded_at: Millis, age: Millis) {
-        self.place = self.place.max(Some(place));
-        self.confirmation.confirm_by_peer(responded_at, age);
-    }
-
-    /// Merges a peer's copy at `place`: `objects` are those that have changed since this copy, all of them in another era,
-    /// `names` the names of all objects in the peer's copy, and `changed` the place at which that copy last changed.
-    pub fn merge(&mut self, objects: Vec<Object>, names: &[String], place: Place, changed: Place) {
-        let names: HashSet<&str> = names.iter().map(String::as_str).collect();
-        self.begin_era(place);
-        self.listed.retain(|name, _| names.contains(name.as_str()));
-        self.listed.extend(objects.into_iter().map(|object| (object.metadata.name.clone(), object)));
-        self.set_place(place);
-        self.changed = self.changed.max(changed);
+    /// Merges another gateway's copy, which was confirmed `age` before it responded, at `responded_at` or later. Returns whether
+    /// objects changed.
+    pub fn merge(&mut self, peer: PeerCopy<Object>, responded_at: Millis, age: Millis) -> bool {
+        self.peer_confirmed_at = self.peer_confirmed_at.max(Some(responded_at.saturating_sub(age)));
+        let outcome = self.data.merge(peer);
+        if outcome != MergeOutcome::Ignored {
+            self.confirmation.confirm_by_peer(responded_at, age);
+        }
+        outcome == MergeOutcome::Changed
     }
 
     /// Replaces all objects by a list at `place` that was requested at `sent`. Returns whether it did: an older list than the
     /// copy changes nothing.
     pub fn replace(&mut self, objects: Vec<Object>, place: Place, sent: Millis) -> bool {
-        if self.place.is_some_and(|known| known > place) {
-            return false;
-        }
-        let objects = objects.into_iter().map(|object| (object.metadata.name.clone(), object)).collect();
-        if self.begin_era(place) || self.listed != objects {
-            self.changed = place;
+        let is_replaced = self.data.replace(objects, place);
+        if is_replaced {
+            self.confirmation.confirm_by_read(sent);
+            self.store_response.confirm_at(sent);
         }
-        self.listed = objects;
-        self.set_place(place);
-        self.confirmation.confirm_by_read(sent);
-        self.store_response.confirm_at(sent);
-        true
+        is_replaced
     }
 
-    /// Records the end of a watch that was sent at `sent` and waited for `waited`. Its response began at `began_at`.
-    pub fn confirm_by_watch(&mut self, sent: Millis, waited: Millis, began_at: Millis) {
-        self.confirmation.confirm_by_watch(sent, waited);
-        self.store_response.confirm_at(began_at);
-    }
-
-    /// Applies changes up to `place`, unless the copy has been replaced by one of a later era meanwhile. Returns whether it
-    /// did.
-    pub fn apply_changes(&mut self, changes: Vec<Change>, place: Place) -> bool {
-        if self.place.is_some_and(|known| known.era() != place.era()) {
-            return false;
-        }
-        if !changes.is_empty() {
-            self.changed = self.changed.max(place);
-        }
-        for Change { object, deleted } in changes {
-            let known = self.listed.get(&object.metadata.name);
-            if known.is_some_and(|known| known.metadata.place > object.metadata.place) {
-                continue;
-            }
-            if deleted {
-                self.listed.remove(&object.metadata.name);
-            } else {
-                self.listed.insert(object.metadata.name.clone(), object);
-            }
+    /// Applies the end of a watch that was sent at `sent` and waited for `waited`. Its response began at `began_at`. Returns
+    /// whether it counts: one of another era than the copy does not.
+    pub fn apply_watch(&mut self, changes: Changes, sent: Millis, waited: Millis, began_at: Millis) -> bool {
+        let is_applied = self.data.apply_changes(changes.events, changes.place);
+        if is_applied {
+            self.confirmation.confirm_by_watch(sent, waited);
+            self.store_response.confirm_at(began_at);
         }
-        self.set_place(place);
-        true
+        is_applied
     }
 }
--- a/crates/daemon/src/gateway/orders.rs
+++ b/crates/daemon/src/gateway/orders.rs
@@ -191,7 +191,7 @@
     }
 
     async fn write_state(&self, client: &mut StoreClient, report: PendingReport) {
-        let object = lock(self.mirror.copy(Kind::Orders)).get_listed(report.order.service.as_str()).cloned();
+        let object = lock(self.mirror.copy(Kind::Orders)).data.get_listed(report.order.service.as_str()).cloned();
         let Some(object) = object.filter(|object| !is_for_another(object, &report.order.target)) else { return };
         let status = objects::order_status(&report.order, report.state);
         match client.put_status(Kind::Orders, &object, &status).await {
--- a/crates/daemon/src/gateway/sync.rs
+++ b/crates/daemon/src/gateway/sync.rs
@@ -128,7 +128,7 @@
 /// Makes one call to the store: a watch, or a list if the copy has not been read in the current era or `needs_list` is set.
 async fn sync_once(gateway: &Gateway, kind: Kind, client: &mut StoreClient, needs_list: bool) -> Result<(), CallError> {
     let sent = gateway.clock.now();
-    let place = lock(gateway.mirror.copy(kind)).place();
+    let place = lock(gateway.mirror.copy(kind)).data.place();
     let Some(place) = place.filter(|place| !needs_list && place.era() == gateway.store_era.current()) else {
         let list = client.list(kind).await?;
         list.malformed.iter().for_each(|err| gateway.mirror.report_malformed(kind, err));
@@ -142,10 +142,7 @@
     let waited = if changed { Millis::ZERO } else { wait };
     let mut is_applied = false;
     gateway.update_copy(kind, STORE_SOURCE, |copy| {
-        is_applied = copy.apply_changes(changes.events, changes.place);
-        if is_applied {
-            copy.confirm_by_watch(sent, waited, began_at);
-        }
+        is_applied = copy.apply_watch(changes, sent, waited, began_at);
         is_applied && changed
     });
     if !is_applied {
@@ -177,7 +174,7 @@
         if self.update_copy(kind, STORE_SOURCE, |copy| copy.replace(objects, place, sent)) {
             self.mirror.notify_followers();
         } else {
-            let known = lock(self.mirror.copy(kind)).place().unwrap_or_default();
+            let known = lock(self.mirror.copy(kind)).data.place().unwrap_or_default();
             event!(Info, "store_list_ignored", kind = kind, place = place, known = known);
         }
     }
