core: a late watch does not bring back an object that was deleted since

An object that the response names and that was deleted in between was inserted again, as nothing of its name was there to compare with: a server that has left would get requests again, until the next list of its kind.

Change: StoreCopy::apply_changes compares the place of the response with that of the copy. A response that ends at or before it changes nothing; one that ends later holds all changes up to its end.

--- a/crates/core/src/store_copy.rs
+++ b/crates/core/src/store_copy.rs
@@ -174,10 +174,12 @@
         true
     }
 
-    /// Applies the changes of a watch up to `place`, unless the copy is of another era meanwhile. Returns whether it did.
+    /// Applies the changes of a watch up to `place`. Returns whether it counts: one of another era than the copy does not. A copy
+    /// that is later meanwhile has the changes already, and what became of them since.
     pub fn apply_changes(&mut self, changes: Vec<Change<T>>, place: Place) -> bool {
-        if self.place.is_none_or(|known| known.era() != place.era()) {
-            return false;
+        let Some(known) = self.place.filter(|known| known.era() == place.era()) else { return false };
+        if place <= known {
+            return true;
         }
         if !changes.is_empty() {
             self.changed = self.changed.max(place);
--- a/crates/core/tests/store_copy.rs
+++ b/crates/core/tests/store_copy.rs
@@ -11,6 +11,7 @@
     store_copy::{Change, Lacking, PeerCopy, StoreCopy, StoreObject},
     unit::Millis,
 };
+use proptest::prelude::*;
 
 /// Number of events in the schedules that are all played.
 const SCHEDULE_LENGTH: u32 = 5;
@@ -303,3 +304,18 @@
     use Event::*;
     play(&[Other, Other, Send(1), Drill, Drill, List(1), LateResponse(1), Watch(1)]);
 }
+
+/// A watch whose response names an object that was deleted since, as the copy of another router has shown meanwhile.
+#[test]
+fn late_watch_after_a_newer_copy() {
+    use Event::*;
+    play(&[Other, Other, Send(1), Other, List(1), LateResponse(1), Watch(1)]);
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(4_096))]
+    #[test]
+    fn long_schedules(schedule in prop::collection::vec(prop::sample::select(EVENTS.to_vec()), 6..60)) {
+        play(&schedule);
+    }
+}
