duties: a store that has forgotten the lease gives it to nobody else by accident

The lease is replaced under the revision that was read. After a drill the store gives out its revisions again, so a write that was meant for the lease before the drill can replace the one after it, and the older copy may name a holder that has lost the lease since.

Change: each era of the store has a lease object of its own (lease-ERA; lease while no era is known). DutyLease::record_era: whoever has renewed the lease within the lease time is the last holder; it stops, makes the object of the new era from what it knows, and goes on. Any other router waits as for a takeover and leaves out the windows that have ended, as it can't know what was sent. Fences of an era begin at a million times the era. A write that is answered in another era than that of its object counts as unknown.

Why it works: a takeover takes longer than the lease time, so a router that renewed within it knows that it was the last holder; the object of an era is created once, so of all routers that want it one gets it.

--- a/crates/core/src/duty_lease.rs
+++ b/crates/core/src/duty_lease.rs
@@ -9,11 +9,18 @@
 //! replaces the object after it has known one revision for longer than the lease time. The write that made this revision
 //! was sent before it was read, so the holder has stopped by then. A read never extends the time to act: another router may
 //! have read the same revision before.
+//!
+//! When the store comes back from an older copy, it has forgotten the last renewals, and maybe the last holder, and gives out again
+//! the revisions under which they were written. So each era has an object of its own: a write that was meant for an earlier era
+//! can't replace it. A router that has renewed the lease within the lease time when the era rises is the last holder, since a
+//! takeover takes longer. It stops, makes the object of the new era from what it knows, and goes on. Any other router makes it only
+//! after the wait of a takeover. It can't know what the last holder has settled and sent, so it leaves out all windows that have
+//! ended. Fences taken in an era are above those of all earlier ones, whatever counter the object holds.
 
 use std::net::SocketAddr;
 
 use crate::{
-    id::{Fence, HostId, Incarnation},
+    id::{Era, Fence, HostId, Incarnation},
     place::Place,
     unit::Millis,
     usage::{Report, WindowId},
@@ -29,6 +36,8 @@
 const TAKEOVER_MARGIN_SHARE: f64 = 0.1;
 /// Number of routers that may take the lease over, by rank.
 pub const MAX_CANDIDATES: usize = 3;
+/// Number of fences of one era of the store.
+const FENCES_PER_ERA: u64 = 1_000_000;
 /// Maximum number of reports in the lease. The oldest are dropped first.
 const MAX_REPORTS: usize = 64;
 /// Number of finished reports that stay in the lease, for operators.
@@ -50,7 +59,7 @@
 pub struct Lease {
     /// The holder.
     pub holder: Holder,
-    /// Fencing token; rises by one with each new holder.
+    /// Fencing token; rises with each new holder.
     pub fence: Fence,
     /// Number of writes by this holder, so that each one changes the object.
     pub renewals: u64,
@@ -69,7 +78,7 @@
 /// The lease object as read from the store or confirmed by it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Stored {
-    /// Place of the last change of the object.
+    /// Era of the object, and revision of its last change.
     pub place: Place,
     /// Its content.
     pub lease: Lease,
@@ -95,10 +104,10 @@
 pub enum Action {
     /// None before this time, unless something is heard.
     Wait(Millis),
-    /// Reads the object.
+    /// Reads the object of the latest era that has one.
     Read,
-    /// Creates the object if it does not exist.
-    Create(Lease),
+    /// Creates the object of this era if it does not exist.
+    Create(Era, Lease),
     /// Replaces the object if it has not changed since the place.
     Replace(Stored),
 }
@@ -157,6 +166,10 @@
     duration: Millis,
     phase: Phase,
     heard: Option<Heard>,
+    /// Highest era of the store.
+    era: Era,
+    /// Whether the era has risen since the start.
+    saw_rise: bool,
     /// Highest fence that was read or heard of.
     max_fence: Fence,
     /// Last window that is not reported if this router creates the object: also the last one that is known to be settled, in
@@ -177,6 +190,8 @@
             duration,
             phase: Phase::Listening { since: now },
             heard: None,
+            era: Era::default(),
+            saw_rise: false,
             max_fence: Fence(0),
             first_settled,
             in_flight: None,
@@ -200,9 +215,28 @@
         (now.saturating_sub(valid_from) < self.share(share)).then_some(held.stored.lease.fence)
     }
 
+    /// Records that the store is in `era` at `now`. If it came back from an older copy since, this router stops acting.
+    pub fn record_era(&mut self, now: Millis, era: Era) {
+        if era <= self.era {
+            return;
+        }
+        let is_last_holder = self.held_fence(now, 1.0).is_some();
+        self.saw_rise |= self.era > Era::default();
+        self.era = era;
+        match &mut self.phase {
+            Phase::Holding(held) if is_last_holder => {
+                (held.valid_from, held.must_read) = (None, false);
+                self.not_before = now;
+            }
+            Phase::Holding(_) | Phase::Listening { .. } | Phase::Observing { .. } => {
+                self.phase = Phase::Listening { since: now };
+            }
+        }
+    }
+
     /// The call to make at `now`. `rank` is the position among the live routers, the best candidate first; none if this
-    /// router must not take the lease.
-    pub fn next(&mut self, now: Millis, rank: Option<usize>) -> Action {
+    /// router must not take the lease. `ended` is the last window that has ended.
+    pub fn next(&mut self, now: Millis, rank: Option<usize>, ended: WindowId) -> Action {
         let rank = rank.filter(|rank| *rank < MAX_CANDIDATES);
         if now < self.not_before {
             return Action::Wait(self.not_before);
@@ -226,10 +260,14 @@
                     return Action::Wait(take_over_at);
                 }
                 let (settled_through, reports) = match seen {
-                    Some(seen) => (seen.lease.settled_through, seen.lease.reports.clone()),
-                    None => (self.first_settled, Vec::new()),
+                    Some(seen) if seen.place.era() == self.era => {
+                        (seen.lease.settled_through, seen.lease.reports.clone())
+                    }
+                    None if !self.saw_rise => (self.first_settled, Vec::new()),
+                    Some(_) | None => (self.first_settled.max(ended), Vec::new()),
                 };
-                let fence = Fence(fence.max(self.max_fence).0.saturating_add(1));
+                let before_era = Fence(self.era.0.saturating_mul(FENCES_PER_ERA));
+                let fence = Fence(fence.max(self.max_fence).max(before_era).0.saturating_add(1));
                 let place = seen.as_ref().map(|seen| seen.place);
                 let holder = self.own.clone();
                 self.write(place, Lease { holder, fence, renewals: 0, settled_through, reports })
@@ -245,9 +283,9 @@
 
     fn write(&mut self, place: Option<Place>, lease: Lease) -> Action {
         self.in_flight = Some(lease.clone());
-        match place {
+        match place.filter(|place| place.era() == self.era) {
             Some(place) => Action::Replace(Stored { place, lease }),
-            None => Action::Create(lease),
+            None => Action::Create(self.era, lease),
         }
     }
 
@@ -261,8 +299,9 @@
             Phase::Holding(held) => Some(held),
             Phase::Listening { .. } | Phase::Observing { .. } => None,
         };
+        let is_of_era = object.as_ref().is_some_and(|object| object.place.era() == self.era);
         match object {
-            Some(stored) if stored.lease.holder == self.own => {
+            Some(stored) if stored.lease.holder == self.own && is_of_era => {
                 let mut held = Held::new(stored, None);
                 if let Some(before) = before.filter(|before| before.stored.lease.fence == held.stored.lease.fence) {
                     // The time to act stays as it was: only a confirmed write extends it.
@@ -275,10 +314,17 @@
                 self.not_before = now;
                 None
             }
-            seen => {
-                self.phase = Phase::Observing { at: now, seen };
-                before.map(|before| Change::Lost(before.stored.lease.fence))
-            }
+            seen => match before {
+                // Held the lease when the era rose, and nobody has made the object of this era yet.
+                Some(before) if before.stored.place.era() < self.era && !is_of_era => {
+                    self.phase = Phase::Holding(Held { must_read: false, ..before });
+                    None
+                }
+                before => {
+                    self.phase = Phase::Observing { at: now, seen };
+                    before.map(|before| Change::Lost(before.stored.lease.fence))
+                }
+            },
         }
     }
 
--- a/crates/core/tests/duty_lease.rs
+++ b/crates/core/tests/duty_lease.rs
@@ -6,7 +6,7 @@
 
 use eelgrasswell_core::{
     duty_lease::{Action, DutyLease, Heard, Holder, Lease, Stored, WriteOutcome},
-    id::{Fence, Incarnation},
+    id::{Era, Fence, Incarnation},
     place::Place,
     unit::Millis,
     usage::{Report, WindowId},
@@ -20,6 +20,8 @@
 const WINDOW_STEPS: u64 = 3;
 /// Steps at which faults begin. The first router holds the lease by then.
 const FAULT_STEPS: std::ops::Range<u64> = 13..29;
+/// Step up to which drills happen. A lease that was taken over for a fault has been renewed some times by then.
+const LAST_DRILL_STEP: u64 = 44;
 /// Steps of a schedule. The lease is taken over after the last fault.
 const STEPS: u64 = 80;
 /// Duration of faults that last, in steps: longer than the lease and the wait before a takeover.
@@ -50,8 +52,14 @@
     Restart,
     /// The object is deleted.
     Deleted,
+    /// The store comes back from a copy of this number of steps before, in the next era, and gives out its revisions again.
+    Drill(usize),
+    /// The API takes no calls for this number of steps.
+    ApiDown(u64),
 }
 
+const DRILLS: [Fault; 3] = [Fault::Drill(1), Fault::Drill(5), Fault::Drill(12)];
+
 const FAULTS: [Fault; 11] = [
     Fault::Lost,
     Fault::Unanswered,
@@ -83,26 +91,65 @@
     deaf_until: u64,
     outage_until: u64,
     writes_lost_until: u64,
-    /// Answer that arrives later: step, time of the call, outcome.
-    answer: Option<(u64, Millis, WriteOutcome)>,
+    /// Answer that arrives later, and the step at which it does.
+    answer: Option<(u64, Answer)>,
+    /// Highest era that the router has learned.
+    era: Era,
+}
+
+/// The store's answer to a write.
+struct Answer {
+    sent: Millis,
+    /// Era of the object that was to be written.
+    target: Era,
+    era: Era,
+    outcome: WriteOutcome,
+}
+
+/// A write of the object of an era: under a revision, or if there is none.
+#[derive(Clone)]
+struct Write {
+    target: Era,
+    revision: Option<u64>,
+    lease: Lease,
 }
 
 #[derive(Default)]
 struct Store {
-    object: Option<Stored>,
-    place: Place,
+    era: Era,
+    state: State,
     /// Writes that take effect at a later step.
-    late: Vec<(u64, Option<Place>, Lease)>,
+    late: Vec<(u64, Write)>,
+    /// States after each step.
+    earlier: Vec<State>,
+}
+
+#[derive(Clone, Default)]
+struct State {
+    revision: u64,
+    /// Objects by their era.
+    objects: BTreeMap<Era, (u64, Lease)>,
 }
 
 impl Store {
-    fn write(&mut self, condition: Option<Place>, lease: Lease) -> WriteOutcome {
-        if self.object.as_ref().map(|object| object.place) != condition {
+    fn write(&mut self, Write { target, revision, lease }: Write) -> WriteOutcome {
+        if self.state.objects.get(&target).map(|(revision, _)| *revision) != revision {
             return WriteOutcome::Conflict;
         }
-        self.place = Place::new(self.place.era(), self.place.revision() + 1);
-        self.object = Some(Stored { place: self.place, lease });
-        WriteOutcome::Written(self.place)
+        self.state.revision += 1;
+        self.state.objects.insert(target, (self.state.revision, lease));
+        WriteOutcome::Written(Place::new(self.era, self.state.revision))
+    }
+
+    fn drill(&mut self, steps: usize) {
+        self.state = self.earlier[self.earlier.len().saturating_sub(steps)].clone();
+        self.era.0 += 1;
+    }
+
+    /// The object of the latest era.
+    fn read(&self) -> Option<Stored> {
+        let (era, (revision, lease)) = self.state.objects.last_key_value()?;
+        Some(Stored { place: Place::new(*era, *revision), lease: lease.clone() })
     }
 }
 
@@ -115,6 +162,7 @@
     /// Holder and time of the last call by each of the last two holders.
     last: Vec<((usize, u64), Millis)>,
     last_step: u64,
+    down_until: u64,
 }
 
 impl Api {
@@ -140,6 +188,11 @@
     Millis(10_000) + Millis(step * STEP.0)
 }
 
+/// Last window that has ended.
+fn ended(step: u64) -> WindowId {
+    WindowId(step / WINDOW_STEPS).previous()
+}
+
 fn holder(index: usize, incarnation: u64) -> Holder {
     let id = format!("node-{index}");
     Holder { id: id.as_str().into(), incarnation: Incarnation(incarnation), address: ([127, 0, 0, 1], 1).into() }
@@ -158,6 +211,7 @@
             outage_until: 0,
             writes_lost_until: 0,
             answer: None,
+            era: Era(1),
         }
     }
 
@@ -172,19 +226,18 @@
                 *self = Self { outage_until: self.outage_until, ..Self::new(self.index, incarnation, step) };
             }
             Fault::Lost | Fault::Unanswered | Fault::Late(_) | Fault::SlowAnswer => self.pending = Some(fault),
-            Fault::Deleted => {}
+            Fault::Deleted | Fault::Drill(_) | Fault::ApiDown(_) => {}
         }
     }
 
     /// Settles ended windows, and sends one report if the lease allows it.
     fn act(&mut self, step: u64, api: &mut Api, schedule: &[Event]) {
-        let ended = WindowId(step / WINDOW_STEPS).previous();
-        if let Some(settled) = self.lease.settled_through().filter(|settled| *settled < ended) {
+        if let Some(settled) = self.lease.settled_through().filter(|settled| *settled < ended(step)) {
             // Each router and step has other counts, so that a window that is settled twice is found.
             let counts = BTreeMap::from([(format!("node-{}", self.index).as_str().into(), step)]);
             self.lease.settle(Report { window: settled.next(), counts, done: false });
         }
-        let Some(fence) = self.lease.may_act(at(step)) else { return };
+        let Some(fence) = self.lease.may_act(at(step)).filter(|_| step >= api.down_until) else { return };
         api.call(step, self, fence, schedule);
         if let Some(report) = self.lease.unsent_report().cloned() {
             let known = api.reports.entry(report.window.0).or_insert_with(|| report.clone());
@@ -193,28 +246,43 @@
         }
     }
 
+    /// Records an answer as a gateway does: one of an earlier era, or to a condition of another one, tells nothing.
+    fn record_answer(&mut self, now: Millis, answer: Answer) {
+        let Answer { sent, target, era, outcome } = answer;
+        self.era = self.era.max(era);
+        let is_odd = matches!(outcome, WriteOutcome::Written(_)) && target != era;
+        self.lease.record_era(now, self.era);
+        self.lease.record_write(sent, now, if is_odd || era < self.era { WriteOutcome::Unknown } else { outcome });
+    }
+
     fn call(&mut self, step: u64, store: &mut Store) {
         let now = at(step);
-        if let Some((due, sent, outcome)) = self.answer {
-            if step < due {
+        match self.answer.take() {
+            Some((due, answer)) if step < due => {
+                self.answer = Some((due, answer));
                 return;
             }
-            self.answer = None;
-            self.lease.record_write(sent, now, outcome);
+            Some((_, answer)) => self.record_answer(now, answer),
+            None => {}
         }
-        let (condition, lease) = match self.lease.next(now, Some(self.index)) {
+        self.lease.record_era(now, self.era);
+        let write = match self.lease.next(now, Some(self.index), ended(step)) {
             Action::Wait(_) => return,
             Action::Read => {
                 let fails = step < self.outage_until || self.pending.take().is_some();
                 if fails {
                     self.lease.record_read_failure(now);
                 } else {
-                    self.lease.record_read(now, store.object.clone());
+                    self.era = store.era;
+                    self.lease.record_era(now, self.era);
+                    self.lease.record_read(now, store.read());
                 }
                 return;
             }
-            Action::Create(lease) => (None, lease),
-            Action::Replace(stored) => (Some(stored.place), stored.lease),
+            Action::Create(target, lease) => Write { target, revision: None, lease },
+            Action::Replace(Stored { place, lease }) => {
+                Write { target: place.era(), revision: Some(place.revision()), lease }
+            }
         };
         if step < self.outage_until {
             self.lease.record_write(now, now, WriteOutcome::Refused);
@@ -227,18 +295,22 @@
         let outcome = match self.pending.take() {
             Some(Fault::Lost) => WriteOutcome::Unknown,
             Some(Fault::Unanswered) => {
-                store.write(condition, lease);
+                store.write(write);
                 WriteOutcome::Unknown
             }
             Some(Fault::Late(steps)) => {
-                store.late.push((step + steps, condition, lease));
+                store.late.push((step + steps, write));
                 WriteOutcome::Unknown
             }
-            Some(Fault::SlowAnswer) => {
-                self.answer = Some((step + FAULT_LENGTH, now, store.write(condition, lease)));
+            fault => {
+                let target = write.target;
+                let answer = Answer { sent: now, target, outcome: store.write(write), era: store.era };
+                match fault {
+                    Some(Fault::SlowAnswer) => self.answer = Some((step + FAULT_LENGTH, answer)),
+                    _ => self.record_answer(now, answer),
+                }
                 return;
             }
-            _ => store.write(condition, lease),
         };
         self.lease.record_write(now, now, outcome);
     }
@@ -246,13 +318,16 @@
 
 /// Runs a schedule and returns the number of windows without a report.
 fn run(nodes: usize, schedule: &[Event]) -> u64 {
-    let mut store = Store::default();
+    let mut store = Store { era: Era(1), ..Store::default() };
     let mut api = Api::default();
     let mut nodes: Vec<Node> = (0..nodes).map(|n| Node::new(n, n as u64 + 1, 0)).collect();
     for step in 0..STEPS {
         for event in schedule.iter().filter(|event| event.step == step) {
-            if event.fault == Fault::Deleted {
-                store.object = None;
+            match event.fault {
+                Fault::Deleted => store.state.objects.clear(),
+                Fault::Drill(steps) => store.drill(steps),
+                Fault::ApiDown(steps) => api.down_until = step + steps,
+                _ => {}
             }
             if event.fault == Fault::Outage {
                 nodes.iter_mut().for_each(|node| node.begin(step, event.fault));
@@ -261,11 +336,11 @@
             }
         }
         let late = std::mem::take(&mut store.late);
-        for (due, condition, lease) in late {
+        for (due, write) in late {
             if due <= step {
-                store.write(condition, lease);
+                store.write(write);
             } else {
-                store.late.push((due, condition, lease));
+                store.late.push((due, write));
             }
         }
         // Alternates which router runs first, at another pace than the renewals.
@@ -277,6 +352,7 @@
             }
         }
         exchange(step, &mut nodes);
+        store.earlier.push(store.state.clone());
     }
     let silent = STEPS - api.last_step;
     assert!(silent <= 3, "nobody acts for the last {silent} steps: {schedule:?}");
@@ -289,12 +365,10 @@
     for to in 0..nodes.len() {
         for from in 0..nodes.len() {
             let is_cut = |node: &Node| step < node.frozen_until || step < node.deaf_until;
-            if to != from
-                && !is_cut(&nodes[to])
-                && !is_cut(&nodes[from])
-                && let Some(known) = nodes[from].lease.known()
-            {
-                nodes[to].lease.record_heard(known);
+            if to != from && !is_cut(&nodes[to]) && !is_cut(&nodes[from]) {
+                let (era, known) = (nodes[from].era, nodes[from].lease.known());
+                nodes[to].era = nodes[to].era.max(era);
+                known.map(|known| nodes[to].lease.record_heard(known));
             }
         }
     }
@@ -318,9 +392,9 @@
     };
     assert!(lease.record_heard(heard(7, 10)));
     assert!(!lease.record_heard(heard(7, 12)) && !lease.record_heard(heard(6, 13)));
-    assert_eq!(lease.next(at(10) + LEASE, Some(0)), Action::Read);
+    assert_eq!(lease.next(at(10) + LEASE, Some(0), ended(10)), Action::Read);
     assert!(lease.record_heard(heard(8, 14)));
-    assert_eq!(lease.next(at(14), Some(0)), Action::Wait(at(14) + LEASE));
+    assert_eq!(lease.next(at(14), Some(0), ended(10)), Action::Wait(at(14) + LEASE));
 }
 
 /// An operator may delete the object while a router holds the lease, and the holder or another router creates it again. Reports
@@ -353,3 +427,41 @@
     }
     assert!(schedules > 5_000, "{schedules}");
 }
+
+/// Guards against two holders, a fence that falls or is given out twice, and two reports of one window, because the store came back
+/// from an older copy that names an earlier renewal or an earlier holder (issue 48). Before a drill, any fault; around it, a few.
+#[test_case(2, 1; "two routers")]
+#[test_case(3, 3; "three routers")]
+fn drill_and_faults(nodes: usize, step_by: usize) {
+    const AROUND: [Fault; 4] = [Fault::Freeze(7), Fault::Deaf, Fault::Late(2), Fault::Unanswered];
+    let at_all = |step: u64, faults: &'static [Fault]| {
+        (0..nodes).flat_map(move |node| faults.iter().map(move |&fault| Event { step, node, fault }))
+    };
+    for step in (FAULT_STEPS.start + 1..LAST_DRILL_STEP).step_by(step_by) {
+        for drill in DRILLS.map(|fault| Event { step, node: 0, fault }) {
+            assert_eq!(run(nodes, &[drill]), 0, "windows without a report: {drill:?}");
+            for first in
+                at_all(FAULT_STEPS.start, &FAULTS).chain(at_all(FAULT_STEPS.start, &[Fault::Freeze(DEAF_LENGTH)]))
+            {
+                run(nodes, &[first, drill]);
+                for around in
+                    at_all(step - 1, &AROUND).chain(at_all(step + 1, &AROUND)).chain(at_all(step + 2, &DRILLS))
+                {
+                    run(nodes, &[first, drill, around]);
+                }
+            }
+        }
+    }
+}
+
+/// Guards against reports that were settled and not sent yet, and that the store has forgotten, maybe with the lease itself.
+#[test]
+fn drill_before_reports_are_sent() {
+    for step in FAULT_STEPS.start..FAULT_STEPS.start + 8 {
+        for drill in DRILLS {
+            let down = Event { step: FAULT_STEPS.start - 4, node: 0, fault: Fault::ApiDown(12) };
+            let drill = Event { step, node: 0, fault: drill };
+            assert_eq!(run(3, &[down, drill]), 0, "windows without a report: {drill:?}");
+        }
+    }
+}
--- a/crates/daemon/src/gateway/duties/lease.rs
+++ b/crates/daemon/src/gateway/duties/lease.rs
@@ -35,11 +35,13 @@
     loop {
         let rank = gateway.duty_rank();
         let now = active.clock.now();
-        let action = lock(&active.lease).next(now, rank);
+        active.record_era(&gateway);
+        let action = lock(&active.lease).next(now, rank, active.last_ended_window());
         match action {
             Action::Wait(until) => sleep(until.saturating_sub(now).min(CHECK_INTERVAL).into()).await,
             Action::Read => {
                 let result = client.read_lease(limit).await;
+                active.record_era(&gateway);
                 let now = active.clock.now();
                 match result {
                     Ok(stored) => {
@@ -52,14 +54,16 @@
                     }
                 }
             }
-            Action::Create(lease) => {
+            Action::Create(era, lease) => {
                 let sent = active.clock.now();
-                let result = client.create_lease(&lease, limit).await;
+                let result = client.create_lease(era, &lease, limit).await;
+                active.record_era(&gateway);
                 active.record_write(sent, "create", result);
             }
             Action::Replace(stored) => {
                 let sent = active.clock.now();
                 let result = client.replace_lease(&stored, limit).await;
+                active.record_era(&gateway);
                 active.record_write(sent, "replace", result);
             }
         }
@@ -68,16 +72,19 @@
 }
 
 impl Active {
+    /// Records the store's era, of which any call or another gateway may have told.
+    fn record_era(&self, gateway: &Gateway) {
+        lock(&self.lease).record_era(self.clock.now(), gateway.store_era.current());
+    }
+
     fn record_write(&self, sent: Millis, call: &str, result: Result<Place, CallError>) {
         let outcome = match &result {
             Ok(place) => WriteOutcome::Written(*place),
             Err(CallError::Refused(StoreError::Conflict | StoreError::NotFound)) => WriteOutcome::Conflict,
             Err(CallError::Refused(StoreError::Throttled | StoreError::Unavailable)) => WriteOutcome::Refused,
             // The object must be read anew before it is replaced.
-            Err(CallError::EraRisen) => WriteOutcome::Conflict,
-            Err(CallError::Refused(_) | CallError::Lost(_) | CallError::Cut(_) | CallError::Late) => {
-                WriteOutcome::Unknown
-            }
+            Err(CallError::NotSent) => WriteOutcome::Conflict,
+            Err(_) => WriteOutcome::Unknown,
         };
         if let Err(err) = result {
             event!(Warn, "duty_lease_not_written", call = call, outcome = format!("{outcome:?}"), error = err);
--- a/crates/daemon/src/gateway/duties/mod.rs
+++ b/crates/daemon/src/gateway/duties/mod.rs
@@ -159,6 +159,11 @@
 }
 
 impl Active {
+    /// Last window that has ended.
+    fn last_ended_window(&self) -> WindowId {
+        WindowId::at(wall_now(), self.settings.window()).previous()
+    }
+
     /// Oldest window whose report may still be sent.
     fn oldest_window(&self) -> WindowId {
         let window = self.settings.window();
--- a/crates/daemon/src/gateway/store.rs
+++ b/crates/daemon/src/gateway/store.rs
@@ -72,8 +72,11 @@
     Refused(StoreError),
     /// The response is from before the store came back from an older copy. It tells nothing about the store now.
     Late,
-    /// The store came back from an older copy since the place that the call refers to, which must be read anew.
+    /// The store came back from an older copy since the place that the call refers to, which must be read anew. A write may have
+    /// been executed all the same, where the revision was given out again.
     EraRisen,
+    /// The write was not sent, since the store came back from an older copy since the place of its condition.
+    NotSent,
 }
 
 impl fmt::Display for CallError {
@@ -84,6 +87,7 @@
             Self::Refused(error) => write!(f, "refused: {error}"),
             Self::Late => f.write_str("the response is from before the store came back from an older copy"),
             Self::EraRisen => f.write_str("the store came back from an older copy"),
+            Self::NotSent => f.write_str("not sent: the store came back from an older copy"),
         }
     }
 }
@@ -95,7 +99,7 @@
     pub fn end(&self) -> CallEnd {
         match self {
             Self::Cut(_) => CallEnd::Cut,
-            Self::Lost(_) | Self::Refused(_) | Self::Late | Self::EraRisen => CallEnd::Failed,
+            Self::Lost(_) | Self::Refused(_) | Self::Late | Self::EraRisen | Self::NotSent => CallEnd::Failed,
         }
     }
 
@@ -172,26 +176,28 @@
     /// Reads the lease on the duties within `limit`; none if it does not exist.
     pub async fn read_lease(&mut self, limit: Millis) -> Result<Option<Stored>, CallError> {
         let response = self.call("read_lease", duties::read_request(), limit).await?;
-        Ok(duties::parse_read(response.status, &response.body, response.era)?)
+        Ok(duties::parse_read(response.status, &response.body)?)
     }
 
-    /// Creates the lease on the duties if it does not exist, and returns its place.
-    pub async fn create_lease(&mut self, lease: &Lease, limit: Millis) -> Result<Place, CallError> {
-        let response = self.call("create_lease", duties::create_request(lease), limit).await?;
-        Ok(duties::parse_written(response.status, &response.body, response.era)?)
+    /// Creates the lease of `era` on the duties if it does not exist, and returns its place.
+    pub async fn create_lease(&mut self, era: Era, lease: &Lease, limit: Millis) -> Result<Place, CallError> {
+        let response = self.call("create_lease", duties::create_request(era, lease), limit).await?;
+        let place = duties::parse_written(response.status, &response.body, response.era)?;
+        if place.era() == era { Ok(place) } else { Err(CallError::EraRisen) }
     }
 
     /// Replaces the lease on the duties if it has not changed since the place of `stored`, and returns its new place.
     pub async fn replace_lease(&mut self, stored: &Stored, limit: Millis) -> Result<Place, CallError> {
         self.check_condition(stored.place)?;
         let response = self.call("replace_lease", duties::replace_request(stored), limit).await?;
-        Ok(duties::parse_written(response.status, &response.body, response.era)?)
+        let place = duties::parse_written(response.status, &response.body, response.era)?;
+        if place.era() == stored.place.era() { Ok(place) } else { Err(CallError::EraRisen) }
     }
 
     /// Fails if the store came back from an older copy since `place`. Its revision may have been given out again, so that a
     /// write under this condition could replace something else.
     fn check_condition(&self, place: Place) -> Result<(), CallError> {
-        if place.era() == self.era.current() { Ok(()) } else { Err(CallError::EraRisen) }
+        if place.era() == self.era.current() { Ok(()) } else { Err(CallError::NotSent) }
     }
 
     async fn call(
--- a/crates/testbed/tests/duties.rs
+++ b/crates/testbed/tests/duties.rs
@@ -10,6 +10,7 @@
 use hyper::StatusCode;
 use serde_json::{Value, json};
 use test_case::test_case;
+use tokio::time::sleep;
 
 /// Number of gateways.
 const GATEWAYS: usize = 3;
@@ -88,7 +89,7 @@
 
 /// Reports in the lease object that must still be sent.
 fn unsent_reports(rig: &Rig) -> Vec<(u64, Value)> {
-    let spec = rig.store.spec("duties", "lease");
+    let spec = rig.store.spec("duties", "lease-1");
     let reports = spec["reports"].as_array().cloned().unwrap_or_default();
     let unsent = reports.iter().filter(|report| report["done"] == false);
     unsent.map(|report| (report["window_id"].as_u64().unwrap_or(0), report["counts"].clone())).collect()
@@ -177,6 +178,35 @@
     api.check()
 }
 
+/// Guards against reports that are sent again with other counts, or left out, and against two holders, because the store has
+/// forgotten the last renewals of the lease (issue 48).
+#[test_case(false; "the holder goes on")]
+#[test_case(true; "the holder is frozen and wakes after another one has taken over")]
+#[tokio::test]
+async fn store_comes_back_older(freezes: bool) -> Result<()> {
+    let (rig, api) = start().await?;
+    let holder = wait_for_holder(&api).await?;
+    let copy = rig.store.copy();
+    send_reads(&rig, 3).await?;
+    wait_for_totals(&api, 3, 3).await?;
+    if freezes {
+        rig.gateways[holder].signal(Signal::Stop)?;
+    }
+    rig.store.go_away();
+    sleep(Duration::from_millis(200)).await;
+    rig.store.come_back(copy);
+    if freezes {
+        let taken = async || api.accepted().last().is_some_and(|call| index_of(&call.holder) != holder);
+        wait_until("another gateway reports", taken).await?;
+        rig.gateways[holder].signal(Signal::Continue)?;
+        // What was served before the takeover may be left out.
+        sleep(Duration::from_secs(2)).await;
+    }
+    send_reads(&rig, 3).await?;
+    wait_for_totals(&api, 6, 6).await?;
+    api.check()
+}
+
 /// Guards against the loss of the requests that a gateway has reported before it was killed.
 #[tokio::test]
 async fn gateway_with_counts_killed() -> Result<()> {
