--- a/crates/testbed/tests/store_drills.rs
+++ b/crates/testbed/tests/store_drills.rs
@@ -153,9 +153,20 @@
     RemovedServer,
     Evacuation,
     RolledBackVersion,
+    RolledBackState,
 }
 
 impl Lost {
+    /// Writes what the older copy will have.
+    async fn prepare(self, rig: &Rig) -> Result<()> {
+        if matches!(self, Self::RolledBackState) {
+            rig.store.put("rollouts", "desk", order());
+            let running = async || rig.store.status("rollouts", "desk")["state"] == "running";
+            wait_until("the rollout runs", running).await?;
+        }
+        Ok(())
+    }
+
     /// Writes what the older copy will lack, and waits until all gateways know it.
     async fn write(self, rig: &Rig, bad: &FakeBackend) -> Result<()> {
         let event = match self {
@@ -175,8 +186,10 @@
                 rig.store.put("evacuations", "south", json!({}));
                 "event=evacuations_changed count=1"
             }
-            Self::RolledBackVersion => {
-                rig.store.put("rollouts", "desk", order());
+            Self::RolledBackVersion | Self::RolledBackState => {
+                if matches!(self, Self::RolledBackVersion) {
+                    rig.store.put("rollouts", "desk", order());
+                }
                 let mut sent = 0;
                 wait_until("the version is rolled back", async || {
                     sent += 1;
@@ -204,6 +217,8 @@
             Self::RemovedServer => rig.store.delete("servers", "desk-0"),
             Self::Evacuation => rig.store.put("evacuations", "south", json!({})),
             Self::RolledBackVersion => rig.store.put("rollouts", "desk", order()),
+            // The gateways write it again.
+            Self::RolledBackState => {}
         }
     }
 
@@ -217,7 +232,7 @@
                 .filter(|run| run.header("x-tenant") == "customer-b")
                 .count(),
             Self::DrainingServer | Self::RemovedServer | Self::Evacuation => rig.desks[0].runs().len(),
-            Self::RolledBackVersion => bad.runs().len(),
+            Self::RolledBackVersion | Self::RolledBackState => bad.runs().len(),
         }
     }
 }
@@ -245,6 +260,7 @@
 #[test_case(Lost::RemovedServer; "server that has left")]
 #[test_case(Lost::Evacuation; "evacuation")]
 #[test_case(Lost::RolledBackVersion; "version that was rolled back")]
+#[test_case(Lost::RolledBackState; "state of an order that was rolled back")]
 #[tokio::test]
 async fn older_copy_brings_nothing_back(lost: Lost) -> Result<()> {
     let mut rig = Rig::start_with(RigPlan { gateways: 4, engines: 1, ..RigPlan::default() }, REVOKE_SETTINGS).await?;
@@ -254,6 +270,7 @@
     let mut entry = rig.desks[0].store_entry("desk", "v1", "ready");
     entry["zone"] = json!("south");
     rig.store.put("servers", "desk-0", entry);
+    lost.prepare(&rig).await?;
     sleep(WATCH_WAIT).await;
     let copy = rig.store.copy();
     lost.write(&rig, &bad).await?;
@@ -289,7 +306,7 @@
     for gateway in 0..rig.gateways.len() {
         assert_eq!(status(&rig, gateway, "key-a").await?, StatusCode::OK, "gateway {gateway}");
     }
-    if matches!(lost, Lost::RolledBackVersion) {
+    if matches!(lost, Lost::RolledBackVersion | Lost::RolledBackState) {
         assert_eq!(rig.store.status("rollouts", "desk")["state"], "rolled_back");
     }
     Ok(())
