testbed: a soak of the store's drills with gateway processes

Audited: no request runs that was sent later than its bound after a revocation, a server's leaving or an evacuation; all gateways end with the newest configuration and refuse the revoked keys; no gateway calls the store more than 60 times a second on average.

--- a/crates/testbed/src/site/mod.rs
+++ b/crates/testbed/src/site/mod.rs
@@ -2,6 +2,7 @@
 //! against them as separate processes.
 
 mod backend;
+pub mod drill_soak;
 mod duty_api;
 mod rig;
 mod scripted;
--- a/crates/testbed/tests/store_drills.rs
+++ b/crates/testbed/tests/store_drills.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use eelgrasswell_testbed::site::{FakeBackend, Rig, RigPlan, config, wait_until};
+use eelgrasswell_testbed::site::{FakeBackend, Rig, RigPlan, config, drill_soak, wait_until};
 use eyre::{Result, ensure};
 use futures::future::join_all;
 use hyper::StatusCode;
@@ -311,3 +311,14 @@
     }
     Ok(())
 }
+
+/// Guards against what the cases above don't name: drills at random moments beside changes of keys, servers and evacuations, and
+/// restarts of gateways. More seeds: the example `drill_soak`.
+#[tokio::test]
+async fn random_drills() -> Result<()> {
+    const SEED: u64 = 1;
+    let summary = drill_soak::run_round(SEED).await?;
+    println!("seed {SEED}: {summary:?}");
+    ensure!(summary.ran > 0 && summary.drills > 0 && summary.revoked > 0, "{summary:?}");
+    Ok(())
+}
